Whole path, thin: entry instances between stand-in callers, targets and platform

Cause: there was no program yet; every later part hangs on a path that serves a call from end to end.

--- /dev/null
+++ b/cmd/hemlocktally/main.go
@@ -0,0 +1,90 @@
+// Command hemlocktally runs an entry instance, the stand-ins around it, and the
+// tools of its operators.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"hemlocktally"
+)
+
+// Exit codes of the program.
+const (
+	exitFailed   = 1 // exitFailed says that the work failed.
+	exitUsage    = 2 // exitUsage says that the command line was wrong.
+	exitSettings = 3 // exitSettings says that a settings file was wrong.
+)
+
+const version = "0.1.0"
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := root().Run(ctx, os.Args)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "hemlocktally:", err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func root() *cli.Command {
+	return &cli.Command{
+		Name:  "hemlocktally",
+		Usage: "a load balancer for callers whose work must be prompt, whole and done once",
+		Description: "Exit codes: 0 done, 1 the work failed, 2 the command line was wrong, 3 a settings file was wrong.\n" +
+			"Ctrl-C stops gracefully: calls in flight are finished.",
+		Commands: []*cli.Command{
+			serveCommand(), demoCommand(), platformCommand(), targetCommand(), settingsCommand(), eventsCommand(), versionCommand(),
+		},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return &usageError{err}
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		CommandNotFound: func(_ context.Context, _ *cli.Command, name string) {
+			fmt.Fprintf(os.Stderr, "hemlocktally: no command %q; see hemlocktally --help\n", name)
+			os.Exit(exitUsage)
+		},
+	}
+}
+
+// usageError says that the command line was wrong.
+type usageError struct {
+	cause error
+}
+
+// Error returns the cause.
+func (e *usageError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *usageError) Unwrap() error { return e.cause }
+
+func exitCode(err error) int {
+	var usage *usageError
+	var setting *hemlocktally.SettingError
+	switch {
+	case errors.As(err, &usage):
+		return exitUsage
+	case errors.As(err, &setting):
+		return exitSettings
+	default:
+		return exitFailed
+	}
+}
+
+func versionCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the version",
+		Action: func(_ context.Context, c *cli.Command) error {
+			_, err := fmt.Fprintln(c.Root().Writer, "hemlocktally", version)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/configuration.go
@@ -0,0 +1,67 @@
+package hemlocktally
+
+import (
+	"slices"
+	"time"
+)
+
+// Revision numbers accepted configurations; it only rises.
+type Revision uint64
+
+// Configuration is all that operators have declared, at one revision.
+type Configuration struct {
+	Revision     Revision
+	ChangeID     string
+	Author       string
+	AcceptedAt   time.Time
+	Zones        []AvailabilityZone
+	Services     []Service
+	Contracts    []Contract
+	Callers      []Caller
+	InstancesOut []InstanceID
+}
+
+// Configurer gives the configuration in force.
+type Configurer interface {
+	Current() *Configuration
+}
+
+// Find returns the first contract that covers the request.
+func (c *Configuration) Find(line RequestLine) (Contract, bool) {
+	for _, contract := range c.Contracts {
+		if contract.Match.Covers(line) {
+			return contract, true
+		}
+	}
+	return Contract{}, false
+}
+
+// Service returns the service with the given name.
+func (c *Configuration) Service(name ServiceName) (Service, bool) {
+	i := slices.IndexFunc(c.Services, func(s Service) bool { return s.Name == name })
+	if i < 0 {
+		return Service{}, false
+	}
+	return c.Services[i], true
+}
+
+// ZoneOut reports whether operators have the zone out of service.
+func (c *Configuration) ZoneOut(name ZoneName) bool {
+	for _, z := range c.Zones {
+		if z.Name == name {
+			return z.Out
+		}
+	}
+	return false
+}
+
+// InstanceOut reports whether operators have the instance out of service.
+func (c *Configuration) InstanceOut(id InstanceID) bool {
+	return slices.Contains(c.InstancesOut, id)
+}
+
+// TargetOut reports whether a target gets no new work because operators took
+// it or its zone out.
+func (c *Configuration) TargetOut(t Target) bool {
+	return t.Out || c.ZoneOut(t.Zone)
+}
--- /dev/null
+++ b/contract.go
@@ -0,0 +1,110 @@
+package hemlocktally
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// ContractName names a contract.
+type ContractName string
+
+// Priority orders the work of one service; higher goes first.
+type Priority int32
+
+// The priorities. The zero value is normal.
+const (
+	PriorityNormal Priority = 0
+	PriorityHigh   Priority = 1
+)
+
+// String returns the name of the priority.
+func (p Priority) String() string {
+	if p >= PriorityHigh {
+		return "High"
+	}
+	return "Normal"
+}
+
+// Match says which requests a contract covers. An empty field matches all.
+type Match struct {
+	Host       string
+	PathPrefix string
+	Methods    []string
+	Callers    []CallerName
+}
+
+// RequestLine is what a match looks at.
+type RequestLine struct {
+	Host   string
+	Path   string
+	Method string
+	Caller CallerName
+}
+
+// Covers reports whether the match covers the request.
+func (m Match) Covers(line RequestLine) bool {
+	if m.Host != "" && !strings.EqualFold(m.Host, line.Host) {
+		return false
+	}
+	if !strings.HasPrefix(line.Path, m.PathPrefix) {
+		return false
+	}
+	if len(m.Methods) > 0 && !slices.Contains(m.Methods, line.Method) {
+		return false
+	}
+	return len(m.Callers) == 0 || slices.Contains(m.Callers, line.Caller)
+}
+
+// Contract is what operators declare for a class of requests.
+type Contract struct {
+	Name          ContractName
+	Service       ServiceName
+	Match         Match
+	Priority      Priority
+	NonIdempotent bool          // NonIdempotent work runs at most once.
+	Deadline      time.Duration // Deadline of a call; zero means DefaultDeadline.
+	QueueLimit    time.Duration // QueueLimit bounds the wait for a target; zero means half the deadline.
+	Hedge         bool          // Hedge allows a second attempt for a slow idempotent call.
+	HedgeBudget   float64       // HedgeBudget is the share of calls that may be hedged; zero means DefaultHedgeBudget.
+	RetryBudget   float64       // RetryBudget is the share of calls that may be retried; zero means DefaultRetryBudget.
+}
+
+// Defaults for contracts that declare nothing.
+const (
+	DefaultDeadline    = 2 * time.Second
+	DefaultHedgeBudget = 0.05
+	DefaultRetryBudget = 0.10
+)
+
+// CallDeadline returns the deadline with the default applied.
+func (c Contract) CallDeadline() time.Duration {
+	if c.Deadline <= 0 {
+		return DefaultDeadline
+	}
+	return c.Deadline
+}
+
+// QueueBound returns the queue limit with the default applied.
+func (c Contract) QueueBound() time.Duration {
+	if c.QueueLimit <= 0 {
+		return c.CallDeadline() / 2
+	}
+	return c.QueueLimit
+}
+
+// HedgeShare returns the hedge budget with the default applied.
+func (c Contract) HedgeShare() float64 {
+	if c.HedgeBudget <= 0 {
+		return DefaultHedgeBudget
+	}
+	return c.HedgeBudget
+}
+
+// RetryShare returns the retry budget with the default applied.
+func (c Contract) RetryShare() float64 {
+	if c.RetryBudget <= 0 {
+		return DefaultRetryBudget
+	}
+	return c.RetryBudget
+}
--- /dev/null
+++ b/loader/settings.go
@@ -0,0 +1,164 @@
+package loader
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"hemlocktally"
+)
+
+// Settings are all keys of one entry instance. Its fields are the sections of
+// the file.
+type Settings struct {
+	Instance InstanceSettings
+	Listen   ListenSettings
+	Platform PlatformSettings
+	Keys     KeySettings
+	Limits   LimitSettings
+	Routing  RoutingSettings
+	Log      LogSettings
+}
+
+// InstanceSettings say who the instance is.
+type InstanceSettings struct {
+	ID   string
+	Zone string
+}
+
+// ListenSettings hold the IP:port of each listener.
+type ListenSettings struct {
+	Callers   string
+	Peers     string
+	Operators string
+}
+
+// PlatformSettings hold the base URLs of the platform's services.
+type PlatformSettings struct {
+	Store        string
+	InstanceList string
+	Key          string
+	Timeout      time.Duration
+}
+
+// KeySettings hold the secrets between instances and of operators.
+type KeySettings struct {
+	Peer     string
+	Operator string
+}
+
+// LimitSettings bound what one request may use.
+type LimitSettings struct {
+	HeaderBytes       int
+	BodyBytes         int64
+	HoldBackBytes     int64 // HoldBackBytes of an answer are held until it is whole.
+	ReadHeaderTimeout time.Duration
+	IdleTimeout       time.Duration
+	StopTimeout       time.Duration // StopTimeout bounds a graceful shutdown.
+}
+
+// RoutingSettings choose the policy.
+type RoutingSettings struct {
+	Policy string
+}
+
+// LogSettings choose format and level.
+type LogSettings struct {
+	Format string
+	Level  string
+}
+
+// Policies that the Routing section may name.
+const (
+	PolicyOwner         = "Owner"
+	PolicyRandom        = "Random"
+	PolicyLeastInFlight = "LeastInFlight"
+	PolicyTwoChoices    = "TwoChoices"
+)
+
+// Policies lists all policies.
+var Policies = []string{PolicyOwner, PolicyRandom, PolicyLeastInFlight, PolicyTwoChoices}
+
+const (
+	defaultHeaderBytes   = 32 << 10
+	defaultBodyBytes     = 64 << 20
+	defaultHoldBackBytes = 256 << 10
+)
+
+// WithDefaults returns the settings with a default in place of each zero value.
+func (s Settings) WithDefaults() Settings {
+	setDefault(&s.Limits.HeaderBytes, defaultHeaderBytes)
+	setDefault(&s.Limits.BodyBytes, defaultBodyBytes)
+	setDefault(&s.Limits.HoldBackBytes, defaultHoldBackBytes)
+	setDefault(&s.Limits.ReadHeaderTimeout, 5*time.Second)
+	setDefault(&s.Limits.IdleTimeout, time.Minute)
+	setDefault(&s.Limits.StopTimeout, 30*time.Second)
+	setDefault(&s.Platform.Timeout, time.Second)
+	setDefault(&s.Platform.InstanceList, s.Platform.Store)
+	setDefault(&s.Routing.Policy, PolicyOwner)
+	setDefault(&s.Log.Format, "Text")
+	setDefault(&s.Log.Level, "info")
+	return s
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Check returns a *hemlocktally.SettingError for the first key that is missing
+// or has a value that can't work.
+func (s Settings) Check(file string) error {
+	for _, check := range s.checks() {
+		if !check.ok {
+			return &hemlocktally.SettingError{
+				File: file, Section: check.section, Key: check.key, Found: check.found, Allowed: check.allowed,
+			}
+		}
+	}
+	return nil
+}
+
+type settingCheck struct {
+	section, key, found, allowed string
+	ok                           bool
+}
+
+func (s Settings) checks() []settingCheck {
+	const address = "an IP address with a port, such as 127.0.0.1:8080"
+	return []settingCheck{
+		{"Instance", "ID", s.Instance.ID, "a name that no other instance has", s.Instance.ID != ""},
+		{"Instance", "Zone", s.Instance.Zone, "the name of an availability zone", s.Instance.Zone != ""},
+		{"Listen", "Callers", s.Listen.Callers, address, isAddress(s.Listen.Callers)},
+		{"Listen", "Peers", s.Listen.Peers, address, isAddress(s.Listen.Peers)},
+		{"Listen", "Operators", s.Listen.Operators, address, isAddress(s.Listen.Operators)},
+		{"Platform", "Store", s.Platform.Store, "a URL such as http://127.0.0.1:7000", isURL(s.Platform.Store)},
+		{"Platform", "InstanceList", s.Platform.InstanceList, "a URL such as http://127.0.0.1:7000", isURL(s.Platform.InstanceList)},
+		{"Keys", "Peer", hide(s.Keys.Peer), "a secret of 16 characters or more", len(s.Keys.Peer) >= minKeyLength},
+		{"Keys", "Operator", hide(s.Keys.Operator), "a secret of 16 characters or more", len(s.Keys.Operator) >= minKeyLength},
+		{"Routing", "Policy", s.Routing.Policy, strings.Join(Policies, ", "), slices.Contains(Policies, s.Routing.Policy)},
+		{"Log", "Format", s.Log.Format, "Text, JSON", s.Log.Format == "Text" || s.Log.Format == "JSON"},
+		{"Log", "Level", s.Log.Level, "debug, info, warning, error", slices.Contains([]string{"debug", "info", "warning", "error"}, s.Log.Level)},
+	}
+}
+
+const minKeyLength = 16
+
+func hide(secret string) string {
+	if secret == "" {
+		return ""
+	}
+	return "a secret that is too short"
+}
+
+func isAddress(text string) bool {
+	_, err := netip.ParseAddrPort(text)
+	return err == nil
+}
+
+func isURL(text string) bool {
+	return strings.HasPrefix(text, "http://") || strings.HasPrefix(text, "https://")
+}
--- /dev/null
+++ b/outcome.go
@@ -0,0 +1,98 @@
+package hemlocktally
+
+import "time"
+
+// Outcome is the final word on a call.
+type Outcome string
+
+// The outcomes of a call.
+const (
+	OutcomeDone    Outcome = "Done"    // OutcomeDone is a whole answer of a target.
+	OutcomeNotRun  Outcome = "NotRun"  // OutcomeNotRun surely did not run.
+	OutcomeUnknown Outcome = "Unknown" // OutcomeUnknown may have run.
+)
+
+// Reason says why a call was refused.
+type Reason string
+
+// The reasons for a refusal.
+const (
+	ReasonNoContract      Reason = "NoContract"
+	ReasonBadRequest      Reason = "BadRequest"
+	ReasonTooLarge        Reason = "TooLarge"
+	ReasonUnauthorized    Reason = "Unauthorized"
+	ReasonDeadline        Reason = "Deadline"
+	ReasonQueueFull       Reason = "QueueFull"
+	ReasonShed            Reason = "Shed"
+	ReasonNoTarget        Reason = "NoTarget"
+	ReasonTargetFailed    Reason = "TargetFailed"
+	ReasonAnswerBroken    Reason = "AnswerBroken"
+	ReasonLeaving         Reason = "Leaving"
+	ReasonStarting        Reason = "Starting"
+	ReasonClaimHeld       Reason = "ClaimHeld"
+	ReasonClaimUnknown    Reason = "ClaimUnknown"
+	ReasonClaimDiffers    Reason = "ClaimDiffers"
+	ReasonClaimNoLease    Reason = "ClaimNoLease"
+	ReasonRetryBudget     Reason = "RetryBudget"
+	ReasonDepth           Reason = "Depth"
+	ReasonCallerCancelled Reason = "CallerCancelled"
+)
+
+// Refusal is the body of an error answer, the same in every case.
+type Refusal struct {
+	Outcome  Outcome
+	Reason   Reason
+	Detail   string
+	Instance InstanceID
+	Revision Revision
+}
+
+// CallRecord is what an instance remembers of one call, to explain it.
+type CallRecord struct {
+	Call     CallID
+	Caller   CallerName
+	Tenant   string
+	Contract ContractName
+	Service  ServiceName
+	Method   string
+	Path     string
+	Started  time.Time
+	Total    time.Duration
+	Queue    time.Duration // Queue is the wait at the owner.
+	Granting time.Duration // Granting is all time spent to get grants, queue included.
+	Serving  time.Duration // Serving is the winning attempt's time at its target.
+	Status   int
+	Outcome  Outcome
+	Reason   Reason
+	Detail   string
+	Revision Revision
+	Attempts []AttemptRecord
+}
+
+// AttemptRecord is one attempt of a call.
+type AttemptRecord struct {
+	Kind     AttemptKind
+	Grant    GrantID
+	Owner    InstanceID
+	Target   TargetName
+	Zone     ZoneName
+	Alone    bool
+	Cold     bool
+	Started  time.Duration // Started counts from the start of the call.
+	Took     time.Duration
+	Waited   time.Duration
+	Outcome  AttemptOutcome
+	NewLink  bool
+	BytesOut bool // BytesOut is set once any byte may have reached the target.
+	Detail   string
+}
+
+// Added is the time that the balancer added to the call.
+func (c CallRecord) Added() time.Duration {
+	return max(0, c.Total-c.Queue-c.Serving)
+}
+
+// Recorder keeps the records of calls for operators.
+type Recorder interface {
+	Record(record CallRecord)
+}
--- /dev/null
+++ b/runner/runner_test.go
@@ -0,0 +1,49 @@
+package runner_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"hemlocktally"
+	"hemlocktally/experimenter"
+)
+
+func startFleet(t *testing.T) *experimenter.Fleet {
+	t.Helper()
+	c := qt.New(t)
+	deployment := experimenter.Association()
+	deployment.Instances = 3
+	fleet, err := experimenter.Start(context.Background(), deployment)
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(func() { c.Check(fleet.Stop(), qt.IsNil) })
+	return fleet
+}
+
+func TestCallIsServedFromEndToEnd(t *testing.T) {
+	c := qt.New(t)
+	fleet := startFleet(t)
+	for _, daemon := range fleet.Daemons {
+		response, err := http.Post("http://"+daemon.Self().CallerAddress+"/holds/7", "text/plain", strings.NewReader("one hold"))
+		c.Assert(err, qt.IsNil)
+		body, err := io.ReadAll(response.Body)
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.Body.Close(), qt.IsNil)
+		c.Check(string(body), qt.Equals, "POST /holds/7 \none hold")
+		c.Check(response.Header.Get(hemlocktally.HeaderOutcome), qt.Equals, "Done")
+	}
+}
+
+func TestUncoveredCallIsRefusedAsNotRun(t *testing.T) {
+	c := qt.New(t)
+	fleet := startFleet(t)
+	response, err := http.Get("http://" + fleet.Daemons[0].Self().CallerAddress + "/nothing")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	c.Check(response.StatusCode, qt.Equals, http.StatusNotFound)
+	c.Check(response.Header.Get(hemlocktally.HeaderOutcome), qt.Equals, "NotRun")
+}
--- /dev/null
+++ b/runner/tally.go
@@ -0,0 +1,43 @@
+package runner
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hemlocktally/allocator"
+	"hemlocktally/chooser"
+	"hemlocktally/loader"
+)
+
+// assembleTally makes the owners' server and the granter that the settings name.
+func (d *Daemon) assembleTally() {
+	d.peerHTTP = &http.Client{Transport: &keyTransport{key: d.Settings.Keys.Peer, next: &http.Transport{
+		MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute,
+	}}}
+	d.tally = &allocator.Server{Self: d.self.ID, Configuration: d.configurator}
+	alone := &chooser.Chooser{
+		Configuration: d.configurator, Policy: policyOf(d.Settings.Routing.Policy),
+		Seed: xxhash.Sum64String(string(d.self.ID)),
+	}
+	if d.Settings.Routing.Policy != loader.PolicyOwner {
+		d.granter = alone
+		return
+	}
+	d.granter = &allocator.Client{
+		Self: d.self.ID, Zone: d.self.Zone, Configuration: d.configurator, Members: d.registrar,
+		Server: d.tally, HTTP: d.peerHTTP, Alone: alone,
+	}
+}
+
+func policyOf(name string) chooser.Policy {
+	switch name {
+	case loader.PolicyRandom:
+		return chooser.Random
+	case loader.PolicyTwoChoices:
+		return chooser.TwoChoices
+	default:
+		return chooser.LeastInFlight
+	}
+}
