--- /dev/null
+++ b/dispatcher/admission.go
@@ -0,0 +1,135 @@
+package dispatcher
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"hemlocktally"
+)
+
+// maxDepth bounds how many balanced calls may stand above one another.
+const maxDepth = 16
+
+// admit matches the call to a contract and reads its body.
+func (c *call) admit() *hemlocktally.RefusedError {
+	caller := c.identify()
+	c.record.Caller = caller.Name
+	c.record.Tenant = caller.Tenant
+	contract, ok := c.config.Find(hemlocktally.RequestLine{
+		Host: hostOnly(c.request.Host), Path: c.request.URL.Path, Method: c.request.Method, Caller: caller.Name,
+	})
+	if !ok {
+		return notRun(hemlocktally.ReasonNoContract, "no contract covers this request")
+	}
+	c.contract = contract
+	c.record.Contract = contract.Name
+	c.record.Service = contract.Service
+	for _, check := range []func() *hemlocktally.RefusedError{c.readDepth, c.readDeadline, c.readKey, c.readBody} {
+		if refused := check(); refused != nil {
+			return refused
+		}
+	}
+	return nil
+}
+
+// identify finds the caller by its key. A header can't claim another name.
+func (c *call) identify() hemlocktally.Caller {
+	anonymous := hemlocktally.Caller{Name: hemlocktally.AnonymousCaller}
+	key, ok := strings.CutPrefix(c.request.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return anonymous
+	}
+	digest := sha256.Sum256([]byte(key))
+	shown := []byte(hex.EncodeToString(digest[:]))
+	for _, caller := range c.config.Callers {
+		if subtle.ConstantTimeCompare(shown, []byte(caller.KeySHA256)) == 1 {
+			return caller
+		}
+	}
+	return anonymous
+}
+
+// readDepth takes over how many balanced calls stand above this one. A caller
+// that writes the header itself only gives up retries.
+func (c *call) readDepth() *hemlocktally.RefusedError {
+	text, ok, refused := c.single(hemlocktally.HeaderDepth)
+	if !ok {
+		return refused
+	}
+	depth, err := strconv.Atoi(text)
+	if err != nil || depth < 0 {
+		return notRun(hemlocktally.ReasonBadRequest, fmt.Sprintf("%s is %q", hemlocktally.HeaderDepth, text))
+	}
+	if depth >= maxDepth {
+		return notRun(hemlocktally.ReasonDepth, fmt.Sprintf("%d balanced calls stand above this one", depth))
+	}
+	c.depth = depth
+	return nil
+}
+
+// readDeadline takes over the caller's deadline where it is the shorter one.
+func (c *call) readDeadline() *hemlocktally.RefusedError {
+	limit := c.contract.CallDeadline()
+	text, ok, refused := c.single(hemlocktally.HeaderDeadline)
+	if refused != nil {
+		return refused
+	}
+	if ok {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return notRun(hemlocktally.ReasonBadRequest, fmt.Sprintf("%s is %q", hemlocktally.HeaderDeadline, text))
+		}
+		if ms <= 0 {
+			return notRun(hemlocktally.ReasonDeadline, "the deadline has passed")
+		}
+		if ms < limit.Milliseconds() {
+			limit = time.Duration(ms) * time.Millisecond
+		}
+	}
+	c.deadline = c.started.Add(limit)
+	return nil
+}
+
+// maxKeyBytes bounds an Idempotency-Key.
+const maxKeyBytes = 255
+
+// readKey checks the caller's key of a non-idempotent call.
+func (c *call) readKey() *hemlocktally.RefusedError {
+	key, ok, refused := c.single(hemlocktally.HeaderIdempotencyKey)
+	if !ok {
+		return refused
+	}
+	if key == "" || len(key) > maxKeyBytes || strings.ContainsFunc(key, func(r rune) bool { return r <= ' ' || r > '~' }) {
+		return notRun(hemlocktally.ReasonBadRequest,
+			fmt.Sprintf("%s must be 1 to %d visible ASCII characters", hemlocktally.HeaderIdempotencyKey, maxKeyBytes))
+	}
+	c.key = key
+	return nil
+}
+
+// single returns the value of a header that may stand only once.
+func (c *call) single(name string) (string, bool, *hemlocktally.RefusedError) {
+	values := c.request.Header[name]
+	switch len(values) {
+	case 0:
+		return "", false, nil
+	case 1:
+		return values[0], true, nil
+	default:
+		return "", false, notRun(hemlocktally.ReasonBadRequest, name+" stands more than once")
+	}
+}
+
+func hostOnly(hostport string) string {
+	host, _, err := net.SplitHostPort(hostport)
+	if err != nil {
+		return hostport
+	}
+	return host
+}
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -1,235 +1,269 @@
 package dispatcher
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
-	"strconv"
-	"sync/atomic"
 	"time"
 
 	"hemlocktally"
 )
 
-// attempt is one try of a call on one target.
+// errLost ends an attempt whose call has its answer or no longer wants one.
+var errLost = errors.New("another attempt answered or the caller is gone")
+
+// errSilent ends an attempt whose link has lost its other end.
+var errSilent = errors.New("the link is silent")
+
+// attempt is the task of one try of a call on one target. It sends the call
+// messages, holds its turn and its link, and gives both back itself.
 type attempt struct {
-	call     *call
-	number   int
-	kind     hemlocktally.AttemptKind
+	call    *call
+	number  int
+	kind    hemlocktally.AttemptKind
+	exclude []hemlocktally.TargetName
+	cancel  context.CancelCauseFunc
+	started time.Time
+
+	grant hemlocktally.Grant
+	link  hemlocktally.Link
+	sent  time.Time // sent is when the link was taken.
+
+	answer *targetAnswer // answer is set by the call's task, from the message.
+}
+
+// grantedMsg is a GrantedMsg with what the call records of it.
+type grantedMsg struct {
+	GrantedMsg
 	grant    hemlocktally.Grant
-	started  time.Time
-	bytesOut atomic.Bool // bytesOut is set once any byte may have reached the target.
-	newLink  atomic.Bool
-	result   hemlocktally.GrantResult
+	granting time.Duration
+}
+
+// answeredMsg is an AnsweredMsg with the answer.
+type answeredMsg struct {
+	AnsweredMsg
+	trace  attemptTrace
+	answer *targetAnswer
+}
+
+// failedMsg is a FailedMsg with what the call records of it.
+type failedMsg struct {
+	FailedMsg
+	trace attemptTrace
+}
+
+// attemptTrace is what the record of a call says of an attempt's end.
+type attemptTrace struct {
+	outcome hemlocktally.AttemptOutcome
+	took    time.Duration
+	newLink bool
+	sent    bool
+}
+
+// planMsg returns the part of a message that the plan looks at.
+func planMsg(msg any) any {
+	switch msg := msg.(type) {
+	case grantedMsg:
+		return msg.GrantedMsg
+	case answeredMsg:
+		return msg.AnsweredMsg
+	case failedMsg:
+		return msg.FailedMsg
+	default:
+		return msg
+	}
+}
+
+// targetAnswer is a target's answer: all of it, or a part whose rest follows.
+type targetAnswer struct {
+	status int
+	header http.Header
+	length int64 // length is the declared length, or -1.
+	held   []byte
+	rest   io.Reader // rest is nil where all of the answer is held.
+	// ended tells the attempt how the passing on of the rest went.
+	ended chan hemlocktally.AttemptOutcome
 }
 
 // run gets a turn, makes the attempt and gives the turn back.
-func (a *attempt) run(ctx context.Context, exclude []hemlocktally.TargetName) error {
+func (a *attempt) run(ctx context.Context) {
+	if !a.acquire(ctx) {
+		return
+	}
+	result := hemlocktally.GrantResult{Grant: a.grant, Contract: a.call.contract.Name}
+	failed := a.takeLink(ctx, &result)
+	if failed == nil {
+		failed = a.forward(ctx, &result)
+	}
+	if failed != nil {
+		trace := a.release(&result, failed.Again)
+		a.call.inbox <- failedMsg{FailedMsg: *failed, trace: trace}
+	}
+}
+
+func (a *attempt) acquire(ctx context.Context) bool {
 	c := a.call
 	asked := time.Now()
 	grant, err := c.dispatcher.Granter.Acquire(ctx, hemlocktally.GrantRequest{
 		Call: c.record.Call, Service: c.contract.Service, Contract: c.contract.Name, Priority: c.contract.Priority,
-		Kind: a.kind, Deadline: c.deadline, QueueLimit: c.contract.QueueBound(), Exclude: exclude,
+		Kind: a.kind, Deadline: c.deadline, QueueLimit: a.queueLimit(), Exclude: a.exclude,
 	})
-	c.record.Granting += time.Since(asked)
 	if err != nil {
-		return grantError(ctx, err)
+		c.inbox <- GrantRefusedMsg{Attempt: a.number, Error: grantError(ctx, err)}
+		return false
 	}
 	a.grant = grant
-	a.started = time.Now()
-	a.result = hemlocktally.GrantResult{Grant: grant, Contract: c.contract.Name, Outcome: hemlocktally.AttemptUnused}
-	c.record.Queue += grant.Waited
-	err = a.forward(ctx)
-	a.result.Latency = time.Since(a.started)
-	c.dispatcher.Granter.Release(a.result)
-	a.note(err)
-	return err
+	c.inbox <- grantedMsg{
+		GrantedMsg: GrantedMsg{Attempt: a.number, Target: grant.Target.Name}, grant: grant, granting: time.Since(asked),
+	}
+	return true
 }
 
-func grantError(ctx context.Context, err error) error {
-	var refused *hemlocktally.RefusedError
-	if errors.As(err, &refused) {
-		return err
+// queueLimit bounds the wait for a turn. A hedge that has to queue is no use.
+func (a *attempt) queueLimit() time.Duration {
+	limit := a.call.contract.QueueBound()
+	if a.kind != hemlocktally.AttemptHedge {
+		return limit
 	}
-	if ctx.Err() != nil {
+	after, _ := a.call.dispatcher.latencies.slow(a.call.contract.Name, time.Now())
+	return min(limit, after)
+}
+
+func grantError(ctx context.Context, err error) *hemlocktally.RefusedError {
+	var refused *hemlocktally.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		return refused
+	case errors.Is(context.Cause(ctx), errLost):
+		return notRun(hemlocktally.ReasonCallerCancelled, "the caller went away before a target was free")
+	case ctx.Err() != nil:
 		return notRun(hemlocktally.ReasonDeadline, "the deadline passed before a target was free")
+	default:
+		return notRun(hemlocktally.ReasonNoTarget, err.Error())
 	}
-	return notRun(hemlocktally.ReasonNoTarget, err.Error())
 }
 
-func (a *attempt) note(err error) {
+// takeLink gets a link to the target. Nothing is sent before it returns nil.
+func (a *attempt) takeLink(ctx context.Context, result *hemlocktally.GrantResult) *FailedMsg {
 	c := a.call
-	record := hemlocktally.AttemptRecord{
-		Kind: a.kind, Grant: a.grant.ID, Owner: a.grant.Owner, Target: a.grant.Target.Name, Zone: a.grant.Target.Zone,
-		Alone: a.grant.Alone, Cold: a.grant.Cold, Started: a.started.Sub(c.started), Took: a.result.Latency,
-		Waited: a.grant.Waited, Outcome: a.result.Outcome, NewLink: a.newLink.Load(), BytesOut: a.bytesOut.Load(),
-	}
+	startBy := a.startBy()
+	link, err := c.dispatcher.Links.Take(ctx, hemlocktally.LinkRequest{
+		Target: a.grant.Target, Proven: c.contract.NonIdempotent, StartBy: startBy, Fence: c.fence,
+	})
+	result.Outcome = hemlocktally.AttemptUnused
 	if err != nil {
-		record.Detail = err.Error()
+		return a.fail(ctx, err, false)
 	}
-	c.record.Attempts = append(c.record.Attempts, record)
+	a.link = link
+	a.sent = time.Now()
+	return nil
 }
 
-// forward sends the request and passes the answer back.
-func (a *attempt) forward(ctx context.Context) error {
-	request := a.outgoing(ctx)
-	response, err := a.call.dispatcher.Transport.RoundTrip(request)
-	if err != nil {
-		return a.sendError(ctx, err)
+// startBy is when the turn lapses unused.
+func (a *attempt) startBy() time.Time {
+	startBy := a.call.deadline
+	if end := a.grant.LeaseEnd; !end.IsZero() && end.Before(startBy) {
+		startBy = end
 	}
-	defer func() { _ = response.Body.Close() }()
-	a.readTargetState(response)
-	if response.Header.Get(hemlocktally.HeaderNotRun) == "true" {
-		a.result.Outcome = hemlocktally.AttemptRefused
-		return notRun(hemlocktally.ReasonTargetFailed, fmt.Sprintf("target %s refused the call", a.grant.Target.Name))
+	if end := a.grant.Deadline; !end.IsZero() && end.Before(startBy) {
+		startBy = end
 	}
-	return a.pass(ctx, response)
+	return startBy
 }
 
-func (a *attempt) readTargetState(response *http.Response) {
-	switch hemlocktally.TargetState(response.Header.Get(hemlocktally.HeaderTargetState)) {
-	case hemlocktally.TargetCold:
-		a.result.SaidCold = true
-	case hemlocktally.TargetDraining:
-		a.result.SaidDraining = true
-	case hemlocktally.TargetWarm, hemlocktally.TargetGone:
+// forward sends the request, holds the answer back and offers it to the call.
+func (a *attempt) forward(ctx context.Context, result *hemlocktally.GrantResult) *FailedMsg {
+	stop := a.watchSilence()
+	release := a.releaseBody(ctx)
+	response, err := a.link.RoundTrip(a.outgoing(ctx))
+	stop()
+	release()
+	if err != nil {
+		return a.sendError(ctx, err, result)
 	}
+	defer func() { _ = response.Body.Close() }()
+	readTargetState(response, result)
+	if response.Header.Get(hemlocktally.HeaderNotRun) == "true" {
+		result.Outcome = hemlocktally.AttemptRefused
+		return &FailedMsg{
+			Attempt: a.number, Sent: true, Declared: true, BodySpent: a.call.body.spent.Load(),
+			Error: notRun(hemlocktally.ReasonTargetFailed, fmt.Sprintf("target %s refused the call", a.grant.Target.Name)),
+		}
+	}
+	return a.offer(ctx, response, result)
 }
 
-func (a *attempt) outgoing(ctx context.Context) *http.Request {
-	c := a.call
-	trace := &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { a.newLink.Store(!info.Reused) },
-		// The hook runs before the first write, so that a written byte is never missed.
-		WroteHeaderField: func(string, []string) { a.bytesOut.Store(true) },
-	}
-	out := c.request.Clone(httptrace.WithClientTrace(ctx, trace))
-	out.URL.Scheme = "http"
-	out.URL.Host = a.grant.Target.Address
-	out.RequestURI = ""
-	out.Close = false
-	out.Body = c.newBody()
-	out.ContentLength = int64(len(c.body))
-	out.TransferEncoding = nil
-	out.Trailer = nil
-	out.GetBody = nil
-	stripHopByHop(out.Header)
-	out.Header.Del("Authorization")
-	a.setOwnHeaders(out.Header)
-	return out
-}
-
-func (a *attempt) setOwnHeaders(header http.Header) {
-	c := a.call
-	header.Set(hemlocktally.HeaderCall, string(c.record.Call))
-	header.Set(hemlocktally.HeaderAttempt, strconv.Itoa(a.number))
-	header.Set(hemlocktally.HeaderDepth, strconv.Itoa(c.depth+1))
-	left := max(1, time.Until(c.deadline).Milliseconds())
-	header.Set(hemlocktally.HeaderDeadline, strconv.FormatInt(left, 10))
-}
-
-func (a *attempt) sendError(ctx context.Context, err error) error {
-	outcome := hemlocktally.OutcomeNotRun
-	a.result.Outcome = hemlocktally.AttemptUnused
-	if a.bytesOut.Load() {
-		outcome = hemlocktally.OutcomeUnknown
-		a.result.Outcome = hemlocktally.AttemptFailed
+// offer holds the answer back. What fits into the bound is offered only when it
+// is whole; of a larger one, the call passes on the rest as it arrives.
+func (a *attempt) offer(ctx context.Context, response *http.Response, result *hemlocktally.GrantResult) *FailedMsg {
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return a.sendError(ctx, errors.New("the target switched protocols"), result)
 	}
-	reason := hemlocktally.ReasonTargetFailed
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		reason = hemlocktally.ReasonDeadline
-		a.result.Outcome = hemlocktally.AttemptTimedOut
-	case ctx.Err() != nil:
-		reason = hemlocktally.ReasonCallerCancelled
-		a.result.Outcome = hemlocktally.AttemptCancelled
+	held, err := readHeld(response, a.call.dispatcher.HoldBack)
+	if err != nil {
+		failed := a.sendError(ctx, err, result)
+		if failed.Error.Reason == hemlocktally.ReasonTargetFailed {
+			failed.Error.Reason = hemlocktally.ReasonAnswerBroken
+		}
+		return failed
 	}
-	return &hemlocktally.RefusedError{
-		Outcome: outcome, Reason: reason, Detail: fmt.Sprintf("target %s: %v", a.grant.Target.Name, err),
+	answer := &targetAnswer{status: response.StatusCode, header: response.Header, length: response.ContentLength, held: held}
+	result.Outcome = outcomeOf(response.StatusCode)
+	msg := answeredMsg{AnsweredMsg: AnsweredMsg{Attempt: a.number, Status: response.StatusCode}, answer: answer}
+	if int64(len(held)) <= a.call.dispatcher.HoldBack {
+		msg.Whole = true
+		msg.trace = a.release(result, false)
+		a.call.inbox <- msg
+		return nil
 	}
+	answer.rest = response.Body
+	answer.ended = make(chan hemlocktally.AttemptOutcome, 1)
+	msg.trace = a.trace(*result)
+	a.call.inbox <- msg
+	a.awaitPassed(ctx, answer, result)
+	return nil
 }
 
-// pass hands the answer to the caller. What fits into the hold-back buffer is
-// passed on only when it is whole.
-func (a *attempt) pass(ctx context.Context, response *http.Response) error {
-	var held bytes.Buffer
-	n, err := io.CopyN(&held, response.Body, a.call.dispatcher.HoldBack+1)
-	if err != nil && !errors.Is(err, io.EOF) {
-		return a.broken(ctx, err)
-	}
-	whole := n <= a.call.dispatcher.HoldBack
-	a.result.Outcome = hemlocktally.AttemptDone
-	if response.StatusCode >= http.StatusInternalServerError {
-		a.result.Outcome = hemlocktally.AttemptFailed
-	}
-	a.writeHead(response)
-	if _, err := a.call.writer.Write(held.Bytes()); err != nil {
-		return a.callerGone(err)
-	}
-	if !whole {
-		if err := a.stream(ctx, response.Body); err != nil {
-			return err
+// awaitPassed waits until the call has passed the rest on, or does not want it.
+func (a *attempt) awaitPassed(ctx context.Context, answer *targetAnswer, result *hemlocktally.GrantResult) {
+	select {
+	case result.Outcome = <-answer.ended:
+	case <-ctx.Done():
+		result.Outcome = hemlocktally.AttemptCancelled
+		select {
+		case result.Outcome = <-answer.ended:
+		default:
 		}
 	}
-	a.call.record.Outcome = hemlocktally.OutcomeDone
-	a.call.record.Status = response.StatusCode
-	a.call.record.Serving = time.Since(a.started)
-	return nil
+	a.release(result, false)
 }
 
-func (a *attempt) broken(ctx context.Context, err error) error {
-	failed := a.sendError(ctx, err)
-	var refused *hemlocktally.RefusedError
-	if errors.As(failed, &refused) && refused.Reason == hemlocktally.ReasonTargetFailed {
-		refused.Reason = hemlocktally.ReasonAnswerBroken
+func outcomeOf(status int) hemlocktally.AttemptOutcome {
+	if status >= http.StatusInternalServerError {
+		return hemlocktally.AttemptFailed
 	}
-	return failed
+	return hemlocktally.AttemptDone
 }
 
-func (a *attempt) writeHead(response *http.Response) {
-	c := a.call
-	header := c.writer.Header()
-	for name, values := range response.Header {
-		header[name] = values
-	}
-	stripHopByHop(header)
-	header.Set(hemlocktally.HeaderCall, string(c.record.Call))
-	header.Set(hemlocktally.HeaderOutcome, string(hemlocktally.OutcomeDone))
-	if response.ContentLength >= 0 {
-		header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
-	}
-	c.answered = true
-	c.writer.WriteHeader(response.StatusCode)
-}
-
-const streamBufferBytes = 32 << 10
-
-// stream passes on the rest of a large answer.
-func (a *attempt) stream(ctx context.Context, body io.Reader) error {
-	buffer := make([]byte, streamBufferBytes)
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			if _, werr := a.call.writer.Write(buffer[:n]); werr != nil {
-				return a.callerGone(werr)
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return a.broken(ctx, err)
-		}
+// release gives the link and the turn back, and returns what to record.
+func (a *attempt) release(result *hemlocktally.GrantResult, silent bool) attemptTrace {
+	if a.link != nil {
+		result.Latency = time.Since(a.sent)
+	}
+	trace := a.trace(*result)
+	if a.link != nil {
+		a.link.Release(silent)
 	}
+	a.call.dispatcher.Granter.Release(*result)
+	return trace
 }
 
-func (a *attempt) callerGone(err error) error {
-	a.result.Outcome = hemlocktally.AttemptCancelled
-	return &hemlocktally.RefusedError{
-		Outcome: hemlocktally.OutcomeUnknown, Reason: hemlocktally.ReasonCallerCancelled, Detail: err.Error(),
+func (a *attempt) trace(result hemlocktally.GrantResult) attemptTrace {
+	t := attemptTrace{outcome: result.Outcome, took: result.Latency}
+	if a.link != nil {
+		t.newLink, t.sent = a.link.New(), a.link.Sent()
 	}
+	return t
 }
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -1,147 +1,156 @@
 package dispatcher
 
 import (
-	"bytes"
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
-	"errors"
-	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"hemlocktally"
 )
 
-// call is one caller's request on its way through the instance.
+// call is one caller's request on its way through the instance. It is the task
+// that runs the commands of its plan.
 type call struct {
 	dispatcher *Dispatcher
 	config     *hemlocktally.Configuration
 	writer     http.ResponseWriter
+	control    *http.ResponseController
 	request    *http.Request
 	contract   hemlocktally.Contract
-	body       []byte
+	key        string
+	body       *requestBody
 	started    time.Time
 	deadline   time.Time
+	fence      time.Time // fence is when a claimed call must have ended; zero means none.
 	depth      int
 	record     hemlocktally.CallRecord
-	answered   bool // answered is set once a byte of an answer has gone to the caller.
-	broken     bool // broken is set where an answer could not be passed on whole.
+	claim      *heldClaim               // claim is nil where the call runs without one.
+	kept       *hemlocktally.KeptAnswer // kept is the whole answer, for the claim.
+	answered   bool                     // answered is set once a byte of an answer has gone to the caller.
+	broken     bool                     // broken is set where an answer could not be passed on whole.
+
+	plan     Plan
+	attempts []*attempt
+	inbox    chan any // inbox takes the messages of the attempts.
+	hedge    *time.Timer
 }
 
-// maxDepth bounds how many balanced calls may stand above one another.
-const maxDepth = 16
+// maxAttempts bounds the attempts of one call.
+const maxAttempts = 3
 
-// admit matches the call to a contract and reads its body.
-func (c *call) admit() *hemlocktally.RefusedError {
-	caller := c.identify()
-	c.record.Caller = caller.Name
-	c.record.Tenant = caller.Tenant
-	contract, ok := c.config.Find(hemlocktally.RequestLine{
-		Host: hostOnly(c.request.Host), Path: c.request.URL.Path, Method: c.request.Method, Caller: caller.Name,
-	})
-	if !ok {
-		return notRun(hemlocktally.ReasonNoContract, "no contract covers this request")
-	}
-	c.contract = contract
-	c.record.Contract = contract.Name
-	c.record.Service = contract.Service
-	if refused := c.setDeadline(); refused != nil {
-		return refused
+// inboxPerAttempt is how many messages one attempt sends at most.
+const inboxPerAttempt = 3
+
+// serve runs the call, under a claim where it has a key, and answers.
+func (c *call) serve() {
+	// A call with a caller that has gone may have to be finished, so its
+	// attempts end by their own commands and the deadline.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(c.request.Context()), c.deadline)
+	defer cancel()
+	if c.claimed() {
+		c.serveClaimed(ctx)
+		return
 	}
-	return c.readBody()
+	c.run(ctx)
 }
 
-// identify finds the caller by its key. A header can't claim another name.
-func (c *call) identify() hemlocktally.Caller {
-	anonymous := hemlocktally.Caller{Name: hemlocktally.AnonymousCaller}
-	key, ok := strings.CutPrefix(c.request.Header.Get("Authorization"), "Bearer ")
-	if !ok {
-		return anonymous
+// run takes the plan from its start to the one answer of the call.
+func (c *call) run(ctx context.Context) {
+	c.plan = Plan{
+		NonIdempotent: c.contract.NonIdempotent, Hedge: c.mayHedge(), Deep: c.depth > 0, MaxAttempts: maxAttempts,
 	}
-	digest := sha256.Sum256([]byte(key))
-	shown := []byte(hex.EncodeToString(digest[:]))
-	for _, caller := range c.config.Callers {
-		if subtle.ConstantTimeCompare(shown, []byte(caller.KeySHA256)) == 1 {
-			return caller
+	c.inbox = make(chan any, maxAttempts*inboxPerAttempt)
+	defer c.stopAttempts()
+	gone := c.request.Context().Done()
+	var slow <-chan time.Time
+	done := c.step(ctx, StartMsg{})
+	for !done {
+		if c.hedge != nil {
+			slow = c.hedge.C
+		}
+		select {
+		case msg := <-c.inbox:
+			done = c.step(ctx, msg)
+		case <-slow:
+			done = c.step(ctx, SlowMsg{})
+		case <-gone:
+			gone = nil
+			done = c.step(ctx, CallerGoneMsg{})
 		}
 	}
-	return anonymous
 }
 
-func (c *call) setDeadline() *hemlocktally.RefusedError {
-	limit := c.contract.CallDeadline()
-	if text := c.request.Header.Get(hemlocktally.HeaderDeadline); text != "" {
-		ms, err := strconv.ParseInt(text, 10, 64)
-		if err != nil || ms <= 0 {
-			return notRun(hemlocktally.ReasonDeadline, fmt.Sprintf("%s is %q", hemlocktally.HeaderDeadline, text))
+// mayHedge reports whether the contract and the body allow a second attempt
+// beside the first.
+func (c *call) mayHedge() bool {
+	return c.contract.Hedge && c.contract.Priority >= hemlocktally.PriorityHigh && !c.body.streamed()
+}
+
+// step notes a message, gives it to the plan and runs the commands. It returns
+// true once the call has its answer.
+func (c *call) step(ctx context.Context, msg any) bool {
+	c.note(msg)
+	done := false
+	for _, command := range c.plan.Update(planMsg(msg)) {
+		switch command := command.(type) {
+		case StartAttemptCmd:
+			c.startAttempt(ctx, command)
+		case ArmHedgeCmd:
+			c.armHedge()
+		case CancelAttemptCmd:
+			c.attempts[command.Attempt-1].cancel(errLost)
+		case AnswerCmd:
+			c.pass(c.attempts[command.Attempt-1])
+			done = true
+		case GiveUpCmd:
+			c.refuseUnanswered(command.Error)
+			done = true
 		}
-		limit = min(limit, time.Duration(ms)*time.Millisecond)
 	}
-	c.deadline = c.started.Add(limit)
-	c.depth, _ = strconv.Atoi(c.request.Header.Get(hemlocktally.HeaderDepth))
-	if c.depth < 0 || c.depth >= maxDepth {
-		return notRun(hemlocktally.ReasonDepth, fmt.Sprintf("%d balanced calls stand above this one", c.depth))
+	if c.plan.Violation != "" {
+		c.dispatcher.violated(c.record.Call, c.plan.Violation)
 	}
-	return nil
+	return done
 }
 
-func (c *call) readBody() *hemlocktally.RefusedError {
-	if c.request.ContentLength > c.dispatcher.BodyLimit {
-		return notRun(hemlocktally.ReasonTooLarge, fmt.Sprintf("the body is over %d bytes", c.dispatcher.BodyLimit))
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, c.dispatcher.BodyLimit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return notRun(hemlocktally.ReasonTooLarge, fmt.Sprintf("the body is over %d bytes", tooLarge.Limit))
+func (c *call) armHedge() {
+	if after, ok := c.dispatcher.latencies.slow(c.contract.Name, time.Now()); ok {
+		c.hedge = time.NewTimer(after)
 	}
-	if err != nil {
-		return notRun(hemlocktally.ReasonBadRequest, "the body could not be read: "+err.Error())
-	}
-	c.body = body
-	return nil
 }
 
-// maxAttempts bounds the attempts of one call.
-const maxAttempts = 3
+func (c *call) startAttempt(ctx context.Context, command StartAttemptCmd) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	a := &attempt{call: c, number: command.Attempt, kind: command.Kind, exclude: command.Exclude, cancel: cancel, started: time.Now()}
+	c.attempts = append(c.attempts, a)
+	c.record.Attempts = append(c.record.Attempts, hemlocktally.AttemptRecord{
+		Kind: command.Kind, Started: a.started.Sub(c.started), Outcome: hemlocktally.AttemptCancelled,
+	})
+	go a.run(ctx)
+}
 
-// serve makes attempts until one brings an answer. The error says what is known
-// of the call where none does.
-func (c *call) serve(ctx context.Context) error {
-	var tried []hemlocktally.TargetName
-	var last error
-	for n := 1; n <= maxAttempts; n++ {
-		kind := hemlocktally.AttemptRetry
-		if n == 1 {
-			kind = hemlocktally.AttemptFirst
-		}
-		a := &attempt{call: c, number: n, kind: kind}
-		last = a.run(ctx, tried)
-		if last == nil || ctx.Err() != nil || c.answered || !c.mayRetry(last) {
-			return last
-		}
-		if a.grant.Target.Name != "" {
-			tried = append(tried, a.grant.Target.Name)
-		}
+// stopAttempts ends what still runs. The attempts give their turns back.
+func (c *call) stopAttempts() {
+	if c.hedge != nil {
+		c.hedge.Stop()
+	}
+	for _, a := range c.attempts {
+		a.cancel(errLost)
 	}
-	return last
 }
 
-// mayRetry reports whether another attempt is safe: always where the first
-// surely did not run, and for idempotent work.
-func (c *call) mayRetry(err error) bool {
-	refused := refusalOf(err)
-	if refused.Reason != hemlocktally.ReasonTargetFailed && refused.Reason != hemlocktally.ReasonAnswerBroken {
-		return false
+// refuseUnanswered refuses a call that the plan gave up on.
+func (c *call) refuseUnanswered(refused *hemlocktally.RefusedError) {
+	c.record.Outcome = refused.Outcome
+	c.record.Reason = refused.Reason
+	c.record.Detail = refused.Detail
+	if c.claimHeld() {
+		c.finishClaim()
 	}
-	return refused.Outcome == hemlocktally.OutcomeNotRun || !c.contract.NonIdempotent
+	c.refuse(refused)
 }
 
+// refuse answers with a refusal, or breaks off where an answer has begun.
 func (c *call) refuse(refused *hemlocktally.RefusedError) {
 	c.record.Outcome = refused.Outcome
 	c.record.Reason = refused.Reason
@@ -151,6 +160,10 @@
 		return
 	}
 	c.answered = true
+	if refused.RetryAfter == 0 {
+		refused.RetryAfter = adviceFor(refused)
+	}
+	c.armWrite()
 	writeRefusal(c.writer, refused, hemlocktally.Refusal{
 		Outcome: refused.Outcome, Reason: refused.Reason, Detail: refused.Detail,
 		Instance: c.dispatcher.Self, Revision: c.config.Revision,
@@ -158,21 +171,10 @@
 	c.record.Status = statusOf(refused)
 }
 
-func (c *call) newBody() io.ReadCloser {
-	if len(c.body) == 0 {
-		return http.NoBody
-	}
-	return io.NopCloser(bytes.NewReader(c.body))
-}
-
 func notRun(reason hemlocktally.Reason, detail string) *hemlocktally.RefusedError {
 	return &hemlocktally.RefusedError{Outcome: hemlocktally.OutcomeNotRun, Reason: reason, Detail: detail}
 }
 
-func hostOnly(hostport string) string {
-	host, _, err := net.SplitHostPort(hostport)
-	if err != nil {
-		return hostport
-	}
-	return host
+func unknown(reason hemlocktally.Reason, detail string) *hemlocktally.RefusedError {
+	return &hemlocktally.RefusedError{Outcome: hemlocktally.OutcomeUnknown, Reason: reason, Detail: detail}
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -4,14 +4,14 @@
 package dispatcher
 
 import (
-	"context"
-	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/ulid/v2"
 
 	"hemlocktally"
+	"hemlocktally/logger"
 )
 
 // Dispatcher serves callers. It implements http.Handler.
@@ -21,11 +21,36 @@
 	Granter       hemlocktally.Granter
 	Claimer       hemlocktally.Claimer // Claimer may be nil: then a keyed call is one that has no key.
 	Recorder      hemlocktally.Recorder
-	Transport     http.RoundTripper
-	BodyLimit     int64 // BodyLimit bounds the body of a request.
-	HoldBack      int64 // HoldBack is how much of an answer is held until it is whole.
+	Links         hemlocktally.Linker
+	Log           logger.Logger
+	BodyLimit     int64         // BodyLimit bounds the body of a request.
+	HoldBack      int64         // HoldBack is how much of a body or an answer is held until it is whole.
+	ReadTimeout   time.Duration // ReadTimeout bounds the wait for more of a caller's body; zero means 10 s.
+	WriteTimeout  time.Duration // WriteTimeout bounds the wait for a caller to take more; zero means 10 s.
+
+	latencies  latencies
+	violations atomic.Uint64
 }
 
+const callerTimeout = 10 * time.Second
+
+func (d *Dispatcher) readTimeout() time.Duration {
+	if d.ReadTimeout <= 0 {
+		return callerTimeout
+	}
+	return d.ReadTimeout
+}
+
+func (d *Dispatcher) writeTimeout() time.Duration {
+	if d.WriteTimeout <= 0 {
+		return callerTimeout
+	}
+	return d.WriteTimeout
+}
+
+// Violations counts the broken invariants of the entry path.
+func (d *Dispatcher) Violations() uint64 { return d.violations.Load() }
+
 // ServeHTTP serves one call and answers with a refusal where it can't be done.
 func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := d.newCall(w, r)
@@ -34,16 +59,15 @@
 		c.refuse(refused)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
-	defer cancel()
-	if err := c.serve(ctx); err != nil {
-		c.refuse(refusalOf(err))
-	}
+	c.serve()
 }
 
 func (d *Dispatcher) newCall(w http.ResponseWriter, r *http.Request) *call {
 	config := d.Configuration.Current()
-	c := &call{dispatcher: d, config: config, writer: w, request: r, started: time.Now()}
+	c := &call{
+		dispatcher: d, config: config, writer: w, request: r, started: time.Now(),
+		control: http.NewResponseController(w),
+	}
 	c.record = hemlocktally.CallRecord{
 		Call: hemlocktally.CallID(ulid.Make().String()), Method: r.Method, Path: r.URL.Path,
 		Started: c.started, Revision: config.Revision,
@@ -62,12 +86,8 @@
 	}
 }
 
-func refusalOf(err error) *hemlocktally.RefusedError {
-	var refused *hemlocktally.RefusedError
-	if errors.As(err, &refused) {
-		return refused
-	}
-	return &hemlocktally.RefusedError{
-		Outcome: hemlocktally.OutcomeUnknown, Reason: hemlocktally.ReasonTargetFailed, Detail: err.Error(),
-	}
+// violated notes a broken invariant.
+func (d *Dispatcher) violated(id hemlocktally.CallID, what string) {
+	d.violations.Add(1)
+	d.Log.Log(logger.EventEntryInvariant, logger.Fields{"Call": id, "Invariant": what})
 }
--- /dev/null
+++ b/dispatcher/harness_test.go
@@ -0,0 +1,170 @@
+package dispatcher_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hemlocktally"
+	"hemlocktally/dispatcher"
+)
+
+// fixedConfiguration implements hemlocktally.Configurer.
+type fixedConfiguration struct{ config hemlocktally.Configuration }
+
+func (f *fixedConfiguration) Current() *hemlocktally.Configuration { return &f.config }
+
+// turns is a granter that offers its targets in order and notes what it gave.
+type turns struct {
+	mu       sync.Mutex
+	targets  []hemlocktally.Target
+	requests []hemlocktally.GrantRequest
+	results  []hemlocktally.GrantResult
+	leaseEnd time.Time
+	refuse   func(hemlocktally.GrantRequest) error
+}
+
+func (g *turns) Acquire(_ context.Context, request hemlocktally.GrantRequest) (hemlocktally.Grant, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.requests = append(g.requests, request)
+	if g.refuse != nil {
+		if err := g.refuse(request); err != nil {
+			return hemlocktally.Grant{}, err
+		}
+	}
+	for _, t := range g.targets {
+		if !slices.Contains(request.Exclude, t.Name) {
+			return hemlocktally.Grant{ID: "turn", Service: request.Service, Target: t, Deadline: request.Deadline, LeaseEnd: g.leaseEnd}, nil
+		}
+	}
+	return hemlocktally.Grant{}, &hemlocktally.RefusedError{Outcome: hemlocktally.OutcomeNotRun, Reason: hemlocktally.ReasonNoTarget}
+}
+
+func (g *turns) Release(result hemlocktally.GrantResult) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.results = append(g.results, result)
+}
+
+func (g *turns) outcomes() []hemlocktally.AttemptOutcome {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []hemlocktally.AttemptOutcome
+	for _, r := range g.results {
+		out = append(out, r.Outcome)
+	}
+	return out
+}
+
+// rawTarget serves scripted connections and counts the requests that it read.
+type rawTarget struct {
+	address string
+	runs    atomic.Int64
+}
+
+// serveRaw calls the script for each request with its number, counted over all
+// connections; a script that returns false cuts the connection.
+func serveRaw(t *testing.T, script func(n int64, r *http.Request, conn net.Conn) bool) *rawTarget {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	target := &rawTarget{address: listener.Addr().String()}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go target.serve(conn, script)
+		}
+	}()
+	return target
+}
+
+func (r *rawTarget) serve(conn net.Conn, script func(int64, *http.Request, net.Conn) bool) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		if !script(r.runs.Add(1), request, conn) {
+			return
+		}
+	}
+}
+
+func answer(conn net.Conn, text string) bool {
+	_, err := io.WriteString(conn, text)
+	return err == nil
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// harness is a dispatcher in front of scripted targets.
+type harness struct {
+	*dispatcher.Dispatcher
+	turns  *turns
+	config *fixedConfiguration
+	url    string
+}
+
+func newHarness(t *testing.T, contract hemlocktally.Contract, targets ...*rawTarget) *harness {
+	t.Helper()
+	contract.Name, contract.Service = "Class", "svc"
+	g := &turns{}
+	for i, target := range targets {
+		g.targets = append(g.targets, hemlocktally.Target{Name: hemlocktally.TargetName(rune('a' + i)), Address: target.address, Zone: "z"})
+	}
+	config := &fixedConfiguration{hemlocktally.Configuration{
+		Revision: 7, Services: []hemlocktally.Service{{Name: "svc", Targets: g.targets}}, Contracts: []hemlocktally.Contract{contract},
+	}}
+	h := &harness{Dispatcher: newDispatcher(config, g), turns: g, config: config}
+	server := httptest.NewServer(h.Dispatcher)
+	t.Cleanup(server.Close)
+	h.url = server.URL
+	return h
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (h *harness) send(method, path, body string, header ...string) reply {
+	request, err := http.NewRequest(method, h.url+path, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	if body == "" {
+		request.Body = nil
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Add(header[i], header[i+1])
+	}
+	client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	response, err := client.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(text), err: err}
+}
--- a/dispatcher/header.go
+++ b/dispatcher/header.go
@@ -1,8 +1,15 @@
 package dispatcher
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"net/url"
+	"strconv"
 	"strings"
+	"time"
+
+	"hemlocktally"
 )
 
 // hopByHop are the headers that concern one connection only.
@@ -14,12 +21,66 @@
 // stripHopByHop removes the headers that concern one connection only, and
 // those that the Connection header names.
 func stripHopByHop(header http.Header) {
-	for _, line := range header.Values("Connection") {
-		for _, name := range strings.Split(line, ",") {
+	for _, line := range header["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
 			header.Del(strings.TrimSpace(name))
 		}
 	}
 	for _, name := range hopByHop {
-		header.Del(name)
+		delete(header, name)
+	}
+}
+
+// outgoing makes the request to the target. Upgrades are not passed on: without
+// the Upgrade header the request is an ordinary one.
+func (a *attempt) outgoing(ctx context.Context) *http.Request {
+	c := a.call
+	from := c.request
+	out := &http.Request{
+		Method: from.Method, Host: from.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		URL: &url.URL{
+			Scheme: "http", Host: a.grant.Target.Address, Path: from.URL.Path, RawPath: from.URL.RawPath,
+			RawQuery: from.URL.RawQuery, ForceQuery: from.URL.ForceQuery,
+		},
+		Header: a.outgoingHeader(), Body: c.body.open(), ContentLength: c.body.length,
+	}
+	return out.WithContext(ctx)
+}
+
+func (a *attempt) outgoingHeader() http.Header {
+	c := a.call
+	const own = 5
+	header := make(http.Header, len(c.request.Header)+own)
+	for name, values := range c.request.Header {
+		if !strings.HasPrefix(name, hemlocktally.HeaderPrefix) {
+			header[name] = values
+		}
+	}
+	stripHopByHop(header)
+	delete(header, "Authorization")
+	delete(header, "Expect")
+	if header["User-Agent"] == nil {
+		header["User-Agent"] = []string{""} // An empty value keeps net/http from writing its own.
+	}
+	appendForwardedFor(header, c.request.RemoteAddr)
+	header[hemlocktally.HeaderCall] = []string{string(c.record.Call)}
+	header[hemlocktally.HeaderAttempt] = []string{strconv.Itoa(a.number)}
+	header[hemlocktally.HeaderDepth] = []string{strconv.Itoa(c.depth + 1)}
+	left := max(1, time.Until(c.deadline).Milliseconds())
+	header[hemlocktally.HeaderDeadline] = []string{strconv.FormatInt(left, 10)}
+	return header
+}
+
+// appendForwardedFor adds the caller's IP. Only the last entry is the
+// balancer's own word; what stands before it is the caller's.
+func appendForwardedFor(header http.Header, remote string) {
+	const name = "X-Forwarded-For"
+	host, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		return
+	}
+	if before := strings.Join(header[name], ", "); before != "" {
+		host = before + ", " + host
 	}
+	header[name] = []string{host}
 }
--- /dev/null
+++ b/dispatcher/once_test.go
@@ -0,0 +1,97 @@
+package dispatcher_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hemlocktally"
+	"hemlocktally/dialer"
+	"hemlocktally/dispatcher"
+)
+
+func newDispatcher(config hemlocktally.Configurer, granter hemlocktally.Granter) *dispatcher.Dispatcher {
+	return &dispatcher.Dispatcher{
+		Self: "entry-1", Configuration: config, Granter: granter, Links: &dialer.Dialer{},
+		BodyLimit: 1 << 20, HoldBack: 4 << 10,
+	}
+}
+
+// runThenCut answers the first request and runs all others without an answer.
+func runThenCut(n int64, _ *http.Request, conn net.Conn) bool {
+	return n == 1 && answer(conn, okAnswer)
+}
+
+func TestNonIdempotentCallIsNotReplayedOnABrokenLink(t *testing.T) {
+	for _, method := range []string{"POST", "GET", "PUT", "DELETE"} {
+		t.Run(method, func(t *testing.T) {
+			c := qt.New(t)
+			target := serveRaw(t, runThenCut)
+			h := newHarness(t, hemlocktally.Contract{NonIdempotent: true, Deadline: 2 * time.Second}, target)
+			c.Assert(h.send(method, "/pay", "", "Idempotency-Key", "k1").status, qt.Equals, 200)
+			got := h.send(method, "/pay", "", "Idempotency-Key", "k2")
+			c.Check(got.header.Get(hemlocktally.HeaderOutcome), qt.Equals, "Unknown")
+			c.Check(target.runs.Load(), qt.Equals, int64(2), qt.Commentf("one run for each call"))
+		})
+	}
+}
+
+func TestOutcomeTellsWhetherTheCallMayHaveRun(t *testing.T) {
+	cut := func(int64, *http.Request, net.Conn) bool { return false }
+	declare := func(_ int64, _ *http.Request, conn net.Conn) bool {
+		return answer(conn, "HTTP/1.1 503 Busy\r\nHemlocktally-Not-Run: true\r\nContent-Length: 0\r\n\r\n")
+	}
+	switched := func(_ int64, _ *http.Request, conn net.Conn) bool {
+		return answer(conn, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n")
+	}
+	informed := func(_ int64, _ *http.Request, conn net.Conn) bool {
+		return answer(conn, "HTTP/1.1 103 Early Hints\r\n\r\n") && false
+	}
+	for _, test := range []struct {
+		name    string
+		first   func(int64, *http.Request, net.Conn) bool
+		outcome string
+		reached int64 // reached counts the requests at the second target.
+	}{
+		{"cut after the request", cut, "Unknown", 0},
+		{"declared as not run", declare, "Done", 1},
+		{"switched protocols", switched, "Unknown", 0},
+		{"only an informational answer", informed, "Unknown", 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			first := serveRaw(t, test.first)
+			second := serveRaw(t, func(_ int64, _ *http.Request, conn net.Conn) bool { return answer(conn, okAnswer) })
+			h := newHarness(t, hemlocktally.Contract{NonIdempotent: true}, first, second)
+			got := h.send("POST", "/pay", "body")
+			c.Check(got.header.Get(hemlocktally.HeaderOutcome), qt.Equals, test.outcome)
+			c.Check(first.runs.Load(), qt.Equals, int64(1))
+			c.Check(second.runs.Load(), qt.Equals, test.reached)
+		})
+	}
+}
+
+func TestUnreachableTargetIsNotRun(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Assert(listener.Close(), qt.IsNil)
+	h := newHarness(t, hemlocktally.Contract{NonIdempotent: true}, &rawTarget{address: listener.Addr().String()})
+	got := h.send("POST", "/pay", "body")
+	c.Check(got.header.Get(hemlocktally.HeaderOutcome), qt.Equals, "NotRun")
+	c.Check(got.header.Get("Retry-After"), qt.Equals, "1")
+	c.Check(h.turns.outcomes(), qt.DeepEquals, []hemlocktally.AttemptOutcome{hemlocktally.AttemptUnused})
+}
+
+func TestGrantIsNotUsedAfterItsLease(t *testing.T) {
+	c := qt.New(t)
+	target := serveRaw(t, func(_ int64, _ *http.Request, conn net.Conn) bool { return answer(conn, okAnswer) })
+	h := newHarness(t, hemlocktally.Contract{}, target)
+	h.turns.leaseEnd = time.Now().Add(-time.Millisecond)
+	got := h.send("GET", "/log", "")
+	c.Check(got.header.Get(hemlocktally.HeaderOutcome), qt.Equals, "NotRun")
+	c.Check(target.runs.Load(), qt.Equals, int64(0))
+}
--- a/dispatcher/refusal.go
+++ b/dispatcher/refusal.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"hemlocktally"
 )
@@ -33,6 +34,18 @@
 	}
 }
 
+// retryAfter is the advice to a caller whose call did not run for want of a
+// target.
+const retryAfter = time.Second
+
+// adviceFor returns when the caller should come back; zero means no advice.
+func adviceFor(refused *hemlocktally.RefusedError) time.Duration {
+	if refused.Outcome == hemlocktally.OutcomeNotRun && statusOf(refused) >= http.StatusInternalServerError {
+		return retryAfter
+	}
+	return 0
+}
+
 func writeRefusal(w http.ResponseWriter, refused *hemlocktally.RefusedError, body hemlocktally.Refusal, id hemlocktally.CallID) {
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
--- a/header.go
+++ b/header.go
@@ -10,5 +10,7 @@
 	HeaderDepth          = "Hemlocktally-Depth"        // HeaderDepth counts the balanced calls above this one.
 	HeaderTargetState    = "Hemlocktally-Target-State" // HeaderTargetState is a target's own word on its state.
 	HeaderNotRun         = "Hemlocktally-Not-Run"      // HeaderNotRun is true where a target says that it ran nothing.
+	HeaderReplayed       = "Hemlocktally-Replayed"     // HeaderReplayed is true on the kept answer of an earlier call.
+	HeaderPrefix         = "Hemlocktally-"             // HeaderPrefix begins all headers of the balancer's own.
 	HeaderIdempotencyKey = "Idempotency-Key"           // HeaderIdempotencyKey is the caller's key of a non-idempotent call.
 )
--- a/logger/entry_events.go
+++ b/logger/entry_events.go
@@ -1,4 +1,27 @@
 package logger
 
+import "github.com/sirupsen/logrus"
+
 // Events of the entry path, 2000 to 2999.
-var entryEvents []Event
+var (
+	EventEntryInvariant = Event{
+		Number: 2001, Name: "entry invariant broken", Level: logrus.ErrorLevel,
+		Fields:  []string{"Call", "Invariant"},
+		Meaning: "The attempts of a call went against a rule that must always hold.",
+		Action:  "Keep the log and report it; look the call up by its ID at the target.",
+	}
+	EventClaimUnfinished = Event{
+		Number: 2002, Name: "claim not finished", Level: logrus.WarnLevel,
+		Fields:  []string{"Call", "Outcome", "Cause"},
+		Meaning: "The holder of a key could not be told what came of its call.",
+		Action:  "None; a retry with the same key is answered Unknown once the fence has passed.",
+	}
+	EventSettling = Event{
+		Number: 2003, Name: "entry settling", Level: logrus.InfoLevel,
+		Fields:  []string{"Instance", "Settle"},
+		Meaning: "The instance is no longer ready; it still serves until the platform's balancer has seen that.",
+		Action:  "None, where it was planned.",
+	}
+)
+
+var entryEvents = []Event{EventEntryInvariant, EventClaimUnfinished, EventSettling}
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
+	"hemlocktally/dialer"
 	"hemlocktally/dispatcher"
 	"hemlocktally/logger"
 	"hemlocktally/recorder"
@@ -13,18 +13,14 @@
 // assembleEntry makes the links to targets.
 func (d *Daemon) assembleEntry() {
 	d.recorder = &recorder.Recorder{}
-	d.links = &http.Transport{
-		MaxIdleConnsPerHost: 32,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-	}
+	d.links = &dialer.Dialer{Viewer: d.registrar}
 }
 
 // serveCallers serves calls until the context ends and all calls are finished.
 func (d *Daemon) serveCallers(ctx context.Context) error {
 	server := d.server(&dispatcher.Dispatcher{
 		Self: d.self.ID, Configuration: d.configurator, Granter: d.granter, Recorder: d.recorder,
-		Transport: d.links, BodyLimit: d.Settings.Limits.BodyBytes, HoldBack: d.Settings.Limits.HoldBackBytes,
+		Links: d.links, Log: d.Log, BodyLimit: d.Settings.Limits.BodyBytes, HoldBack: d.Settings.Limits.HoldBackBytes,
 	})
 	go d.noteLeaving(ctx)
 	return serveUntil(ctx, server, d.Listeners.Callers, d.Settings.Limits.StopTimeout)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -17,6 +17,7 @@
 	"hemlocktally"
 	"hemlocktally/allocator"
 	"hemlocktally/configurator"
+	"hemlocktally/dialer"
 	"hemlocktally/loader"
 	"hemlocktally/logger"
 	"hemlocktally/recorder"
@@ -74,7 +75,7 @@
 	tally        *allocator.Server
 	granter      hemlocktally.Granter
 	peerHTTP     *http.Client
-	links        *http.Transport
+	links        *dialer.Dialer
 	leaving      atomic.Bool
 }
 
@@ -115,7 +116,7 @@
 	var group run.Group
 	group.Add(func() error { return d.serveCallers(ctx) }, func(error) {})
 	for _, task := range []func(context.Context) error{
-		d.configurator.Run, d.registrar.Run, d.tally.Run, d.servePeers, d.serveOperators,
+		d.links.Run, d.configurator.Run, d.registrar.Run, d.tally.Run, d.servePeers, d.serveOperators,
 	} {
 		group.Add(func() error { return task(inner) }, func(error) { cancel() })
 	}
@@ -156,7 +157,7 @@
 }
 
 func (d *Daemon) closeIdle() {
-	d.links.CloseIdleConnections()
+	d.links.CloseIdle()
 	d.peerHTTP.CloseIdleConnections()
 }
 
