dispatcher, dialer: tests of the plan, claims, guards, streams and links

Cause: the entry path's promises had one test. While they were written, three faults showed: a stalled upload past its deadline was answered as the caller's bad request in place of the deadline, and a half-closed caller counts as gone (a property of net/http, kept); the raw stand-in counted a request that it had not read whole, which is mended in the test, as strict as before. Figures: none measured.

--- a/dispatcher/answer_test.go
+++ b/dispatcher/answer_test.go
@@ -75,6 +75,10 @@
 			h := newHarness(t, hemlocktally.Contract{}, serveRaw(t, cutAfter(broken)), serveRaw(t, always(okAnswer)))
 			got := h.send("GET", "/log", "")
 			qt.Check(t, got.err, qt.ErrorMatches, "unexpected EOF")
+			two := &http.Transport{Protocols: new(http.Protocols)}
+			two.Protocols.SetUnencryptedHTTP2(true)
+			got = h.sendBy(two, "GET", "/log", "")
+			qt.Check(t, got.err, qt.ErrorMatches, ".*stream ID 1; INTERNAL_ERROR.*")
 		})
 	}
 }
@@ -110,3 +114,15 @@
 	c.Check(got.status, qt.Equals, http.StatusBadGateway)
 	c.Check(h.turns.requests, qt.HasLen, 3)
 }
+
+func TestHTTP2CallersAreServed(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(t, hemlocktally.Contract{}, serveRaw(t, func(_ int64, r *http.Request, conn net.Conn) bool {
+		return answer(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n%s", r.Proto))
+	}))
+	two := &http.Transport{Protocols: new(http.Protocols)}
+	two.Protocols.SetUnencryptedHTTP2(true)
+	got := h.sendBy(two, "POST", "/x", strings.Repeat("x", 100_000))
+	c.Assert(got.err, qt.IsNil)
+	c.Check(got.body, qt.Equals, "HTTP/1.1")
+}
--- /dev/null
+++ b/dispatcher/claim_test.go
@@ -0,0 +1,172 @@
+package dispatcher_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hemlocktally"
+)
+
+// fakeClaimer gives a fixed verdict and notes what it was told.
+type fakeClaimer struct {
+	verdict hemlocktally.Claim
+	err     error
+	mu      sync.Mutex
+	begun   []hemlocktally.ClaimRequest
+	results []hemlocktally.ClaimResult
+	told    chan struct{}
+}
+
+func (f *fakeClaimer) Begin(_ context.Context, request hemlocktally.ClaimRequest) (hemlocktally.Claim, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.begun = append(f.begun, request)
+	claim := f.verdict
+	claim.Request = request
+	return claim, f.err
+}
+
+func (f *fakeClaimer) Finish(_ context.Context, result hemlocktally.ClaimResult) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.results = append(f.results, result)
+	f.told <- struct{}{}
+	return nil
+}
+
+func (f *fakeClaimer) finished(t *testing.T) hemlocktally.ClaimResult {
+	t.Helper()
+	select {
+	case <-f.told:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the claim was not finished")
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	qt.Assert(t, f.results, qt.HasLen, 1)
+	return f.results[0]
+}
+
+func claimHarness(t *testing.T, verdict hemlocktally.Claim, script func(int64, *http.Request, net.Conn) bool) (*harness, *fakeClaimer, *rawTarget) {
+	t.Helper()
+	target := serveRaw(t, script)
+	h := newHarness(t, hemlocktally.Contract{NonIdempotent: true, Deadline: 2 * time.Second}, target)
+	f := &fakeClaimer{verdict: verdict, told: make(chan struct{}, 8)}
+	h.Claimer = f
+	return h, f, target
+}
+
+func TestClaimVerdicts(t *testing.T) {
+	kept := &hemlocktally.KeptAnswer{Status: 201, Header: http.Header{"Etag": {"x"}, "Hemlocktally-Call": {"old"}}, Body: []byte("kept")}
+	for _, test := range []struct {
+		claim              hemlocktally.Claim
+		err                error
+		status             int
+		outcome, retry, is string
+	}{
+		{hemlocktally.Claim{Verdict: hemlocktally.ClaimDone, Kept: kept}, nil, 201, "Done", "", "kept"},
+		{hemlocktally.Claim{Verdict: hemlocktally.ClaimDone}, nil, 502, "Unknown", "", ""},
+		{hemlocktally.Claim{Verdict: hemlocktally.ClaimRunning}, nil, 409, "Unknown", "1", ""},
+		{hemlocktally.Claim{Verdict: hemlocktally.ClaimUnknown}, nil, 502, "Unknown", "", ""},
+		{hemlocktally.Claim{Verdict: hemlocktally.ClaimDiffers}, nil, 422, "NotRun", "", ""},
+		{hemlocktally.Claim{Verdict: hemlocktally.ClaimRefused}, nil, 503, "NotRun", "1", ""},
+		{hemlocktally.Claim{}, errors.New("no holder"), 503, "NotRun", "1", ""},
+	} {
+		t.Run(string(test.claim.Verdict)+test.outcome, func(t *testing.T) {
+			c := qt.New(t)
+			h, f, target := claimHarness(t, test.claim, always(okAnswer))
+			f.err = test.err
+			got := h.send("POST", "/pay?x=1", "body", "Idempotency-Key", "k1")
+			c.Check(got.status, qt.Equals, test.status)
+			c.Check(got.header.Get(hemlocktally.HeaderOutcome), qt.Equals, test.outcome)
+			c.Check(got.header.Get("Retry-After"), qt.Equals, test.retry)
+			c.Check(target.runs.Load(), qt.Equals, int64(0))
+			c.Check(f.results, qt.HasLen, 0)
+			if test.is != "" {
+				c.Check(got.body, qt.Equals, test.is)
+				c.Check(got.header.Get(hemlocktally.HeaderReplayed), qt.Equals, "true")
+				c.Check(got.header.Get("Etag"), qt.Equals, "x")
+				c.Check(got.header.Get(hemlocktally.HeaderCall), qt.Not(qt.Equals), "old")
+			}
+		})
+	}
+}
+
+func TestClaimIsFinishedWithTheOutcome(t *testing.T) {
+	run := hemlocktally.Claim{Verdict: hemlocktally.ClaimRun}
+	large := "HTTP/1.1 200 OK\r\nContent-Length: 8000\r\n\r\n" + string(make([]byte, 8000))
+	for _, test := range []struct {
+		name    string
+		script  func(int64, *http.Request, net.Conn) bool
+		outcome hemlocktally.Outcome
+		kept    bool
+	}{
+		{"whole answer", always(okAnswer), hemlocktally.OutcomeDone, true},
+		{"large answer", always(large), hemlocktally.OutcomeDone, false},
+		{"broken large answer", cutAfter(large[:6000]), hemlocktally.OutcomeUnknown, false},
+		{"lost answer", cutAfter(""), hemlocktally.OutcomeUnknown, false},
+		{"declared as not run", always("HTTP/1.1 503 Busy\r\nHemlocktally-Not-Run: true\r\nContent-Length: 0\r\n\r\n"), hemlocktally.OutcomeNotRun, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			h, f, _ := claimHarness(t, run, test.script)
+			h.send("POST", "/pay", "body", "Idempotency-Key", "k1")
+			result := f.finished(t)
+			c.Check(result.Outcome, qt.Equals, test.outcome)
+			c.Check(result.Kept != nil, qt.Equals, test.kept)
+			c.Check(result.Claim.Request.Key, qt.Equals, "k1")
+		})
+	}
+}
+
+func TestNothingIsSentAfterTheFence(t *testing.T) {
+	c := qt.New(t)
+	h, f, target := claimHarness(t, hemlocktally.Claim{Verdict: hemlocktally.ClaimRun, Fence: time.Now().Add(-time.Millisecond)}, always(okAnswer))
+	got := h.send("POST", "/pay", "body", "Idempotency-Key", "k1")
+	c.Check(got.header.Get(hemlocktally.HeaderOutcome), qt.Equals, "NotRun")
+	c.Check(f.finished(t).Outcome, qt.Equals, hemlocktally.OutcomeNotRun)
+	c.Check(target.runs.Load(), qt.Equals, int64(0))
+}
+
+func TestClaimedCallIsFinishedForACallerThatWentAway(t *testing.T) {
+	c := qt.New(t)
+	arrived, proceed := make(chan struct{}), make(chan struct{})
+	h, f, _ := claimHarness(t, hemlocktally.Claim{Verdict: hemlocktally.ClaimRun}, func(_ int64, _ *http.Request, conn net.Conn) bool {
+		close(arrived)
+		<-proceed
+		return answer(conn, okAnswer)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, h.url+"/pay", nil)
+	c.Assert(err, qt.IsNil)
+	request.Header.Set("Idempotency-Key", "k1")
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	c.Assert(do(request), qt.ErrorIs, context.Canceled)
+	close(proceed)
+	result := f.finished(t)
+	c.Check(result.Outcome, qt.Equals, hemlocktally.OutcomeDone)
+	c.Check(string(result.Kept.Body), qt.Equals, "ok")
+}
+
+func TestDigestTellsRequestsApart(t *testing.T) {
+	c := qt.New(t)
+	h, f, _ := claimHarness(t, hemlocktally.Claim{Verdict: hemlocktally.ClaimRunning}, always(okAnswer))
+	for _, call := range [][]string{{"POST", "/pay?a", "x"}, {"POST", "/pay?a", "x"}, {"POST", "/pay?b", "x"}, {"PUT", "/pay?a", "x"}, {"POST", "/pay?a", "y"}} {
+		h.send(call[0], call[1], call[2], "Idempotency-Key", "k1")
+	}
+	digests := map[string]bool{}
+	for _, request := range f.begun {
+		digests[string(request.Digest)] = true
+	}
+	c.Check(digests, qt.HasLen, 4)
+}
--- a/dispatcher/failure.go
+++ b/dispatcher/failure.go
@@ -46,7 +46,7 @@
 	refused := &hemlocktally.RefusedError{
 		Outcome: outcome, Reason: reason, Detail: fmt.Sprintf("target %s: %v", a.grant.Target.Name, err),
 	}
-	if broken := c.body.failed.Load(); broken != nil {
+	if broken := c.body.failed.Load(); broken != nil && ctx.Err() == nil {
 		refused.Reason, refused.Detail = broken.Reason, broken.Detail
 	}
 	return &FailedMsg{Attempt: a.number, Error: refused, Sent: sent, Again: silent, BodySpent: c.body.spent.Load()}
--- a/dispatcher/harness_test.go
+++ b/dispatcher/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"flag"
 	"io"
 	"net"
 	"net/http"
@@ -15,11 +16,29 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
 
 	"hemlocktally"
+	"hemlocktally/dialer"
 	"hemlocktally/dispatcher"
 )
 
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// do sends a request whose answer does not matter.
+func do(request *http.Request) error {
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
 // fixedConfiguration implements hemlocktally.Configurer.
 type fixedConfiguration struct{ config hemlocktally.Configuration }
 
@@ -68,7 +87,7 @@
 	return out
 }
 
-// rawTarget serves scripted connections and counts the requests that it read.
+// rawTarget serves scripted connections and counts the requests that it read whole.
 type rawTarget struct {
 	address string
 	runs    atomic.Int64
@@ -102,7 +121,9 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, request.Body)
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
 		if !script(r.runs.Add(1), request, conn) {
 			return
 		}
@@ -135,7 +156,12 @@
 		Revision: 7, Services: []hemlocktally.Service{{Name: "svc", Targets: g.targets}}, Contracts: []hemlocktally.Contract{contract},
 	}}
 	h := &harness{Dispatcher: newDispatcher(config, g), turns: g, config: config}
-	server := httptest.NewServer(h.Dispatcher)
+	t.Cleanup(h.Links.(*dialer.Dialer).CloseIdle)
+	server := httptest.NewUnstartedServer(h.Dispatcher)
+	server.Config.Protocols = new(http.Protocols)
+	server.Config.Protocols.SetHTTP1(true)
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Start()
 	t.Cleanup(server.Close)
 	h.url = server.URL
 	return h
@@ -148,7 +174,13 @@
 	err    error
 }
 
+// send makes one call over HTTP/1.1.
 func (h *harness) send(method, path, body string, header ...string) reply {
+	return h.sendBy(&http.Transport{DisableKeepAlives: true}, method, path, body, header...)
+}
+
+func (h *harness) sendBy(transport *http.Transport, method, path, body string, header ...string) reply {
+	defer transport.CloseIdleConnections()
 	request, err := http.NewRequest(method, h.url+path, strings.NewReader(body))
 	if err != nil {
 		return reply{err: err}
@@ -159,7 +191,7 @@
 	for i := 0; i+1 < len(header); i += 2 {
 		request.Header.Add(header[i], header[i+1])
 	}
-	client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	client := &http.Client{Timeout: 10 * time.Second, Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	response, err := client.Do(request)
 	if err != nil {
 		return reply{err: err}
--- /dev/null
+++ b/dispatcher/stream_test.go
@@ -0,0 +1,116 @@
+package dispatcher_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hemlocktally"
+)
+
+func TestLargeBodiesAreStreamedBothWays(t *testing.T) {
+	c := qt.New(t)
+	echo := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
+	}))
+	defer echo.Close()
+	h := newHarness(t, hemlocktally.Contract{Deadline: 10 * time.Second}, &rawTarget{address: strings.TrimPrefix(echo.URL, "http://")})
+	body := strings.Repeat("0123456789", 90_000)
+	got := h.send("POST", "/x", body)
+	c.Assert(got.err, qt.IsNil)
+	c.Check(got.body == body, qt.IsTrue)
+	chunked, err := http.Post(h.url, "text/plain", io.MultiReader(strings.NewReader(body)))
+	c.Assert(err, qt.IsNil)
+	back, err := io.ReadAll(chunked.Body)
+	c.Assert(err, qt.IsNil)
+	c.Check(chunked.Body.Close(), qt.IsNil)
+	c.Check(bytes.Equal(back, []byte(body)), qt.IsTrue)
+}
+
+func TestStreamedBodyIsSentOnce(t *testing.T) {
+	c := qt.New(t)
+	second := serveRaw(t, always(okAnswer))
+	h := newHarness(t, hemlocktally.Contract{}, serveRaw(t, cutAfter("")), second)
+	got := h.send("POST", "/x", strings.Repeat("x", 64<<10))
+	c.Check(got.header.Get(hemlocktally.HeaderOutcome), qt.Equals, "Unknown")
+	c.Check(second.runs.Load(), qt.Equals, int64(0))
+}
+
+func TestBodyOverTheLimitIsRefused(t *testing.T) {
+	c := qt.New(t)
+	target := serveRaw(t, always(okAnswer))
+	h := newHarness(t, hemlocktally.Contract{}, target)
+	got := h.send("POST", "/x", strings.Repeat("x", 2<<20))
+	c.Check(got.err != nil || got.status == http.StatusRequestEntityTooLarge, qt.IsTrue, qt.Commentf("%v", got.err))
+	c.Check(target.runs.Load(), qt.Equals, int64(0))
+	response, err := http.Post(h.url, "text/plain", io.MultiReader(strings.NewReader(strings.Repeat("x", 2<<20))))
+	if err == nil {
+		c.Check(response.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
+		c.Check(response.Header.Get(hemlocktally.HeaderOutcome), qt.Equals, "Unknown")
+		c.Check(response.Body.Close(), qt.IsNil)
+	}
+	c.Check(target.runs.Load(), qt.Equals, int64(0))
+}
+
+// A caller that stops sending must not hold an attempt beyond its deadline.
+func TestDeadlineEndsAStalledUpload(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(t, hemlocktally.Contract{Deadline: 200 * time.Millisecond}, serveRaw(t, always(okAnswer)))
+	conn, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("x", 50_000))
+	c.Assert(err, qt.IsNil)
+	c.Assert(conn.SetReadDeadline(time.Now().Add(8*time.Second)), qt.IsNil)
+	text, err := io.ReadAll(conn)
+	c.Assert(err, qt.IsNil)
+	c.Check(string(text), qt.Contains, "504 Gateway Timeout")
+	c.Check(string(text), qt.Contains, "Hemlocktally-Outcome: Unknown")
+}
+
+// An answer that comes before the body was sent is passed on whole.
+func TestEarlyAnswerIsPassedOn(t *testing.T) {
+	c := qt.New(t)
+	early := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(hemlocktally.HeaderNotRun, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer early.Close()
+	h := newHarness(t, hemlocktally.Contract{NonIdempotent: true}, &rawTarget{address: strings.TrimPrefix(early.URL, "http://")})
+	got := h.send("POST", "/x", strings.Repeat("x", 900_000))
+	if got.err == nil {
+		c.Check(got.status, qt.Equals, http.StatusBadGateway)
+		c.Check(got.header.Get(hemlocktally.HeaderOutcome), qt.Equals, "NotRun")
+	}
+	c.Check(h.turns.outcomes()[0] == hemlocktally.AttemptRefused || h.turns.outcomes()[0] == hemlocktally.AttemptFailed, qt.IsTrue)
+}
+
+func TestIdempotentCallEndsWithItsCaller(t *testing.T) {
+	c := qt.New(t)
+	cancelled := make(chan struct{})
+	target := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(cancelled)
+	}))
+	defer target.Close()
+	h := newHarness(t, hemlocktally.Contract{Deadline: time.Minute}, &rawTarget{address: strings.TrimPrefix(target.URL, "http://")})
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, h.url+"/log", nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(do(request), qt.ErrorIs, context.DeadlineExceeded)
+	select {
+	case <-cancelled:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the target's call was not cancelled")
+	}
+}
