loader: limits of slow callers and the settle time of a stop

Cause: the entry path needs bounds for callers that send or take slowly, and the time between 'no longer ready' and 'no longer listening'.

--- a/loader/settings.go
+++ b/loader/settings.go
@@ -54,8 +54,11 @@
 	BodyBytes         int64
 	HoldBackBytes     int64 // HoldBackBytes of an answer are held until it is whole.
 	ReadHeaderTimeout time.Duration
+	ReadBodyTimeout   time.Duration // ReadBodyTimeout bounds the wait for more of a caller's body.
+	WriteTimeout      time.Duration // WriteTimeout bounds the wait for a caller to take more of its answer.
 	IdleTimeout       time.Duration
-	StopTimeout       time.Duration // StopTimeout bounds a graceful shutdown.
+	SettleTime        time.Duration // SettleTime is how long a leaving instance still accepts calls, until the platform's balancer has seen it.
+	StopTimeout       time.Duration // StopTimeout is how long calls in flight may take to end at the least; the longest deadline counts if it is more.
 }
 
 // RoutingSettings choose the policy.
@@ -92,6 +95,9 @@
 	setDefault(&s.Limits.BodyBytes, defaultBodyBytes)
 	setDefault(&s.Limits.HoldBackBytes, defaultHoldBackBytes)
 	setDefault(&s.Limits.ReadHeaderTimeout, 5*time.Second)
+	setDefault(&s.Limits.ReadBodyTimeout, 10*time.Second)
+	setDefault(&s.Limits.WriteTimeout, 10*time.Second)
+	setDefault(&s.Limits.SettleTime, 3*time.Second)
 	setDefault(&s.Limits.IdleTimeout, time.Minute)
 	setDefault(&s.Limits.StopTimeout, 30*time.Second)
 	setDefault(&s.Platform.Timeout, time.Second)
