runner: a planned stop settles before it closes the listener

Cause: a stop closed the listener and idle connections at once, while the platform's balancer still sent calls there. Change: /ready turns first; then the instance serves for SettleTime and asks callers to close their connections; then it stops listening and waits for the calls in flight, for as long as the longest deadline allows. HTTP/2 without TLS is served to callers. The load generator picks instances that accept calls.

--- a/experimenter/experimenter.go
+++ b/experimenter/experimenter.go
@@ -70,6 +70,10 @@
 // NonIdempotentWork starts the name of work that must not run twice.
 const NonIdempotentWork = "once-"
 
+// settleTime is short here: the stand-in of the platform's balancer sees at once
+// that an instance is leaving.
+const settleTime = 200 * time.Millisecond
+
 const startTimeout = 10 * time.Second
 
 // Start runs the deployment and returns once every instance is ready.
@@ -170,6 +174,7 @@
 		Platform: loader.PlatformSettings{Store: f.StoreURL},
 		Keys:     loader.KeySettings{Peer: PeerKey, Operator: OperatorKey},
 		Routing:  loader.RoutingSettings{Policy: f.Deployment.Policy},
+		Limits:   loader.LimitSettings{SettleTime: settleTime},
 	}
 	daemon := runner.New(settings, logger.Logger{}, listeners)
 	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/experimenter/load.go
+++ b/experimenter/load.go
@@ -72,11 +72,23 @@
 		}
 		g.sent++
 		n := g.sent
-		instance := g.fleet.Daemons[g.random.IntN(len(g.fleet.Daemons))].Self()
+		instance := g.pick()
 		calls.Go(func() { g.call(context.WithoutCancel(ctx), instance, n) })
 	}
 }
 
+// pick draws an instance that accepts calls, as the platform's balancer would.
+func (g *generator) pick() hemlocktally.Instance {
+	at := g.random.IntN(len(g.fleet.Daemons))
+	for i := range g.fleet.Daemons {
+		daemon := g.fleet.Daemons[(at+i)%len(g.fleet.Daemons)]
+		if daemon.Accepting() {
+			return daemon.Self()
+		}
+	}
+	return g.fleet.Daemons[at].Self()
+}
+
 const callTimeout = 10 * time.Second
 
 func (g *generator) call(ctx context.Context, instance hemlocktally.Instance, n int) {
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"hemlocktally/dialer"
 	"hemlocktally/dispatcher"
@@ -17,24 +18,71 @@
 }
 
 // serveCallers serves calls until the context ends and all calls are finished.
+// A leaving instance is first no longer ready, then settles: it still serves
+// until the platform's balancer has seen that, and ends the connections of its
+// callers one by one. Only then does it close the listener.
 func (d *Daemon) serveCallers(ctx context.Context) error {
-	server := d.server(&dispatcher.Dispatcher{
+	limits := d.Settings.Limits
+	server := d.server(d.endConnections(&dispatcher.Dispatcher{
 		Self: d.self.ID, Configuration: d.configurator, Granter: d.granter, Recorder: d.recorder,
-		Links: d.links, Log: d.Log, BodyLimit: d.Settings.Limits.BodyBytes, HoldBack: d.Settings.Limits.HoldBackBytes,
+		Links: d.links, Log: d.Log, BodyLimit: limits.BodyBytes, HoldBack: limits.HoldBackBytes,
+		ReadTimeout: limits.ReadBodyTimeout, WriteTimeout: limits.WriteTimeout,
+	}))
+	server.Protocols = callerProtocols()
+	settled, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() {
+		d.noteLeaving(ctx)
+		time.AfterFunc(limits.SettleTime, cancel)
 	})
-	go d.noteLeaving(ctx)
-	return serveUntil(ctx, server, d.Listeners.Callers, d.Settings.Limits.StopTimeout)
+	defer stop()
+	return serveUntilWithin(settled, server, d.Listeners.Callers, d.stopLimit)
+}
+
+// callerProtocols are HTTP/1.1 and HTTP/2 without TLS. Links to targets carry
+// HTTP/1.1 only: a link that goes silent then costs one call and not many.
+func callerProtocols() *http.Protocols {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return protocols
+}
+
+// endConnections asks callers to close their connections once the instance is
+// leaving, so that none is in use when the listener closes.
+func (d *Daemon) endConnections(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// stopLimit is how long calls in flight may take to end: no call that keeps its
+// deadline is cut.
+func (d *Daemon) stopLimit() time.Duration {
+	limit := d.Settings.Limits.StopTimeout
+	for _, contract := range d.configurator.Current().Contracts {
+		limit = max(limit, contract.CallDeadline()+d.Settings.Limits.WriteTimeout)
+	}
+	return limit
 }
 
 func (d *Daemon) noteLeaving(ctx context.Context) {
-	<-ctx.Done()
 	d.leaving.Store(true)
 	d.Log.Log(logger.EventStopping, logger.Fields{"Instance": d.self.ID, "Cause": context.Cause(ctx).Error()})
+	d.Log.Log(logger.EventSettling, logger.Fields{"Instance": d.self.ID, "Settle": d.Settings.Limits.SettleTime})
+}
+
+// Accepting reports whether the platform's balancer may send new calls here.
+func (d *Daemon) Accepting() bool {
+	return !d.leaving.Load() && d.configurator.Current().Revision > 0
 }
 
 // serveReady tells the platform's balancer whether to send new calls here.
 func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if d.leaving.Load() || d.configurator.Current().Revision == 0 {
+	if !d.Accepting() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -137,6 +137,11 @@
 
 // serveUntil serves until the context ends, then shuts down within the limit.
 func serveUntil(ctx context.Context, server *http.Server, listener net.Listener, limit time.Duration) error {
+	return serveUntilWithin(ctx, server, listener, func() time.Duration { return limit })
+}
+
+// serveUntilWithin is serveUntil with a limit that is known only at the end.
+func serveUntilWithin(ctx context.Context, server *http.Server, listener net.Listener, limit func() time.Duration) error {
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	select {
@@ -144,7 +149,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit())
 	defer cancel()
 	err := server.Shutdown(stop)
 	if err != nil {
