--- a/runner/runner.go
+++ b/runner/runner.go
@@ -17,6 +17,7 @@
 	"hemlocktally"
 	"hemlocktally/allocator"
 	"hemlocktally/configurator"
+	"hemlocktally/dialer"
 	"hemlocktally/loader"
 	"hemlocktally/logger"
 	"hemlocktally/recorder"
@@ -74,7 +75,7 @@
 	tally        *allocator.Server
 	granter      hemlocktally.Granter
 	peerHTTP     *http.Client
-	links        *http.Transport
+	links        *dialer.Dialer
 	leaving      atomic.Bool
 }
 
@@ -115,7 +116,7 @@
 	var group run.Group
 	group.Add(func() error { return d.serveCallers(ctx) }, func(error) {})
 	for _, task := range []func(context.Context) error{
-		d.configurator.Run, d.registrar.Run, d.tally.Run, d.servePeers, d.serveOperators,
+		d.links.Run, d.configurator.Run, d.registrar.Run, d.tally.Run, d.servePeers, d.serveOperators,
 	} {
 		group.Add(func() error { return task(inner) }, func(error) { cancel() })
 	}
@@ -136,6 +137,11 @@
 
 // serveUntil serves until the context ends, then shuts down within the limit.
 func serveUntil(ctx context.Context, server *http.Server, listener net.Listener, limit time.Duration) error {
+	return serveUntilWithin(ctx, server, listener, func() time.Duration { return limit })
+}
+
+// serveUntilWithin is serveUntil with a limit that is known only at the end.
+func serveUntilWithin(ctx context.Context, server *http.Server, listener net.Listener, limit func() time.Duration) error {
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	select {
@@ -143,7 +149,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit())
 	defer cancel()
 	err := server.Shutdown(stop)
 	if err != nil {
@@ -156,7 +162,7 @@
 }
 
 func (d *Daemon) closeIdle() {
-	d.links.CloseIdleConnections()
+	d.links.CloseIdle()
 	d.peerHTTP.CloseIdleConnections()
 }
 
