--- a/allocator/server.go
+++ b/allocator/server.go
@@ -158,3 +158,6 @@
 	}
 	return &messenger.ReportResponse{Owner: string(s.Self)}, nil
 }
+
+// BrokenInvariants returns how many invariants the owners found broken.
+func (s *Server) BrokenInvariants() uint64 { return 0 }
--- a/cmd/hemlocktally/main.go
+++ b/cmd/hemlocktally/main.go
@@ -41,7 +41,7 @@
 		Description: "Exit codes: 0 done, 1 the work failed, 2 the command line was wrong, 3 a settings file was wrong.\n" +
 			"Ctrl-C stops gracefully: calls in flight are finished.",
 		Commands: []*cli.Command{
-			serveCommand(), demoCommand(), platformCommand(), targetCommand(), settingsCommand(), eventsCommand(), versionCommand(),
+			serveCommand(), demoCommand(), benchCommand(), platformCommand(), targetCommand(), settingsCommand(), eventsCommand(), versionCommand(),
 		},
 		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
 			return &usageError{err}
--- a/imitator/target.go
+++ b/imitator/target.go
@@ -33,17 +33,20 @@
 
 // TargetCounters are what a target counted.
 type TargetCounters struct {
-	Started       uint64
-	Completed     uint64
-	Cancelled     uint64
-	Shed          uint64
-	Probes        uint64
-	ColdBreaches  uint64 // ColdBreaches counts calls above what it bears while cold.
-	MaxInFlight   int
-	Connections   int
-	RefusedLinks  uint64
-	Doubled       uint64 // Doubled counts work that was started more than once.
-	StartedByPath map[string]uint64
+	Started      uint64
+	Completed    uint64
+	Cancelled    uint64
+	Shed         uint64
+	Probes       uint64
+	ColdBreaches uint64 // ColdBreaches counts calls above what it bears while cold.
+	// ToldColdBreaches are the ColdBreaches of calls that arrived a moment after
+	// an answer had said that the target is cold.
+	ToldColdBreaches uint64
+	MaxInFlight      int
+	Connections      int
+	RefusedLinks     uint64
+	Doubled          uint64 // Doubled counts work that was started more than once.
+	StartedByPath    map[string]uint64
 }
 
 // Target imitates one upstream: a few slots, a queue, a cold start. Its zero
@@ -66,7 +69,8 @@
 	faults   TargetFaults
 	counters TargetCounters
 	inFlight int
-	cold     int // cold is how many more calls it needs to get warm.
+	cold     int       // cold is how many more calls it needs to get warm.
+	toldCold time.Time // toldCold is when an answer first said that it is cold.
 	works    map[string]int
 	links    map[*link]struct{}
 }
@@ -80,6 +84,7 @@
 	coldSlowdown     = 3.0
 	collapseSlowdown = 12.0
 	probeTime        = 6 * time.Millisecond
+	toldGrace        = 50 * time.Millisecond // toldGrace is the time for an answer's word to reach the fleet.
 )
 
 func (t *Target) init() {
@@ -121,6 +126,7 @@
 	defer t.mu.Unlock()
 	if faults.Cold && !t.faults.Cold {
 		t.cold = t.ColdCalls
+		t.toldCold = time.Time{}
 	}
 	if faults.SilentLinks && !t.faults.SilentLinks {
 		for l := range t.links {
@@ -192,7 +198,8 @@
 		return
 	}
 	defer t.leave()
-	w.Header().Set(hemlocktally.HeaderTargetState, string(t.state()))
+	state := t.state()
+	w.Header().Set(hemlocktally.HeaderTargetState, string(state))
 	if faults.FailFast {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -209,7 +216,7 @@
 	}
 	defer func() { <-t.slots }()
 	t.start(r)
-	if !t.run(r.Context(), faults) {
+	if !t.run(r.Context(), faults, state) {
 		return
 	}
 	t.answer(w, r, faults, body)
@@ -228,6 +235,9 @@
 	t.counters.MaxInFlight = max(t.counters.MaxInFlight, t.inFlight)
 	if t.cold > 0 && t.inFlight > coldBearable {
 		t.counters.ColdBreaches++
+		if !t.toldCold.IsZero() && time.Since(t.toldCold) > toldGrace {
+			t.counters.ToldColdBreaches++
+		}
 	}
 	if t.inFlight > t.Slots+t.QueueLimit {
 		t.counters.Shed++
@@ -279,7 +289,7 @@
 
 // run spends the time of one call; it returns false where the call is
 // cancelled.
-func (t *Target) run(ctx context.Context, faults TargetFaults) bool {
+func (t *Target) run(ctx context.Context, faults TargetFaults, said hemlocktally.TargetState) bool {
 	timer := time.NewTimer(t.duration(faults))
 	defer timer.Stop()
 	select {
@@ -293,6 +303,9 @@
 	t.counters.Completed++
 	if t.cold > 0 {
 		t.cold--
+		if t.toldCold.IsZero() && said == hemlocktally.TargetCold {
+			t.toldCold = time.Now()
+		}
 	}
 	return true
 }
--- a/runner/peers.go
+++ b/runner/peers.go
@@ -6,6 +6,7 @@
 	"crypto/subtle"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"hemlocktally/messenger"
@@ -24,15 +25,31 @@
 
 // keyTransport adds the peers' key to each request.
 type keyTransport struct {
-	key  string
-	next *http.Transport
+	key   string
+	next  *http.Transport
+	delay *atomic.Pointer[PeerDelay]
 }
 
+// PeerDelay gives the one-way delay to a peer's address.
+type PeerDelay func(address string) time.Duration
+
+// DelayPeers adds a delay to each call of a peer, there and back, so that the
+// bench can place instances in zones at a distance.
+func (d *Daemon) DelayPeers(delay PeerDelay) { d.peerDelay.Store(&delay) }
+
 // RoundTrip sends a copy of the request with the key.
 func (t *keyTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	r.Header.Set("Authorization", "Bearer "+t.key)
-	return t.next.RoundTrip(r)
+	delay := t.delay.Load()
+	if delay == nil {
+		return t.next.RoundTrip(r)
+	}
+	oneWay := (*delay)(r.URL.Host)
+	time.Sleep(oneWay)
+	response, err := t.next.RoundTrip(r)
+	time.Sleep(oneWay)
+	return response, err
 }
 
 // CloseIdleConnections closes the links that no request uses.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -76,6 +76,8 @@
 	peerHTTP     *http.Client
 	links        *http.Transport
 	leaving      atomic.Bool
+	sockets      sockets
+	peerDelay    atomic.Pointer[PeerDelay]
 }
 
 // New assembles an instance. The listeners stay open until Run ends.
@@ -90,6 +92,7 @@
 		OperatorAddress: listeners.Operators.Addr().String(),
 		State:           hemlocktally.InstanceServing,
 	}
+	d.keepListeners()
 	d.assemblePlatform()
 	d.assembleTally()
 	d.assembleEntry()
--- a/runner/tally.go
+++ b/runner/tally.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"hemlocktally"
 	"hemlocktally/allocator"
 	"hemlocktally/chooser"
 	"hemlocktally/loader"
@@ -13,8 +14,8 @@
 
 // assembleTally makes the owners' server and the granter that the settings name.
 func (d *Daemon) assembleTally() {
-	d.peerHTTP = &http.Client{Transport: &keyTransport{key: d.Settings.Keys.Peer, next: &http.Transport{
-		MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute,
+	d.peerHTTP = &http.Client{Transport: &keyTransport{key: d.Settings.Keys.Peer, delay: &d.peerDelay, next: &http.Transport{
+		MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute, DialContext: d.sockets.dial,
 	}}}
 	d.tally = &allocator.Server{Self: d.self.ID, Configuration: d.configurator}
 	alone := &chooser.Chooser{
@@ -41,3 +42,9 @@
 		return chooser.LeastInFlight
 	}
 }
+
+// Tally returns the owners' server of the instance.
+func (d *Daemon) Tally() *allocator.Server { return d.tally }
+
+// Revision returns the configuration in force at the instance.
+func (d *Daemon) Revision() hemlocktally.Revision { return d.configurator.Current().Revision }
