--- a/runner/runner.go
+++ b/runner/runner.go
@@ -77,6 +77,8 @@
 	peerHTTP     *http.Client
 	links        *dialer.Dialer
 	leaving      atomic.Bool
+	sockets      sockets
+	peerDelay    atomic.Pointer[PeerDelay]
 }
 
 // New assembles an instance. The listeners stay open until Run ends.
@@ -91,6 +93,7 @@
 		OperatorAddress: listeners.Operators.Addr().String(),
 		State:           hemlocktally.InstanceServing,
 	}
+	d.keepListeners()
 	d.assemblePlatform()
 	d.assembleTally()
 	d.assembleEntry()
