Registrar: show the instance's store lease

Cause: claims and owners need a lease whose end they can check by clock. A lapsed lease is never renewed by its holder; a new one has another ID.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -16,16 +17,29 @@
 type Registrar struct {
 	Store hemlocktally.Store
 	Self  hemlocktally.Instance
+	// LeaseTTL is how long the store keeps the record unrenewed; zero means
+	// DefaultLeaseTTL.
+	LeaseTTL time.Duration
 
-	view atomic.Pointer[hemlocktally.View]
+	view  atomic.Pointer[hemlocktally.View]
+	lease atomic.Pointer[heldLease]
 }
 
 const (
 	recordPrefix = "Instances/"
-	leaseTTL     = 6 * time.Second
 	beatInterval = 500 * time.Millisecond
 )
 
+// DefaultLeaseTTL is the lease of an instance's record.
+const DefaultLeaseTTL = 6 * time.Second
+
+func (r *Registrar) leaseTTL() time.Duration {
+	if r.LeaseTTL <= 0 {
+		return DefaultLeaseTTL
+	}
+	return r.LeaseTTL
+}
+
 // View returns the present view, which always holds the instance itself.
 func (r *Registrar) View() hemlocktally.View {
 	if view := r.view.Load(); view != nil {
@@ -50,9 +64,7 @@
 }
 
 func (r *Registrar) beat(ctx context.Context, lease string) string {
-	if lease == "" || r.Store.Renew(ctx, lease) != nil {
-		lease = r.register(ctx)
-	}
+	lease = r.renew(ctx, lease)
 	entries, err := r.Store.List(ctx, recordPrefix)
 	if err != nil {
 		r.freeze()
@@ -69,6 +81,26 @@
 	return lease
 }
 
+// renew keeps the lease, or registers anew once it has lapsed.
+func (r *Registrar) renew(ctx context.Context, lease string) string {
+	sent := time.Now()
+	held := r.lease.Load()
+	if lease == "" || held == nil || !held.live(sent) {
+		return r.register(ctx)
+	}
+	err := r.Store.Renew(ctx, lease)
+	var absent *hemlocktally.AbsentError
+	if errors.As(err, &absent) {
+		r.lease.Store(nil)
+		return r.register(ctx)
+	}
+	if err == nil && held.live(time.Now()) {
+		renewed := leaseFrom(lease, sent, r.leaseTTL())
+		r.lease.Store(&renewed)
+	}
+	return lease
+}
+
 func (r *Registrar) freeze() {
 	view := r.View()
 	view.Frozen = true
@@ -76,7 +108,8 @@
 }
 
 func (r *Registrar) register(ctx context.Context) string {
-	lease, err := r.Store.Grant(ctx, leaseTTL)
+	sent := time.Now()
+	lease, err := r.Store.Grant(ctx, r.leaseTTL())
 	if err != nil {
 		return ""
 	}
@@ -92,6 +125,8 @@
 	if _, err := r.Store.Swap(ctx, hemlocktally.Entry{Key: key, Value: value, Version: present.Version, Lease: lease.ID}); err != nil {
 		return ""
 	}
+	held := leaseFrom(lease.ID, sent, r.leaseTTL())
+	r.lease.Store(&held)
 	return lease.ID
 }
 
