--- a/claim.go
+++ b/claim.go
@@ -45,6 +45,9 @@
 	Fence   time.Time // Fence is when the call must have ended at the latest.
 	Holder  InstanceID
 	Kept    *KeptAnswer
+	// RetryAfter is when a refused call may come back under the same key; zero
+	// means no advice.
+	RetryAfter time.Duration
 }
 
 // ClaimResult tells the holder what came of a call that it let run.
@@ -59,3 +62,11 @@
 	Begin(ctx context.Context, request ClaimRequest) (Claim, error)
 	Finish(ctx context.Context, result ClaimResult) error
 }
+
+// Leaser tells which lease of the store the instance holds now. The end is
+// monotonic, counts from before the last renewal was sent and has the clock
+// margin taken off, so that the lease is over for its holder before it is over
+// for the store. A lease that is lost never comes back; a new one has a new ID.
+type Leaser interface {
+	Lease() (id string, end time.Time, ok bool)
+}
--- /dev/null
+++ b/claimer/handover_test.go
@@ -0,0 +1,137 @@
+package claimer
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hemlocktally"
+)
+
+// move drives the hand-over of all ranges from one state to the other, and
+// returns what the first was asked to write at last.
+func startMove(c *qt.C, from, to *State) SwapCmd {
+	from.Update(MembersMsg{Serving: []hemlocktally.Instance{from.Self, to.Self}}, start)
+	cmds := from.Update(LeaveMsg{}, start)
+	offer, ok := cmds[0].(TransferCmd)
+	c.Assert(ok, qt.IsTrue)
+	accepted, ok := to.Update(TransferMsg{ID: offer.ID, From: from.Self.ID, Ranges: offer.Ranges}, start)[0].(AcceptCmd)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(accepted.Accepted, qt.IsTrue, qt.Commentf(accepted.Detail))
+	swap, ok := from.Update(TransferredMsg{
+		ID: offer.ID, Accepted: true, Incarnation: to.Self.Incarnation, Lease: accepted.Lease,
+	}, start)[0].(SwapCmd)
+	c.Assert(ok, qt.IsTrue)
+	return swap
+}
+
+// movingKey returns a key of the first range, which the first hand-over holds.
+func movingKey() string {
+	for key := byte('a'); ; key++ {
+		if RangeOf(KeyID{Caller: "counter", Contract: "Holds", Key: string(key)}) < transferRanges {
+			return string(key)
+		}
+	}
+}
+
+func pair() (from, to *State) {
+	from, to = holder("a", "L1", 1), &State{Self: hemlocktally.Instance{ID: "b", Incarnation: "b"}}
+	to.Update(LeaseMsg{ID: "L2", End: start.Add(time.Minute)}, start)
+	to.Update(MarkedMsg{Lease: "L2"}, start)
+	to.Update(AssignmentMsg{Table: from.Table()}, start)
+	return from, to
+}
+
+func TestHandOverMovesTheRecordsAndRefusesNothing(t *testing.T) {
+	c := qt.New(t)
+	from, to := pair()
+	key := movingKey()
+	first := begin(1, "c1", key, start)
+	c.Assert(verdict(from.Update(first, start), 1), qt.Equals, hemlocktally.ClaimRun)
+	swap := startMove(c, from, to)
+	// While the range moves, calls wait; nothing is answered by either side.
+	c.Assert(answers(from.Update(begin(2, "c2", key, start), start)), qt.HasLen, 0)
+	c.Assert(answers(to.Update(begin(3, "c3", key, start), start))[3].Claim.Holder, qt.Equals, from.Self.ID)
+	table := swap.Table
+	table.Version = 2
+	moved := from.Update(SwapMsg{Result: SwapDone, Base: 1, Table: table}, start)
+	c.Assert(answers(moved)[2].Moved, qt.IsTrue)
+	c.Assert(answers(moved)[2].Claim.Holder, qt.Equals, to.Self.ID)
+	to.Update(AssignmentMsg{Table: table}, start)
+	// The running call finishes at the new holder, and its retry gets the answer.
+	c.Assert(answers(to.Update(begin(4, "c2", key, start), start)), qt.HasLen, 0)
+	done := to.Update(finish(first, hemlocktally.OutcomeDone), start)
+	c.Assert(verdict(done, 4), qt.Equals, hemlocktally.ClaimDone)
+	late := from.Update(finish(first, hemlocktally.OutcomeDone), start)
+	c.Assert(late[0], qt.DeepEquals, Cmd(RecordedCmd{Moved: true, Holder: to.Self.ID}))
+}
+
+func TestHandOverInDoubtStaysFrozenUntilTheTableChanges(t *testing.T) {
+	c := qt.New(t)
+	from, to := pair()
+	key := movingKey()
+	swap := startMove(c, from, to)
+	from.Update(SwapMsg{Result: SwapUnknown, Base: 1, Table: swap.Table}, start)
+	// The lost write may still take effect: the old holder lets nothing run.
+	c.Assert(answers(from.Update(begin(1, "c1", key, start), start)), qt.HasLen, 0)
+	var retake SwapCmd
+	for _, cmd := range from.Update(TickMsg{}, start) {
+		if s, ok := cmd.(SwapCmd); ok {
+			retake = s
+		}
+	}
+	table := retake.Table
+	c.Assert(table.Version, qt.Equals, hemlocktally.StoreVersion(1))
+	table.Version = 2
+	cmds := from.Update(SwapMsg{Result: SwapDone, Base: 1, Table: table}, start)
+	c.Assert(verdict(cmds, 1), qt.Equals, hemlocktally.ClaimRun)
+}
+
+func TestRecordsOfAHandOverThatFailedAreNotUsed(t *testing.T) {
+	c := qt.New(t)
+	from, to := pair()
+	key := movingKey()
+	startMove(c, from, to)
+	from.Update(SwapMsg{Result: SwapFailed, Base: 1}, start)
+	c.Assert(verdict(from.Update(begin(1, "c1", key, start), start), 1), qt.Equals, hemlocktally.ClaimRun)
+	// The old holder crashes; the other takes over without naming the transfer.
+	to.Update(AssignmentMsg{Table: tableOf(to.Self, "L2", 2, 3, "")}, start)
+	c.Assert(verdict(to.Update(begin(2, "c2", key, start), start), 2), qt.Equals, hemlocktally.ClaimUnknown)
+}
+
+func TestTakeoverWaitsForTheWordOfTheStore(t *testing.T) {
+	c := qt.New(t)
+	from, to := pair()
+	to.Update(MembersMsg{Serving: []hemlocktally.Instance{to.Self}}, start)
+	later := start.Add(10 * time.Second)
+	to.Update(LeaseMsg{ID: "L2", End: later.Add(time.Minute)}, later)
+	swapped := func(cmds []Cmd) bool {
+		for _, cmd := range cmds {
+			if _, ok := cmd.(SwapCmd); ok {
+				return true
+			}
+		}
+		return false
+	}
+	// A table without a listing says nothing of the leases that it names.
+	c.Check(swapped(to.Update(TickMsg{}, later)), qt.IsFalse)
+	live := map[string]bool{"L1": true, "L2": true}
+	c.Check(swapped(to.Update(AssignmentMsg{Table: from.Table(), Live: live}, later)), qt.IsFalse)
+	c.Check(swapped(to.Update(AssignmentMsg{Table: from.Table(), Live: map[string]bool{"L2": true}}, later)), qt.IsTrue)
+}
+
+func TestJoiningMemberMovesOnlyItsOwnRanges(t *testing.T) {
+	c := qt.New(t)
+	members := []hemlocktally.Instance{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	moved := 0
+	for id := range RangeID(Ranges) {
+		before := rendezvous(id, members[:2])[0].ID
+		after := rendezvous(id, members)[0].ID
+		if before != after {
+			c.Check(after, qt.Equals, hemlocktally.InstanceID("c"))
+			moved++
+		}
+	}
+	c.Check(moved > 0 && moved < Ranges/2, qt.IsTrue, qt.Commentf("%d moved", moved))
+}
--- /dev/null
+++ b/claimer/wire.go
@@ -0,0 +1,180 @@
+package claimer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"hemlocktally"
+	"hemlocktally/messenger"
+)
+
+const (
+	transferTimeout = time.Second
+	confirmTimeout  = time.Second
+)
+
+func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+// Begin answers a peer.
+func (s *Server) Begin(ctx context.Context, in *messenger.BeginRequest) (*messenger.BeginResponse, error) {
+	now := time.Now()
+	out, err := s.beginHere(ctx, hemlocktally.ClaimRequest{
+		Call: hemlocktally.CallID(in.Call), Caller: hemlocktally.CallerName(in.Caller),
+		Contract: hemlocktally.ContractName(in.Contract), Key: in.Key, Digest: in.Digest,
+		Deadline: now.Add(microseconds(in.DeadlineMicroseconds)),
+	}, now.Add(microseconds(in.WaitMicroseconds)))
+	if err != nil {
+		return nil, twirp.NewError(twirp.Canceled, "the wait was given up")
+	}
+	claim := out.Claim
+	response := &messenger.BeginResponse{
+		Verdict: string(claim.Verdict), Detail: claim.Detail, Epoch: claim.Epoch, Holder: string(claim.Holder), Moved: out.Moved,
+		Kept: wireAnswer(claim.Kept), RetryAfterMicroseconds: claim.RetryAfter.Microseconds(),
+	}
+	if claim.Verdict == hemlocktally.ClaimRun {
+		response.FenceMicroseconds = time.Until(claim.Fence).Microseconds()
+	}
+	return response, nil
+}
+
+// Finish answers a peer.
+func (s *Server) Finish(ctx context.Context, in *messenger.FinishRequest) (*messenger.FinishResponse, error) {
+	out, err := s.finishHere(ctx, FinishMsg{
+		Call: hemlocktally.CallID(in.Call), Digest: in.Digest, Outcome: hemlocktally.Outcome(in.Outcome), Kept: keptOf(in.Kept),
+		Key: KeyID{Caller: hemlocktally.CallerName(in.Caller), Contract: hemlocktally.ContractName(in.Contract), Key: in.Key},
+	})
+	if err != nil {
+		return nil, twirp.NewError(twirp.Canceled, "the wait was given up")
+	}
+	return &messenger.FinishResponse{Recorded: out.Recorded, Moved: out.Moved, Holder: string(out.Holder)}, nil
+}
+
+// Transfer takes the records that a holder offers.
+func (s *Server) Transfer(ctx context.Context, in *messenger.TransferRequest) (*messenger.TransferResponse, error) {
+	now := time.Now()
+	ranges := make([]RangeRecords, 0, len(in.Ranges))
+	for _, r := range in.Ranges {
+		if r.Range < 0 || r.Range >= Ranges {
+			return nil, twirp.InvalidArgumentError("Range", "is outside the ranges of keys")
+		}
+		ranges = append(ranges, rangeOf(r, now))
+	}
+	cmd, err := s.ask(ctx, func(a Asker) Msg {
+		return TransferMsg{Asker: a, ID: in.ID, From: hemlocktally.InstanceID(in.From), Ranges: ranges}
+	})
+	if err != nil {
+		return nil, twirp.NewError(twirp.Canceled, "the wait was given up")
+	}
+	out, _ := cmd.(AcceptCmd)
+	return &messenger.TransferResponse{
+		Accepted: out.Accepted, Incarnation: s.Self.Incarnation, Lease: out.Lease, Detail: out.Detail,
+	}, nil
+}
+
+// Confirm takes a table that the store has accepted.
+func (s *Server) Confirm(ctx context.Context, in *messenger.ConfirmRequest) (*messenger.ConfirmResponse, error) {
+	table, err := DecodeTable(in.Table, hemlocktally.StoreVersion(in.Version))
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("Table", err.Error())
+	}
+	s.init()
+	s.send(ctx, AssignmentMsg{Table: table})
+	return &messenger.ConfirmResponse{}, nil
+}
+
+func (s *Server) sendTransfer(ctx context.Context, c TransferCmd) {
+	ctxCall, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	now := time.Now()
+	in := &messenger.TransferRequest{ID: c.ID, From: string(s.Self.ID)}
+	for i := range c.Ranges {
+		in.Ranges = append(in.Ranges, wireRange(c.Ranges[i], now))
+	}
+	msg := TransferredMsg{ID: c.ID}
+	if out, err := s.peer(c.To.PeerAddress).Transfer(ctxCall, in); err == nil {
+		msg.Accepted, msg.Incarnation, msg.Lease = out.Accepted, out.Incarnation, out.Lease
+	}
+	s.send(ctx, msg)
+}
+
+func (s *Server) sendConfirm(ctx context.Context, c ConfirmCmd) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	value, err := c.Table.Encode()
+	if err != nil {
+		return
+	}
+	// Where the message is lost, the watch brings the table.
+	_, _ = s.peer(c.To.PeerAddress).Confirm(ctx, &messenger.ConfirmRequest{Table: value, Version: uint64(c.Table.Version)})
+}
+
+func wireAnswer(kept *hemlocktally.KeptAnswer) *messenger.Answer {
+	if kept == nil {
+		return nil
+	}
+	out := &messenger.Answer{Status: int32(kept.Status), Body: kept.Body}
+	for name, values := range kept.Header {
+		out.Headers = append(out.Headers, &messenger.Header{Name: name, Values: values})
+	}
+	return out
+}
+
+func keptOf(in *messenger.Answer) *hemlocktally.KeptAnswer {
+	if in == nil {
+		return nil
+	}
+	out := &hemlocktally.KeptAnswer{Status: int(in.Status), Body: in.Body, Header: http.Header{}}
+	for _, h := range in.Headers {
+		out.Header[h.Name] = h.Values
+	}
+	return out
+}
+
+func wallMicroseconds(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMicro()
+}
+
+func wallTime(n int64) time.Time {
+	if n == 0 {
+		return time.Time{}
+	}
+	return time.UnixMicro(n)
+}
+
+func wireRange(r RangeRecords, now time.Time) *messenger.RangeRecords {
+	out := &messenger.RangeRecords{
+		Range: int32(r.Range), Epoch: r.Epoch,
+		HorizonMicroseconds: wallMicroseconds(r.Horizon), TaintEndMicroseconds: wallMicroseconds(r.TaintEnd),
+	}
+	for i := range r.Records {
+		record := &r.Records[i]
+		out.Records = append(out.Records, &messenger.ClaimRecord{
+			Caller: string(record.Key.Caller), Contract: string(record.Key.Contract), Key: record.Key.Key,
+			Digest: record.Digest, Call: string(record.Call), State: string(record.State),
+			FenceMicroseconds: record.Fence.Sub(now).Microseconds(), AgeMicroseconds: now.Sub(record.Created).Microseconds(),
+			Kept: wireAnswer(record.Kept),
+		})
+	}
+	return out
+}
+
+func rangeOf(in *messenger.RangeRecords, now time.Time) RangeRecords {
+	out := RangeRecords{
+		Range: RangeID(in.Range), Epoch: in.Epoch,
+		Horizon: wallTime(in.HorizonMicroseconds), TaintEnd: wallTime(in.TaintEndMicroseconds),
+	}
+	for _, r := range in.Records {
+		out.Records = append(out.Records, Record{
+			Key:    KeyID{Caller: hemlocktally.CallerName(r.Caller), Contract: hemlocktally.ContractName(r.Contract), Key: r.Key},
+			Digest: r.Digest, Call: hemlocktally.CallID(r.Call), State: RecordState(r.State),
+			Fence: now.Add(microseconds(r.FenceMicroseconds)), Created: now.Add(-microseconds(r.AgeMicroseconds)), Kept: keptOf(r.Kept),
+		})
+	}
+	return out
+}
--- a/messenger/claim.twirp.go
+++ b/messenger/claim.twirp.go
@@ -33,6 +33,13 @@
 
 	// Finish records what came of the call.
 	Finish(context.Context, *FinishRequest) (*FinishResponse, error)
+
+	// Transfer offers the records of ranges that the sender hands over. They count
+	// only once the store's table names the transfer.
+	Transfer(context.Context, *TransferRequest) (*TransferResponse, error)
+
+	// Confirm shows the receiver a table that the store has accepted.
+	Confirm(context.Context, *ConfirmRequest) (*ConfirmResponse, error)
 }
 
 // ======================
@@ -41,7 +48,7 @@
 
 type claimsProtobufClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -69,9 +76,11 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "hemlocktally.messenger", "Claims")
-	urls := [2]string{
+	urls := [4]string{
 		serviceURL + "Begin",
 		serviceURL + "Finish",
+		serviceURL + "Transfer",
+		serviceURL + "Confirm",
 	}
 
 	return &claimsProtobufClient{
@@ -174,13 +183,105 @@
 	return out, nil
 }
 
+func (c *claimsProtobufClient) Transfer(ctx context.Context, in *TransferRequest) (*TransferResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "hemlocktally.messenger")
+	ctx = ctxsetters.WithServiceName(ctx, "Claims")
+	ctx = ctxsetters.WithMethodName(ctx, "Transfer")
+	caller := c.callTransfer
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *TransferRequest) (*TransferResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*TransferRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*TransferRequest) when calling interceptor")
+					}
+					return c.callTransfer(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*TransferResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*TransferResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *claimsProtobufClient) callTransfer(ctx context.Context, in *TransferRequest) (*TransferResponse, error) {
+	out := new(TransferResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *claimsProtobufClient) Confirm(ctx context.Context, in *ConfirmRequest) (*ConfirmResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "hemlocktally.messenger")
+	ctx = ctxsetters.WithServiceName(ctx, "Claims")
+	ctx = ctxsetters.WithMethodName(ctx, "Confirm")
+	caller := c.callConfirm
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ConfirmRequest) (*ConfirmResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ConfirmRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ConfirmRequest) when calling interceptor")
+					}
+					return c.callConfirm(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ConfirmResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ConfirmResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *claimsProtobufClient) callConfirm(ctx context.Context, in *ConfirmRequest) (*ConfirmResponse, error) {
+	out := new(ConfirmResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ==================
 // Claims JSON Client
 // ==================
 
 type claimsJSONClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -208,9 +309,11 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "hemlocktally.messenger", "Claims")
-	urls := [2]string{
+	urls := [4]string{
 		serviceURL + "Begin",
 		serviceURL + "Finish",
+		serviceURL + "Transfer",
+		serviceURL + "Confirm",
 	}
 
 	return &claimsJSONClient{
@@ -313,6 +416,98 @@
 	return out, nil
 }
 
+func (c *claimsJSONClient) Transfer(ctx context.Context, in *TransferRequest) (*TransferResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "hemlocktally.messenger")
+	ctx = ctxsetters.WithServiceName(ctx, "Claims")
+	ctx = ctxsetters.WithMethodName(ctx, "Transfer")
+	caller := c.callTransfer
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *TransferRequest) (*TransferResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*TransferRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*TransferRequest) when calling interceptor")
+					}
+					return c.callTransfer(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*TransferResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*TransferResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *claimsJSONClient) callTransfer(ctx context.Context, in *TransferRequest) (*TransferResponse, error) {
+	out := new(TransferResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *claimsJSONClient) Confirm(ctx context.Context, in *ConfirmRequest) (*ConfirmResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "hemlocktally.messenger")
+	ctx = ctxsetters.WithServiceName(ctx, "Claims")
+	ctx = ctxsetters.WithMethodName(ctx, "Confirm")
+	caller := c.callConfirm
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ConfirmRequest) (*ConfirmResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ConfirmRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ConfirmRequest) when calling interceptor")
+					}
+					return c.callConfirm(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ConfirmResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ConfirmResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *claimsJSONClient) callConfirm(ctx context.Context, in *ConfirmRequest) (*ConfirmResponse, error) {
+	out := new(ConfirmResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // =====================
 // Claims Server Handler
 // =====================
@@ -416,6 +611,12 @@
 	case "Finish":
 		s.serveFinish(ctx, resp, req)
 		return
+	case "Transfer":
+		s.serveTransfer(ctx, resp, req)
+		return
+	case "Confirm":
+		s.serveConfirm(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -783,6 +984,366 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *claimsServer) serveTransfer(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveTransferJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveTransferProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *claimsServer) serveTransferJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Transfer")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(TransferRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Claims.Transfer
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *TransferRequest) (*TransferResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*TransferRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*TransferRequest) when calling interceptor")
+					}
+					return s.Claims.Transfer(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*TransferResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*TransferResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *TransferResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *TransferResponse and nil error while calling Transfer. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *claimsServer) serveTransferProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Transfer")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(TransferRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Claims.Transfer
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *TransferRequest) (*TransferResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*TransferRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*TransferRequest) when calling interceptor")
+					}
+					return s.Claims.Transfer(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*TransferResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*TransferResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *TransferResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *TransferResponse and nil error while calling Transfer. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *claimsServer) serveConfirm(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveConfirmJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveConfirmProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *claimsServer) serveConfirmJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Confirm")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ConfirmRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Claims.Confirm
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ConfirmRequest) (*ConfirmResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ConfirmRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ConfirmRequest) when calling interceptor")
+					}
+					return s.Claims.Confirm(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ConfirmResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ConfirmResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ConfirmResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ConfirmResponse and nil error while calling Confirm. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *claimsServer) serveConfirmProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Confirm")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ConfirmRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Claims.Confirm
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ConfirmRequest) (*ConfirmResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ConfirmRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ConfirmRequest) when calling interceptor")
+					}
+					return s.Claims.Confirm(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ConfirmResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ConfirmResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ConfirmResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ConfirmResponse and nil error while calling Confirm. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *claimsServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor1, 0
 }
@@ -799,36 +1360,57 @@
 }
 
 var twirpFileDescriptor1 = []byte{
-	// 489 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x54, 0xdf, 0x6b, 0x13, 0x41,
-	0x10, 0xe6, 0x9a, 0xfb, 0x91, 0x4e, 0x53, 0xa9, 0x8b, 0x94, 0x25, 0x0f, 0x72, 0x1c, 0x2a, 0x41,
-	0x4a, 0x84, 0xe8, 0x83, 0xe0, 0x93, 0x89, 0x96, 0x4a, 0x51, 0x61, 0x95, 0x16, 0x7c, 0x5b, 0xf7,
-	0x86, 0xe4, 0xf0, 0x6e, 0x37, 0xee, 0x6e, 0x90, 0xfe, 0x65, 0xfe, 0x0b, 0xbe, 0xf8, 0xe0, 0x7f,
-	0x24, 0xbb, 0xb7, 0x77, 0xa4, 0xd4, 0x1a, 0x1f, 0x7c, 0x9b, 0xef, 0xe6, 0xcb, 0xcc, 0x7c, 0x33,
-	0xdf, 0x06, 0x0e, 0x44, 0xcd, 0xab, 0x66, 0xba, 0xd6, 0xca, 0x2a, 0x72, 0xbc, 0xc2, 0xa6, 0x56,
-	0xe2, 0x8b, 0xe5, 0x75, 0x7d, 0x35, 0x6d, 0xd0, 0x18, 0x94, 0x4b, 0xd4, 0xc5, 0x8f, 0x08, 0x46,
-	0x73, 0x5c, 0x56, 0x92, 0xe1, 0xd7, 0x0d, 0x1a, 0x4b, 0x8e, 0x21, 0x5d, 0xf0, 0xba, 0x46, 0x4d,
-	0xa3, 0x3c, 0x9a, 0xec, 0xb3, 0x80, 0xc8, 0x18, 0x86, 0x0b, 0x25, 0xad, 0xe6, 0xc2, 0xd2, 0x3d,
-	0x9f, 0xe9, 0x31, 0x39, 0x82, 0xc1, 0x39, 0x5e, 0xd1, 0x81, 0xff, 0xec, 0x42, 0x57, 0xe5, 0x55,
-	0xb5, 0x44, 0x63, 0x69, 0x9c, 0x47, 0x93, 0x11, 0x0b, 0x88, 0x10, 0x88, 0x5d, 0x3d, 0x9a, 0x78,
-	0xaa, 0x8f, 0x5d, 0xe5, 0x37, 0xd2, 0x58, 0x2e, 0x05, 0xd2, 0xb4, 0xad, 0xdc, 0x61, 0xf2, 0x18,
-	0x8e, 0x2e, 0x79, 0x65, 0xdf, 0x56, 0x42, 0x2b, 0x83, 0x42, 0xc9, 0xd2, 0xd0, 0x2c, 0x8f, 0x26,
-	0x03, 0x76, 0xe3, 0x7b, 0xf1, 0x2b, 0x82, 0xc3, 0x20, 0xc5, 0xac, 0x95, 0x34, 0x48, 0x28, 0x64,
-	0x17, 0xa8, 0xcb, 0x4a, 0xd8, 0x20, 0xa6, 0x83, 0x7e, 0x3e, 0xb4, 0xbc, 0xaa, 0x83, 0x96, 0x80,
-	0xc8, 0x3d, 0x48, 0x5e, 0xaf, 0x95, 0x58, 0x79, 0x2d, 0x31, 0x6b, 0x01, 0x39, 0x81, 0xbb, 0xa7,
-	0x28, 0x05, 0x5e, 0x1b, 0x23, 0xf6, 0x63, 0xdc, 0x4c, 0x90, 0x19, 0xc4, 0xe7, 0xb8, 0xb6, 0x5e,
-	0xe3, 0xc1, 0xec, 0xfe, 0xf4, 0xcf, 0x9b, 0x9f, 0xbe, 0x94, 0xe6, 0x1b, 0x6a, 0xe6, 0xb9, 0x6e,
-	0x9e, 0x33, 0x55, 0x97, 0xa8, 0xc3, 0x06, 0x02, 0x2a, 0x24, 0xa4, 0x2d, 0xcf, 0x31, 0x3e, 0x58,
-	0x6e, 0x37, 0xc6, 0x4b, 0x49, 0x58, 0x40, 0xe4, 0x39, 0x64, 0x67, 0xc8, 0x4b, 0xd4, 0x86, 0xee,
-	0xe5, 0x83, 0xbf, 0x35, 0x6c, 0x69, 0xac, 0xa3, 0xbb, 0x5b, 0xcc, 0x55, 0xd9, 0x9e, 0x6d, 0xc4,
-	0x7c, 0x5c, 0x3c, 0x83, 0xb4, 0x4d, 0xbb, 0xec, 0x3b, 0xde, 0x60, 0x58, 0x9c, 0x8f, 0xdd, 0x0c,
-	0x17, 0xbc, 0xde, 0x60, 0xdb, 0x6a, 0x9f, 0x05, 0x54, 0xfc, 0x8c, 0xe0, 0xf0, 0xb4, 0x92, 0x95,
-	0x59, 0xfd, 0x5f, 0x17, 0x75, 0x6e, 0x89, 0xb7, 0xdc, 0xd2, 0x5f, 0x28, 0xd9, 0xbe, 0x10, 0x85,
-	0xec, 0xfd, 0xc6, 0x0a, 0xd5, 0x74, 0x16, 0xea, 0x60, 0x7f, 0x8d, 0xec, 0xdf, 0xaf, 0x51, 0x9c,
-	0xc0, 0x9d, 0x4e, 0x4e, 0x70, 0xd2, 0x18, 0x86, 0x0c, 0x85, 0xd2, 0x25, 0x96, 0x5e, 0xd1, 0x90,
-	0xf5, 0x78, 0xf6, 0x3d, 0x82, 0x74, 0xe1, 0x9e, 0x9a, 0x21, 0x1f, 0x21, 0xf1, 0x0e, 0x24, 0x0f,
-	0x6e, 0xeb, 0xb3, 0xfd, 0xd6, 0xc6, 0x0f, 0x77, 0xb0, 0x42, 0xf3, 0x4b, 0x48, 0xdb, 0x71, 0xc8,
-	0xad, 0x3f, 0xb8, 0xb6, 0xfd, 0xf1, 0xa3, 0x5d, 0xb4, 0xb6, 0xf0, 0xbc, 0xf8, 0x94, 0x6f, 0x13,
-	0x9f, 0xf4, 0xc4, 0x17, 0x7d, 0xf4, 0x39, 0xf5, 0xff, 0x1f, 0x4f, 0x7f, 0x07, 0x00, 0x00, 0xff,
-	0xff, 0x20, 0xa9, 0x07, 0xd8, 0x4e, 0x04, 0x00, 0x00,
+	// 831 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xc4, 0x56, 0x5b, 0x6b, 0x24, 0x45,
+	0x14, 0x66, 0x7a, 0xfa, 0x32, 0x39, 0x99, 0x4d, 0xb2, 0x65, 0x08, 0xcd, 0x3c, 0xc8, 0xd0, 0x5e,
+	0x76, 0x10, 0x89, 0x12, 0x45, 0x04, 0x15, 0xcc, 0x65, 0x43, 0xc2, 0xba, 0x0a, 0x65, 0xd8, 0x85,
+	0x80, 0x0f, 0xb5, 0xdd, 0x27, 0x93, 0xc6, 0x9e, 0xaa, 0xb1, 0xaa, 0xa2, 0xc4, 0x07, 0xff, 0x8a,
+	0xf8, 0xcb, 0x7c, 0xf2, 0x0f, 0xf8, 0xec, 0x83, 0xd4, 0xa5, 0x7b, 0x7a, 0x76, 0xbb, 0x1d, 0x05,
+	0x61, 0xdf, 0xea, 0xab, 0x73, 0xea, 0xd4, 0x39, 0xdf, 0xf9, 0xea, 0x74, 0xc3, 0x76, 0x5e, 0xb1,
+	0x72, 0x71, 0xb8, 0x94, 0x42, 0x0b, 0x72, 0x70, 0x8b, 0x8b, 0x4a, 0xe4, 0xdf, 0x6b, 0x56, 0x55,
+	0xf7, 0x87, 0x0b, 0x54, 0x0a, 0xf9, 0x1c, 0x65, 0xf6, 0xd7, 0x00, 0xc6, 0x27, 0x38, 0x2f, 0x39,
+	0xc5, 0x1f, 0xee, 0x50, 0x69, 0x72, 0x00, 0xf1, 0x29, 0xab, 0x2a, 0x94, 0xe9, 0x60, 0x3a, 0x98,
+	0x6d, 0x51, 0x8f, 0xc8, 0x04, 0x46, 0xa7, 0x82, 0x6b, 0xc9, 0x72, 0x9d, 0x06, 0xd6, 0xd2, 0x60,
+	0xb2, 0x07, 0xc3, 0x27, 0x78, 0x9f, 0x0e, 0xed, 0xb6, 0x59, 0x9a, 0x28, 0x67, 0xe5, 0x1c, 0x95,
+	0x4e, 0xc3, 0xe9, 0x60, 0x36, 0xa6, 0x1e, 0x11, 0x02, 0xa1, 0x89, 0x97, 0x46, 0xd6, 0xd5, 0xae,
+	0x4d, 0xe4, 0x4b, 0xae, 0x34, 0xe3, 0x39, 0xa6, 0xb1, 0x8b, 0x5c, 0x63, 0xf2, 0x1e, 0xec, 0x3d,
+	0x67, 0xa5, 0x7e, 0x5a, 0xe6, 0x52, 0x28, 0xcc, 0x05, 0x2f, 0x54, 0x9a, 0x4c, 0x07, 0xb3, 0x21,
+	0x7d, 0x65, 0x9f, 0x1c, 0xc1, 0xfe, 0x19, 0xb2, 0xa2, 0x2a, 0x39, 0xae, 0xf9, 0x8f, 0xac, 0x7f,
+	0xa7, 0x2d, 0xfb, 0x35, 0x80, 0x07, 0xbe, 0x7c, 0xb5, 0x14, 0x5c, 0x21, 0x49, 0x21, 0x79, 0x86,
+	0xb2, 0x28, 0x73, 0xed, 0x09, 0xa8, 0xa1, 0xad, 0x09, 0x35, 0x2b, 0x2b, 0x5f, 0xbf, 0x47, 0x64,
+	0x1f, 0xa2, 0xc7, 0x4b, 0x91, 0xdf, 0xda, 0xfa, 0x43, 0xea, 0x00, 0x79, 0x1f, 0x1e, 0x9e, 0x23,
+	0xcf, 0xd7, 0x53, 0x09, 0x6d, 0x2a, 0xaf, 0x1a, 0xc8, 0x11, 0x84, 0x4f, 0x70, 0xa9, 0x2d, 0x2f,
+	0xdb, 0x47, 0x6f, 0x1e, 0x76, 0x77, 0xeb, 0xf0, 0x98, 0xab, 0x9f, 0x50, 0x52, 0xeb, 0x6b, 0xf2,
+	0xb9, 0x10, 0x55, 0x81, 0xd2, 0xb3, 0xe6, 0x91, 0xc9, 0xe7, 0xa9, 0xf8, 0x11, 0x0b, 0x4b, 0xd4,
+	0x88, 0x3a, 0x40, 0x3e, 0x81, 0x03, 0x8a, 0x5a, 0xde, 0x1f, 0xdf, 0x68, 0x94, 0x1d, 0xfc, 0xf4,
+	0x58, 0x33, 0x0e, 0xb1, 0xbb, 0xd5, 0xdc, 0xf7, 0xad, 0x66, 0xfa, 0x4e, 0x59, 0x62, 0x22, 0xea,
+	0x11, 0xf9, 0x14, 0x92, 0x0b, 0x64, 0x05, 0x4a, 0x95, 0x06, 0xd3, 0xe1, 0x3f, 0xa5, 0xef, 0xdc,
+	0x68, 0xed, 0x6e, 0xd4, 0x70, 0x22, 0x0a, 0x27, 0x9c, 0x31, 0xb5, 0xeb, 0xec, 0x63, 0x88, 0x9d,
+	0xd9, 0x58, 0xbf, 0x66, 0x0b, 0xf4, 0x6d, 0xb0, 0x6b, 0x93, 0xc3, 0x33, 0x56, 0xdd, 0xa1, 0xbb,
+	0x6a, 0x8b, 0x7a, 0x94, 0xfd, 0x31, 0x80, 0x07, 0xe7, 0x25, 0x2f, 0xd5, 0xed, 0xff, 0xab, 0xe3,
+	0x5a, 0xaf, 0x61, 0x4b, 0xaf, 0x4d, 0xbf, 0xa3, 0x76, 0xbf, 0x53, 0x48, 0xbe, 0xb9, 0xd3, 0xb9,
+	0x58, 0xd4, 0x22, 0xae, 0x61, 0xd3, 0xdb, 0xe4, 0xbf, 0xf5, 0xd6, 0xbf, 0x9f, 0x51, 0xfb, 0xfd,
+	0x64, 0xd7, 0xb0, 0x53, 0x97, 0xe9, 0xf5, 0x3a, 0x81, 0x11, 0xc5, 0x5c, 0xc8, 0x02, 0x0b, 0x5b,
+	0xe9, 0x88, 0x36, 0x78, 0xa5, 0x84, 0xa0, 0xad, 0x84, 0x95, 0x6e, 0x86, 0x6d, 0xdd, 0x64, 0x0a,
+	0x76, 0xaf, 0x24, 0xe3, 0xea, 0x06, 0x65, 0x4d, 0xe2, 0x0e, 0x04, 0x97, 0x67, 0x9e, 0xc0, 0xe0,
+	0xf2, 0xcc, 0xd0, 0x71, 0x2e, 0xc5, 0xc2, 0x13, 0x67, 0xd7, 0xe4, 0x73, 0x88, 0x29, 0xe3, 0x73,
+	0x54, 0xe9, 0xd0, 0x76, 0xff, 0xed, 0xbe, 0x02, 0xad, 0x97, 0xcb, 0x4d, 0x51, 0x7f, 0x26, 0xfb,
+	0x7d, 0x00, 0xe3, 0xb6, 0xc1, 0xe4, 0x6c, 0xb1, 0x17, 0x99, 0x03, 0x2b, 0xce, 0x83, 0x36, 0xe7,
+	0x1f, 0xc2, 0x1b, 0x17, 0x42, 0x96, 0x3f, 0x0b, 0xbe, 0x26, 0xe8, 0xa1, 0x15, 0x74, 0x97, 0xc9,
+	0xcc, 0x88, 0x2b, 0x56, 0x72, 0xfd, 0x98, 0x17, 0x1d, 0x0f, 0xb3, 0xd3, 0x46, 0xbe, 0x80, 0xc4,
+	0x27, 0x97, 0x46, 0xb6, 0xc2, 0xb7, 0xfa, 0x2a, 0x3c, 0x35, 0x03, 0xd7, 0xf9, 0xd2, 0xfa, 0x4c,
+	0xf6, 0x5b, 0x00, 0xdb, 0x2d, 0xc3, 0x6b, 0x18, 0xb0, 0xfb, 0x10, 0x99, 0xa7, 0x5a, 0x0b, 0xd3,
+	0x81, 0xee, 0x01, 0x95, 0xf4, 0x0d, 0xa8, 0x19, 0xec, 0x1e, 0xcf, 0xbb, 0xe6, 0xea, 0xcb, 0xdb,
+	0x8d, 0xdc, 0xb7, 0xfe, 0xbd, 0xdc, 0xb3, 0x5f, 0x60, 0x6f, 0x25, 0xbd, 0x95, 0xb0, 0x8f, 0xf3,
+	0x1c, 0x97, 0x7a, 0x25, 0xec, 0x1a, 0x93, 0x29, 0x6c, 0x5f, 0xf2, 0x9c, 0x49, 0xce, 0x74, 0x29,
+	0xb8, 0xa7, 0xab, 0xbd, 0x65, 0x6a, 0xfe, 0x0a, 0x99, 0x42, 0xcf, 0x99, 0x03, 0xad, 0x11, 0x1e,
+	0xb6, 0x47, 0x78, 0xf6, 0x25, 0xec, 0x9c, 0x0a, 0x7e, 0x53, 0xca, 0x45, 0xad, 0xfc, 0x7d, 0x88,
+	0xae, 0xd8, 0x8b, 0xca, 0xc9, 0x70, 0x4c, 0x1d, 0xf0, 0x1f, 0x07, 0x55, 0xdf, 0x19, 0xd2, 0x1a,
+	0x66, 0x0f, 0x61, 0xb7, 0x89, 0xe0, 0x0a, 0x38, 0xfa, 0x33, 0x80, 0xd8, 0x36, 0x5e, 0x91, 0x2b,
+	0x88, 0xec, 0x57, 0x86, 0xf4, 0x3e, 0x8e, 0xf6, 0x37, 0x78, 0xf2, 0xce, 0x06, 0x2f, 0xcf, 0xd0,
+	0x73, 0x88, 0xdd, 0x30, 0x20, 0xbd, 0x07, 0xd6, 0x66, 0xe2, 0xe4, 0xdd, 0x4d, 0x6e, 0x3e, 0xf0,
+	0x77, 0x30, 0xaa, 0xdb, 0x41, 0x1e, 0xf5, 0x9d, 0x79, 0x69, 0x56, 0x4c, 0x66, 0x9b, 0x1d, 0x7d,
+	0xf8, 0x6b, 0x48, 0x3c, 0x57, 0xa4, 0x37, 0xa3, 0xf5, 0x76, 0x4c, 0x1e, 0x6d, 0xf4, 0x73, 0xb1,
+	0x4f, 0xb2, 0xeb, 0x69, 0xdb, 0xf3, 0x83, 0xc6, 0xf3, 0xb3, 0x66, 0xf5, 0x22, 0xb6, 0xbf, 0x44,
+	0x1f, 0xfd, 0x1d, 0x00, 0x00, 0xff, 0xff, 0xd0, 0x17, 0xa9, 0xc4, 0x21, 0x09, 0x00, 0x00,
 }
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -24,7 +24,7 @@
 func (d *Daemon) serveCallers(ctx context.Context) error {
 	server := d.server(&dispatcher.Dispatcher{
 		Self: d.self.ID, Configuration: d.configurator, Granter: d.granter, Recorder: d.recorder,
-		Transport: d.links, BodyLimit: d.Settings.Limits.BodyBytes, HoldBack: d.Settings.Limits.HoldBackBytes,
+		Transport: d.links, Claimer: d.claims, BodyLimit: d.Settings.Limits.BodyBytes, HoldBack: d.Settings.Limits.HoldBackBytes,
 	})
 	go d.noteLeaving(ctx)
 	return serveUntil(ctx, server, d.Listeners.Callers, d.Settings.Limits.StopTimeout)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -16,6 +16,7 @@
 
 	"hemlocktally"
 	"hemlocktally/allocator"
+	"hemlocktally/claimer"
 	"hemlocktally/configurator"
 	"hemlocktally/loader"
 	"hemlocktally/logger"
@@ -75,6 +76,8 @@
 	granter      hemlocktally.Granter
 	peerHTTP     *http.Client
 	links        *http.Transport
+	claimHolder  *claimer.Server
+	claims       *claimer.Client
 	leaving      atomic.Bool
 }
 
@@ -92,6 +95,7 @@
 	}
 	d.assemblePlatform()
 	d.assembleTally()
+	d.assembleClaims()
 	d.assembleEntry()
 	return d
 }
@@ -113,9 +117,9 @@
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var group run.Group
-	group.Add(func() error { return d.serveCallers(ctx) }, func(error) {})
+	group.Add(func() error { return d.serveCallersAndLeave(ctx) }, func(error) {})
 	for _, task := range []func(context.Context) error{
-		d.configurator.Run, d.registrar.Run, d.tally.Run, d.servePeers, d.serveOperators,
+		d.configurator.Run, d.registrar.Run, d.tally.Run, d.claimHolder.Run, d.servePeers, d.serveOperators,
 	} {
 		group.Add(func() error { return task(inner) }, func(error) { cancel() })
 	}
@@ -163,7 +167,7 @@
 // Ready reports whether the instance has a configuration and knows of at least
 // the given number of members.
 func (d *Daemon) Ready(members int) bool {
-	return d.configurator.Current().Revision > 0 && len(d.registrar.View().Members) >= members
+	return d.claimHolder.Ready() && d.configurator.Current().Revision > 0 && len(d.registrar.View().Members) >= members
 }
 
 // Change offers a change to the store.
