--- a/runner/entry.go
+++ b/runner/entry.go
@@ -25,7 +25,7 @@
 	limits := d.Settings.Limits
 	server := d.server(d.endConnections(&dispatcher.Dispatcher{
 		Self: d.self.ID, Configuration: d.configurator, Granter: d.granter, Recorder: d.recorder,
-		Links: d.links, Log: d.Log, BodyLimit: limits.BodyBytes, HoldBack: limits.HoldBackBytes,
+		Claimer: d.claims, Links: d.links, Log: d.Log, BodyLimit: limits.BodyBytes, HoldBack: limits.HoldBackBytes,
 		ReadTimeout: limits.ReadBodyTimeout, WriteTimeout: limits.WriteTimeout,
 	}))
 	server.Protocols = callerProtocols()
