Store client: budget, outage detection, settling of lost writes

Cause: every call of the store is counted and the store has outages; a write whose answer is lost must neither be repeated blindly nor called failed. Change: reads and renewals are repeated with backoff and jitter, swaps never; three failures in a row open a circuit that lets one probe at a time through and fails other calls at once with an OutageError; a share of the fleet's budget by the number of members; counters by operation; Settle reads a lost write back and fences it, so that NotWritten is final.

--- a/logger/membership_events.go
+++ b/logger/membership_events.go
@@ -1,4 +1,72 @@
 package logger
 
+import "github.com/sirupsen/logrus"
+
 // Events of membership, store and configuration, 4000 to 4999.
-var membershipEvents []Event
+var (
+	EventStoreDown = Event{
+		Number: 4001, Name: "store down", Level: logrus.WarnLevel,
+		Fields:  []string{"Store", "Cause"},
+		Meaning: "The key-value service failed several calls in a row; only single probes go out until it answers.",
+		Action:  "Look at the platform's service. Calls go on; changes of the configuration wait, stops can be made provisionally.",
+	}
+	EventStoreBack = Event{
+		Number: 4002, Name: "store back", Level: logrus.InfoLevel,
+		Fields:  []string{"Store"},
+		Meaning: "The key-value service answers again.",
+		Action:  "None.",
+	}
+	EventRegistered = Event{
+		Number: 4003, Name: "instance registered", Level: logrus.InfoLevel,
+		Fields:  []string{"Instance", "Incarnation", "Lease"},
+		Meaning: "The instance's record stands in the store with a new lease.",
+		Action:  "None at a start. Later it means that a lease lapsed: look for pauses of the machine.",
+	}
+	EventMemberState = Event{
+		Number: 4004, Name: "member changed state", Level: logrus.InfoLevel,
+		Fields:  []string{"Member", "Incarnation", "From", "To", "Cause"},
+		Meaning: "Another instance joined, fell silent, came back, is leaving or is gone.",
+		Action:  "Many at once point to a machine, link or zone that failed.",
+	}
+	EventLeaseRelayed = Event{
+		Number: 4005, Name: "lease renewed by a peer", Level: logrus.WarnLevel,
+		Fields:  []string{"Instance", "Peer"},
+		Meaning: "The instance can't reach the store itself; a peer renewed its lease for it.",
+		Action:  "Look at the link between the instance and the platform's service.",
+	}
+	EventConfigurationInForce = Event{
+		Number: 4006, Name: "configuration in force", Level: logrus.InfoLevel,
+		Fields:  []string{"Revision", "Change", "Author", "Source"},
+		Meaning: "The instance acts on a newer configuration.",
+		Action:  "None.",
+	}
+	EventConfigurationDivergent = Event{
+		Number: 4007, Name: "configuration divergent", Level: logrus.ErrorLevel,
+		Fields:  []string{"Revision", "Hash", "Source", "SourceHash"},
+		Meaning: "Another configuration was offered under a revision that is in force with other content; it was refused.",
+		Action:  "Find who wrote to the store besides the fleet. Replace the instance that holds the wrong content.",
+	}
+	EventConfigurationStale = Event{
+		Number: 4008, Name: "store configuration older", Level: logrus.WarnLevel,
+		Fields:  []string{"Revision", "StoreRevision"},
+		Meaning: "The store answered with an older revision than the one in force; it was ignored.",
+		Action:  "A lagging replica does that for a moment. If it stays, the store lost writes.",
+	}
+	EventProvisionalStop = Event{
+		Number: 4009, Name: "provisional stop in force", Level: logrus.WarnLevel,
+		Fields:  []string{"Change", "Author"},
+		Meaning: "The store was down; the stop holds among the instances until the store settles it.",
+		Action:  "None; the end of it is logged.",
+	}
+	EventProvisionalSettled = Event{
+		Number: 4010, Name: "provisional stop settled", Level: logrus.WarnLevel,
+		Fields:  []string{"Change", "Author", "State", "Cause"},
+		Meaning: "A provisional stop became an accepted change, or was dropped for the cause given.",
+		Action:  "If it was dropped, look whether the stop is still wanted and give it again.",
+	}
+)
+
+var membershipEvents = []Event{
+	EventStoreDown, EventStoreBack, EventRegistered, EventMemberState, EventLeaseRelayed, EventConfigurationInForce,
+	EventConfigurationDivergent, EventConfigurationStale, EventProvisionalStop, EventProvisionalSettled,
+}
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -1,21 +1,20 @@
 // Package storer is the client of the platform's key-value service. It counts
-// every call and marks the answers of writes that were lost as unknown.
+// every call, keeps to the instance's share of the fleet's budget, repeats
+// idempotent calls with backoff, and marks the answers of writes that were lost
+// as unknown: such a write is settled by reading back, never by repeating it.
+// While the service looks down, one probe at a time goes out and all other
+// calls fail at once.
 package storer
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"hemlocktally"
+	"hemlocktally/logger"
 )
 
 // Client speaks to the platform's key-value service over HTTP. It implements
@@ -25,35 +24,36 @@
 	Key     string // Key is sent as a bearer token where it is set.
 	Timeout time.Duration
 	HTTP    *http.Client
+	Budget  Budget // Budget bounds the calls of the whole fleet.
+	Log     logger.Logger
 
-	calls atomic.Uint64
+	counters  counters
+	outage    outage
+	allowance allowance
 }
 
-// entryDocument is the form of an entry on the wire.
-type entryDocument struct {
-	Key     string
-	Value   []byte
-	Version uint64
-	Lease   string `json:",omitempty"`
+// Calls returns how many calls the client has sent.
+func (c *Client) Calls() uint64 {
+	sum := uint64(0)
+	for _, counter := range c.Counters() {
+		sum += counter.Calls
+	}
+	return sum
 }
 
-type listDocument struct {
-	Entries  []entryDocument
-	Sequence uint64
-}
+// Counters returns the counts of each operation, ordered by name.
+func (c *Client) Counters() []OperationCounter { return c.counters.list() }
 
-type leaseDocument struct {
-	ID              string
-	TTLMilliseconds int64
-}
+// SetMembers tells the client how many instances share the budget.
+func (c *Client) SetMembers(members int) { c.allowance.set(c.Budget, members) }
 
-// Calls returns how many calls the client has made.
-func (c *Client) Calls() uint64 { return c.calls.Load() }
+// Down reports whether the service looks down, and since when.
+func (c *Client) Down() (since time.Time, down bool) { return c.outage.state() }
 
 // Get returns one key.
 func (c *Client) Get(ctx context.Context, key string) (hemlocktally.Entry, error) {
 	var doc entryDocument
-	if err := c.do(ctx, request{operation: "get", method: http.MethodGet, path: "/kv", key: key, query: url.Values{"Key": {key}}}, &doc); err != nil {
+	if err := c.do(ctx, request{operation: "get", method: http.MethodGet, path: "/kv", key: key, query: url.Values{"Key": {key}}, idempotent: true}, &doc); err != nil {
 		return hemlocktally.Entry{}, err
 	}
 	return doc.entry(), nil
@@ -62,7 +62,7 @@
 // List returns all keys below the prefix.
 func (c *Client) List(ctx context.Context, prefix string) ([]hemlocktally.Entry, error) {
 	var doc listDocument
-	err := c.do(ctx, request{operation: "list", method: http.MethodGet, path: "/list", key: prefix, query: url.Values{"Prefix": {prefix}}}, &doc)
+	err := c.do(ctx, request{operation: "list", method: http.MethodGet, path: "/list", key: prefix, query: url.Values{"Prefix": {prefix}}, idempotent: true}, &doc)
 	return doc.entries(), err
 }
 
@@ -104,107 +104,10 @@
 
 // Renew makes the lease last its whole time again.
 func (c *Client) Renew(ctx context.Context, lease string) error {
-	return c.do(ctx, request{operation: "renew", method: http.MethodPut, path: "/lease", key: lease, query: url.Values{"ID": {lease}}, write: true}, nil)
+	return c.do(ctx, request{operation: "renew", method: http.MethodPut, path: "/lease", key: lease, query: url.Values{"ID": {lease}}, write: true, idempotent: true}, nil)
 }
 
 // Revoke ends a lease and removes its keys.
 func (c *Client) Revoke(ctx context.Context, lease string) error {
 	return c.do(ctx, request{operation: "revoke", method: http.MethodDelete, path: "/lease", key: lease, query: url.Values{"ID": {lease}}, write: true}, nil)
 }
-
-type request struct {
-	operation string
-	method    string
-	path      string
-	key       string
-	query     url.Values
-	body      any
-	write     bool
-	extra     time.Duration // extra is added to the timeout.
-}
-
-func (c *Client) do(ctx context.Context, r request, out any) error {
-	c.calls.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, c.timeout()+r.extra)
-	defer cancel()
-	response, err := c.send(ctx, r)
-	if err != nil {
-		return &hemlocktally.StoreError{Operation: r.operation, Key: r.key, Unknown: r.write, Cause: err}
-	}
-	defer func() { _ = response.Body.Close() }()
-	return readAnswer(response, r, out)
-}
-
-func (c *Client) timeout() time.Duration {
-	if c.Timeout <= 0 {
-		return time.Second
-	}
-	return c.Timeout
-}
-
-func (c *Client) send(ctx context.Context, r request) (*http.Response, error) {
-	var body io.Reader
-	if r.body != nil {
-		encoded, err := json.Marshal(r.body)
-		if err != nil {
-			return nil, err
-		}
-		body = bytes.NewReader(encoded)
-	}
-	req, err := http.NewRequestWithContext(ctx, r.method, c.Base+r.path+"?"+r.query.Encode(), body)
-	if err != nil {
-		return nil, err
-	}
-	if c.Key != "" {
-		req.Header.Set("Authorization", "Bearer "+c.Key)
-	}
-	client := c.HTTP
-	if client == nil {
-		client = http.DefaultClient
-	}
-	return client.Do(req)
-}
-
-func readAnswer(response *http.Response, r request, out any) error {
-	fail := func(cause error, unknown bool) error {
-		return &hemlocktally.StoreError{Operation: r.operation, Key: r.key, Unknown: unknown, Cause: cause}
-	}
-	switch response.StatusCode {
-	case http.StatusOK:
-		if out == nil {
-			return nil
-		}
-		if err := json.NewDecoder(response.Body).Decode(out); err != nil {
-			return fail(err, r.write)
-		}
-		return nil
-	case http.StatusNotFound:
-		return &hemlocktally.AbsentError{Key: r.key}
-	case http.StatusConflict:
-		var present entryDocument
-		if err := json.NewDecoder(response.Body).Decode(&present); err != nil {
-			return fail(err, false)
-		}
-		return &hemlocktally.ConflictError{Present: present.entry()}
-	default:
-		return fail(fmt.Errorf("status %d", response.StatusCode), r.write && response.StatusCode >= http.StatusInternalServerError)
-	}
-}
-
-func (d entryDocument) entry() hemlocktally.Entry {
-	return hemlocktally.Entry{Key: d.Key, Value: d.Value, Version: hemlocktally.StoreVersion(d.Version), Lease: d.Lease}
-}
-
-func (d listDocument) entries() []hemlocktally.Entry {
-	list := make([]hemlocktally.Entry, 0, len(d.Entries))
-	for _, e := range d.Entries {
-		list = append(list, e.entry())
-	}
-	return list
-}
-
-// IsAbsent reports whether the error says that the key or lease does not exist.
-func IsAbsent(err error) bool {
-	var absent *hemlocktally.AbsentError
-	return errors.As(err, &absent)
-}
