Registrar: membership by heartbeats, votes and a few watchers

Cause: every instance read all records twice a second, trusted them alone and emptied nothing only by luck; a crash was known after the lease, and calls grew with the square of the fleet. Change: a pure State decides; instances send heartbeats to one neighbour of their zone and a random other, which pass on changes only, with a digest against missed ones. Two instances must find a member silent before it is Suspect; only a silent member without a record is gone. Leases are renewed through a peer where the store is out of reach; a lapsed lease makes a new incarnation. The platform's list is read as a hint while no peer is known. A planned stop is spread first. Figures: none measured on sockets yet.

--- a/instance.go
+++ b/instance.go
@@ -9,12 +9,15 @@
 // InstanceState is the part of its life that an instance is in.
 type InstanceState string
 
-// The states of an instance. A Serving instance takes new calls; a Leaving one
-// only finishes the calls that it has.
+// The states of an instance. A Serving instance takes new calls; one that
+// operators took Out, or that is Leaving, only finishes the calls that it has. A
+// Suspect one is silent to several others and may be paused, cut off or gone.
 const (
 	InstanceStarting InstanceState = "Starting"
 	InstanceServing  InstanceState = "Serving"
+	InstanceOut      InstanceState = "Out"
 	InstanceLeaving  InstanceState = "Leaving"
+	InstanceSuspect  InstanceState = "Suspect"
 	InstanceGone     InstanceState = "Gone"
 )
 
--- a/registrar/lease_test.go
+++ b/registrar/lease_test.go
@@ -26,3 +26,13 @@
 	_, _, ok = r.Lease()
 	c.Check(ok, qt.IsFalse)
 }
+
+func TestRenewalAfterTheEndDoesNotReviveALease(t *testing.T) {
+	c := qt.New(t)
+	sent := time.Unix(1000, 0)
+	s := &State{}
+	s.Update(RegisteredMsg{Lease: "a", Sent: sent}, sent)
+	late := sent.Add(DefaultLeaseTTL)
+	s.Update(RenewedMsg{Lease: "a", Sent: sent.Add(time.Second), Result: RenewDone}, late)
+	c.Check(s.Lease().live(late), qt.IsFalse)
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -1,43 +1,68 @@
-// Package registrar keeps the view of the fleet: each instance holds a record
-// with a lease in the store and reads the records of the others.
+// Package registrar keeps the view of the fleet. Each instance holds a record
+// with a lease in the store and sends heartbeats to a few peers, which pass news
+// on; the store is read by a few watchers a zone. A State takes every decision
+// in one pure step; the Registrar is the task around it.
 package registrar
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
+	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"hemlocktally"
+	"hemlocktally/logger"
+	"hemlocktally/messenger"
 )
 
 // Registrar registers one instance and follows the others. It implements
-// hemlocktally.Viewer.
+// hemlocktally.Viewer and messenger.Membership.
 type Registrar struct {
 	Store hemlocktally.Store
 	Self  hemlocktally.Instance
+	// Configuration tells the revision in force and who was taken out.
+	Configuration hemlocktally.Configurer
+	// HTTP sends to peers; it adds the peers' key.
+	HTTP *http.Client
+	// InstanceList is the base URL of the platform's list; empty means none.
+	InstanceList string
 	// LeaseTTL is how long the store keeps the record unrenewed; zero means
 	// DefaultLeaseTTL.
 	LeaseTTL time.Duration
+	// Seed picks random peers. Instances should have different ones.
+	Seed uint64
+	// Sized is told how many members there are, whenever that changes.
+	Sized func(members int)
+	Log   logger.Logger
 
-	view  atomic.Pointer[hemlocktally.View]
-	lease atomic.Pointer[heldLease]
+	once     sync.Once
+	inbox    chan Msg
+	done     chan struct{}
+	view     atomic.Pointer[hemlocktally.View]
+	lease    atomic.Pointer[heldLease]
+	messages atomic.Uint64
+	bytes    atomic.Uint64
 }
 
 const (
-	recordPrefix = "Instances/"
-	beatInterval = 500 * time.Millisecond
+	tickInterval = 50 * time.Millisecond
+	// showInterval bounds how old the times of signs of life in a view are.
+	showInterval = time.Second
+	inboxSize    = 256
 )
 
-// DefaultLeaseTTL is the lease of an instance's record.
-const DefaultLeaseTTL = 6 * time.Second
+// beatCall is a BeatMsg that waits for its answer.
+type beatCall struct {
+	msg    BeatMsg
+	answer chan *messenger.BeatMessage
+}
 
-func (r *Registrar) leaseTTL() time.Duration {
-	if r.LeaseTTL <= 0 {
-		return DefaultLeaseTTL
-	}
-	return r.LeaseTTL
+func (r *Registrar) init() {
+	r.once.Do(func() {
+		r.inbox = make(chan Msg, inboxSize)
+		r.done = make(chan struct{})
+	})
 }
 
 // View returns the present view, which always holds the instance itself.
@@ -48,93 +73,107 @@
 	return hemlocktally.View{Members: []hemlocktally.Instance{r.Self}}
 }
 
-// Run registers the instance and refreshes the view until the context ends.
+// Lease returns the instance's lease of the store and its end on the local
+// monotonic clock. It returns false once the lease has lapsed or where there
+// was none. A lease after a lapse has another ID, so that the ID serves as an
+// epoch: the end of one ID is never extended after it has passed.
+func (r *Registrar) Lease() (id string, end time.Time, ok bool) {
+	lease := r.lease.Load()
+	if lease == nil || !lease.live(time.Now()) {
+		return "", time.Time{}, false
+	}
+	return lease.id, lease.end, true
+}
+
+// Leave begins a planned stop: peers are told at once that the instance is
+// Leaving. The record stays until Run ends.
+func (r *Registrar) Leave() {
+	r.init()
+	r.send(LeaveMsg{})
+}
+
+// Traffic returns how many messages were exchanged with peers, and their bytes
+// without headers.
+func (r *Registrar) Traffic() (messages, bytes uint64) {
+	return r.messages.Load(), r.bytes.Load()
+}
+
+// send hands the task a message unless it has ended.
+func (r *Registrar) send(msg Msg) {
+	select {
+	case r.inbox <- msg:
+	case <-r.done:
+	}
+}
+
+// Run keeps the instance registered and the view fresh until the context ends;
+// then peers are told that the instance is gone, and its lease is revoked.
 func (r *Registrar) Run(ctx context.Context) error {
-	ticker := time.NewTicker(beatInterval)
+	r.init()
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	t := &task{registrar: r, state: &State{Self: r.Self, LeaseTTL: r.LeaseTTL, Seed: r.Seed}, ctx: work}
+	defer t.running.Wait()
+	defer close(r.done)
+	defer cancel()
+	t.running.Go(func() { r.watch(work) })
+	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	lease := ""
+	t.step(r.tick())
 	for {
-		lease = r.beat(ctx, lease)
 		select {
 		case <-ctx.Done():
-			return r.leave(ctx, lease)
+			return t.leave()
 		case <-ticker.C:
+			t.step(r.tick())
+		case msg := <-r.inbox:
+			t.step(msg)
 		}
 	}
 }
 
-func (r *Registrar) beat(ctx context.Context, lease string) string {
-	lease = r.renew(ctx, lease)
-	entries, err := r.Store.List(ctx, recordPrefix)
-	if err != nil {
-		r.freeze()
-		return lease
-	}
-	view := hemlocktally.View{Revision: r.View().Revision + 1}
-	for _, e := range entries {
-		var member hemlocktally.Instance
-		if json.Unmarshal(e.Value, &member) == nil {
-			view.Members = append(view.Members, member)
-		}
-	}
-	r.view.Store(&view)
-	return lease
-}
-
-// renew keeps the lease, or registers anew once it has lapsed.
-func (r *Registrar) renew(ctx context.Context, lease string) string {
-	sent := time.Now()
-	held := r.lease.Load()
-	if lease == "" || held == nil || !held.live(sent) {
-		return r.register(ctx)
-	}
-	err := r.Store.Renew(ctx, lease)
-	var absent *hemlocktally.AbsentError
-	if errors.As(err, &absent) {
-		r.lease.Store(nil)
-		return r.register(ctx)
+func (r *Registrar) tick() TickMsg {
+	if r.Configuration == nil {
+		return TickMsg{}
 	}
-	if err == nil && held.live(time.Now()) {
-		renewed := leaseFrom(lease, sent, r.leaseTTL())
-		r.lease.Store(&renewed)
-	}
-	return lease
-}
-
-func (r *Registrar) freeze() {
-	view := r.View()
-	view.Frozen = true
-	r.view.Store(&view)
+	config := r.Configuration.Current()
+	return TickMsg{Revision: config.Revision, Out: config.InstanceOut(r.Self.ID) || config.ZoneOut(r.Self.Zone)}
 }
 
-func (r *Registrar) register(ctx context.Context) string {
-	sent := time.Now()
-	lease, err := r.Store.Grant(ctx, r.leaseTTL())
-	if err != nil {
-		return ""
-	}
-	value, err := json.Marshal(r.Self)
-	if err != nil {
-		return ""
-	}
-	key := recordPrefix + string(r.Self.ID)
-	present, err := r.Store.Get(ctx, key)
-	if err != nil {
-		present = hemlocktally.Entry{}
-	}
-	if _, err := r.Store.Swap(ctx, hemlocktally.Entry{Key: key, Value: value, Version: present.Version, Lease: lease.ID}); err != nil {
-		return ""
+// watch brings the records of the store while the instance is a watcher.
+func (r *Registrar) watch(ctx context.Context) {
+	const (
+		pause = 500 * time.Millisecond
+		wait  = 20 * time.Second
+	)
+	after := uint64(0)
+	for ctx.Err() == nil {
+		if !Watching(r.View(), r.Self.ID, recordPrefix) {
+			sleep(ctx, pause)
+			continue
+		}
+		entries, sequence, err := r.Store.Watch(ctx, recordPrefix, after, wait)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			r.send(StoreLostMsg{})
+			sleep(ctx, pause)
+			continue
+		}
+		if sequence < after {
+			after = 0
+			continue
+		}
+		after = sequence
+		r.send(RecordsMsg{Records: recordsOf(entries)})
 	}
-	held := leaseFrom(lease.ID, sent, r.leaseTTL())
-	r.lease.Store(&held)
-	return lease.ID
 }
 
-func (r *Registrar) leave(ctx context.Context, lease string) error {
-	if lease == "" {
-		return nil
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
-	defer cancel()
-	return r.Store.Revoke(ctx, lease)
 }
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -33,6 +33,7 @@
 func (d *Daemon) noteLeaving(ctx context.Context) {
 	<-ctx.Done()
 	d.leaving.Store(true)
+	d.registrar.Leave()
 	d.Log.Log(logger.EventStopping, logger.Fields{"Instance": d.self.ID, "Cause": context.Cause(ctx).Error()})
 }
 
--- a/runner/peers.go
+++ b/runner/peers.go
@@ -18,6 +18,7 @@
 func (d *Daemon) servePeers(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.Handle(messenger.AllocationPathPrefix, messenger.NewAllocationServer(d.tally))
+	mux.Handle(messenger.MembershipPathPrefix, messenger.NewMembershipServer(d.registrar))
 	server := d.server(requireKey(d.Settings.Keys.Peer, mux))
 	return serveUntil(ctx, server, d.Listeners.Peers, peerStopTimeout)
 }
--- a/runner/platform.go
+++ b/runner/platform.go
@@ -1,19 +1,28 @@
 package runner
 
 import (
+	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"hemlocktally/configurator"
 	"hemlocktally/registrar"
 	"hemlocktally/storer"
 )
 
-// assemblePlatform makes the parts that speak to the platform.
+// assemblePlatform makes the parts that speak to the platform, and to peers
+// about membership and configuration.
 func (d *Daemon) assemblePlatform() {
 	d.store = &storer.Client{
 		Base: d.Settings.Platform.Store, Key: d.Settings.Platform.Key, Timeout: d.Settings.Platform.Timeout,
-		HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}, Log: d.Log,
 	}
-	d.registrar = &registrar.Registrar{Store: d.store, Self: d.self}
+	d.controlHTTP = &http.Client{Transport: &keyTransport{key: d.Settings.Keys.Peer, next: &http.Transport{
+		MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute,
+	}}}
 	d.configurator = &configurator.Configurator{Store: d.store}
+	d.registrar = &registrar.Registrar{
+		Store: d.store, Self: d.self, Configuration: d.configurator, HTTP: d.controlHTTP,
+		InstanceList: d.Settings.Platform.InstanceList, Seed: rand.Uint64(), Sized: d.store.SetMembers, Log: d.Log,
+	}
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -74,6 +74,7 @@
 	tally        *allocator.Server
 	granter      hemlocktally.Granter
 	peerHTTP     *http.Client
+	controlHTTP  *http.Client // controlHTTP keeps heartbeats apart from calls for turns.
 	links        *http.Transport
 	leaving      atomic.Bool
 }
@@ -158,6 +159,8 @@
 func (d *Daemon) closeIdle() {
 	d.links.CloseIdleConnections()
 	d.peerHTTP.CloseIdleConnections()
+	d.controlHTTP.CloseIdleConnections()
+	d.store.HTTP.CloseIdleConnections()
 }
 
 // Ready reports whether the instance has a configuration and knows of at least
