--- a/runner/peers.go
+++ b/runner/peers.go
@@ -20,10 +20,25 @@
 	mux := http.NewServeMux()
 	mux.Handle(messenger.AllocationPathPrefix, messenger.NewAllocationServer(d.tally))
 	mux.Handle(messenger.ClaimsPathPrefix, messenger.NewClaimsServer(d.claimHolder))
+	mux.Handle(messenger.MembershipPathPrefix, messenger.NewMembershipServer(d.registrar))
 	server := d.server(requireKey(d.Settings.Keys.Peer, mux))
 	return serveUntil(ctx, server, d.Listeners.Peers, peerStopTimeout)
 }
 
+// Idle links kept to each peer: heartbeats need few, turns need many.
+const (
+	controlLinks = 2
+	tallyLinks   = 256
+)
+
+// peerClient returns a client that shows the peers' key and keeps the given
+// number of idle links to each peer.
+func (d *Daemon) peerClient(links int) *http.Client {
+	return &http.Client{Transport: &keyTransport{key: d.Settings.Keys.Peer, delay: &d.peerDelay, next: &http.Transport{
+		MaxIdleConnsPerHost: links, IdleConnTimeout: time.Minute, DialContext: d.sockets.dial,
+	}}}
+}
+
 // keyTransport adds the peers' key to each request.
 type keyTransport struct {
 	key   string
--- a/runner/tally.go
+++ b/runner/tally.go
@@ -1,9 +1,6 @@
 package runner
 
 import (
-	"net/http"
-	"time"
-
 	"github.com/cespare/xxhash/v2"
 
 	"hemlocktally"
@@ -14,9 +11,7 @@
 
 // assembleTally makes the owners' server and the granter that the settings name.
 func (d *Daemon) assembleTally() {
-	d.peerHTTP = &http.Client{Transport: &keyTransport{key: d.Settings.Keys.Peer, delay: &d.peerDelay, next: &http.Transport{
-		MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute, DialContext: d.sockets.dial,
-	}}}
+	d.peerHTTP = d.peerClient(tallyLinks)
 	d.tally = &allocator.Server{Self: d.self.ID, Configuration: d.configurator}
 	alone := &chooser.Chooser{
 		Configuration: d.configurator, Policy: policyOf(d.Settings.Routing.Policy),
