--- /dev/null
+++ b/interpreter/topics.go
@@ -0,0 +1,144 @@
+package interpreter
+
+import "strings"
+
+// Topic is a kind of rows that operators can ask for.
+type Topic string
+
+// The topics.
+const (
+	TopicConfiguration Topic = "Configuration"
+	TopicRevisions     Topic = "Revisions"
+	TopicInstances     Topic = "Instances"
+	TopicZones         Topic = "AvailabilityZones"
+	TopicTargets       Topic = "Targets"
+	TopicServices      Topic = "Services"
+	TopicContracts     Topic = "Contracts"
+	TopicOwners        Topic = "Owners"
+	TopicRefusals      Topic = "Refusals"
+	TopicBudgets       Topic = "Budgets"
+	TopicClaims        Topic = "Claims"
+	TopicCalls         Topic = "Calls"
+	TopicLatencies     Topic = "Latencies"
+	TopicStore         Topic = "Store"
+)
+
+// Kind is how the values of a column are compared and shown.
+type Kind int
+
+// The kinds of columns. The zero value is text.
+const (
+	KindText Kind = iota
+	KindNumber
+	KindDuration
+	KindTime // KindTime is an RFC 3339 time.
+	KindFlag // KindFlag is true or false.
+)
+
+// Column is one field of a topic's rows.
+type Column struct {
+	Name string
+	Kind Kind
+}
+
+// TopicSchema describes the rows of a topic.
+type TopicSchema struct {
+	Topic   Topic
+	Columns []Column
+	Meaning string
+}
+
+// Schemas lists all topics.
+func Schemas() []TopicSchema { return schemas }
+
+// SchemaOf returns the schema of a topic, whatever the case of its letters.
+func SchemaOf(name string) (TopicSchema, bool) {
+	for _, s := range schemas {
+		if strings.EqualFold(string(s.Topic), name) {
+			return s, true
+		}
+	}
+	return TopicSchema{}, false
+}
+
+// Column returns the column with the name, whatever the case of its letters.
+func (s TopicSchema) Column(name string) (Column, bool) {
+	for _, c := range s.Columns {
+		if strings.EqualFold(c.Name, name) {
+			return c, true
+		}
+	}
+	return Column{}, false
+}
+
+// ColumnNames lists the names of the columns.
+func (s TopicSchema) ColumnNames() []string {
+	names := make([]string, 0, len(s.Columns))
+	for _, c := range s.Columns {
+		names = append(names, c.Name)
+	}
+	return names
+}
+
+func text(names ...string) []Column      { return columns(KindText, names) }
+func numbers(names ...string) []Column   { return columns(KindNumber, names) }
+func durations(names ...string) []Column { return columns(KindDuration, names) }
+func times(names ...string) []Column     { return columns(KindTime, names) }
+func flags(names ...string) []Column     { return columns(KindFlag, names) }
+
+func columns(kind Kind, names []string) []Column {
+	list := make([]Column, 0, len(names))
+	for _, name := range names {
+		list = append(list, Column{Name: name, Kind: kind})
+	}
+	return list
+}
+
+func join(parts ...[]Column) []Column {
+	var all []Column
+	for _, p := range parts {
+		all = append(all, p...)
+	}
+	return all
+}
+
+var schemas = []TopicSchema{
+	{TopicConfiguration, join(text("Instance"), numbers("Revision"), text("Author", "ChangeID"), times("Since"),
+		numbers("AvailabilityZones", "Services", "Targets", "Contracts", "Callers")), "what is in force on each instance"},
+	{
+		TopicRevisions, join(numbers("Revision"), text("Author", "ChangeID"), times("Since"), numbers("Instances"), text("Because")),
+		"the revisions known to the fleet, and on how many instances each is in force",
+	},
+	{TopicInstances, join(text("Instance", "AvailabilityZone", "State"), flags("Out"), numbers("Revision"),
+		durations("HeardAgo"), text("Callers", "Peers", "Operators")), "the members of the fleet"},
+	{
+		TopicZones, join(text("AvailabilityZone"), flags("Out"), numbers("Instances", "Targets", "InFlight")),
+		"the availability zones and their work in flight",
+	},
+	{TopicTargets, join(text("Service", "Target", "AvailabilityZone", "State"), numbers("InFlight", "Cap", "Served", "SharePercent"),
+		durations("Latency"), text("Owner", "Reason")), "where work goes, and why a target has its state"},
+	{
+		TopicServices, join(text("Service"), numbers("Targets", "TargetsOut", "InFlight", "Served", "ProbesPerSecond")),
+		"the services and their work",
+	},
+	{TopicContracts, join(text("Contract", "Service", "Match", "Priority"), flags("NonIdempotent"),
+		durations("Deadline", "QueueLimit"), flags("Hedge"), numbers("HedgeBudget", "RetryBudget")), "what operators declared"},
+	{TopicOwners, join(text("Service", "AvailabilityZone", "Instance"), numbers("Targets", "InFlight")), "which instance owns which service"},
+	{
+		TopicRefusals, join(text("Contract", "Reason", "Outcome"), numbers("Count"), times("Since", "Last"), numbers("Instances")),
+		"what was refused, why, and since when",
+	},
+	{
+		TopicBudgets, join(text("Service", "Instance"), numbers("BudgetPerSecond", "UsedPerSecond", "Probes")),
+		"what measuring costs against its budget",
+	},
+	{TopicClaims, join(text("Range", "Holder", "State"), numbers("Epoch", "Claims")), "who holds which claims"},
+	{
+		TopicCalls, join(text("Call", "Contract", "Service", "Caller", "Tenant", "Method", "Path", "Outcome", "Reason"), numbers("Status", "Attempts"),
+			text("Target"), durations("Total", "Queue", "Grant", "Serving", "Added"), times("Started"), text("Instance")),
+		"recent, slow and refused calls",
+	},
+	{TopicLatencies, join(text("Contract", "Tenant", "Outcome", "Measure"), numbers("Calls"),
+		durations("P50", "P99", "P999", "Max")), "times of calls over the whole fleet, from merged histograms"},
+	{TopicStore, join(text("Instance"), numbers("Calls", "CallsPerSecond"), flags("Frozen")), "calls of the platform's key-value service"},
+}
