Recorder: histograms by tenant, outcome and measure, kept calls, exposition

Cause: one histogram a contract under one lock could tell neither tenants nor where a call's time went, and no call could be explained. Change: calls gather in shards and are absorbed in batches into HdrHistograms behind go-metrics' interface (two digits, at most 48 classes, further tenants folded); recent, slow and refused records are kept in rings of their own; refusals are counted since when; histograms are encoded, merged by counts and exposed as cumulative buckets.

--- /dev/null
+++ b/recorder/exposition.go
@@ -0,0 +1,110 @@
+package recorder
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"hemlocktally"
+)
+
+// bounds are the upper bounds of the exposed buckets.
+var bounds = []time.Duration{
+	100 * time.Microsecond, 250 * time.Microsecond, 500 * time.Microsecond, time.Millisecond,
+	1200 * time.Microsecond, 2500 * time.Microsecond, 5 * time.Millisecond, 10 * time.Millisecond,
+	25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond,
+	500 * time.Millisecond, time.Second, 2500 * time.Millisecond, 5 * time.Second, 10 * time.Second,
+}
+
+// Gauge is a value that an instance exposes besides its histograms.
+type Gauge struct {
+	Name  string // Name is the exposed name after the common prefix.
+	Help  string
+	Type  string // Type is counter or gauge.
+	Value float64
+}
+
+// WriteMetrics writes everything in the text exposition format that common
+// monitoring systems read.
+func (r *Recorder) WriteMetrics(w io.Writer, gauges []Gauge) error {
+	out := bufio.NewWriter(w)
+	writeHistograms(out, r.Distributions())
+	writeRefusals(out, r.Refusals())
+	r.writeAttempts(out)
+	for _, g := range gauges {
+		writeHead(out, g.Name, g.Type, g.Help)
+		printf(out, "hemlocktally_%s %g\n", g.Name, g.Value)
+	}
+	return Error.Wrap(out.Flush())
+}
+
+func printf(w *bufio.Writer, format string, values ...any) {
+	_, _ = fmt.Fprintf(w, format, values...)
+}
+
+func writeHead(w *bufio.Writer, name, kind, help string) {
+	printf(w, "# HELP hemlocktally_%s %s\n# TYPE hemlocktally_%s %s\n", name, help, name, kind)
+}
+
+func writeHistograms(w *bufio.Writer, distributions []Distribution) {
+	writeHead(w, "call_seconds", "histogram", "Time of calls by contract, tenant, outcome and measure.")
+	for _, d := range distributions {
+		labels := fmt.Sprintf("contract=%s,tenant=%s,outcome=%s,measure=%s",
+			quote(d.Key.Contract), quote(d.Key.Tenant), quote(string(d.Key.Outcome)), quote(string(d.Measure)))
+		for i, n := range d.Histogram.cumulative() {
+			printf(w, "hemlocktally_call_seconds_bucket{%s,le=\"%g\"} %d\n", labels, bounds[i].Seconds(), n)
+		}
+		printf(w, "hemlocktally_call_seconds_bucket{%s,le=\"+Inf\"} %d\n", labels, d.Histogram.Count())
+		printf(w, "hemlocktally_call_seconds_sum{%s} %g\n", labels, float64(d.Histogram.Sum())/1e6)
+		printf(w, "hemlocktally_call_seconds_count{%s} %d\n", labels, d.Histogram.Count())
+	}
+}
+
+// cumulative returns how many values lie at or below each bound.
+func (h *Histogram) cumulative() []int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	counts := make([]int64, len(bounds))
+	for _, bar := range h.counts.Distribution() {
+		if bar.Count == 0 {
+			continue
+		}
+		for i, bound := range bounds {
+			if bar.To <= bound.Microseconds() {
+				counts[i] += bar.Count
+			}
+		}
+	}
+	return counts
+}
+
+func quote(value string) string {
+	return `"` + strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`).Replace(value) + `"`
+}
+
+func writeRefusals(w *bufio.Writer, refusals []RefusalCount) {
+	slices.SortFunc(refusals, func(a, b RefusalCount) int {
+		return cmp.Or(cmp.Compare(a.Key.Contract, b.Key.Contract), cmp.Compare(a.Key.Reason, b.Key.Reason),
+			cmp.Compare(a.Key.Outcome, b.Key.Outcome))
+	})
+	writeHead(w, "refusals_total", "counter", "Refused calls by contract, reason and outcome.")
+	for _, c := range refusals {
+		printf(w, "hemlocktally_refusals_total{contract=%s,reason=%s,outcome=%s} %d\n",
+			quote(c.Key.Contract), quote(string(c.Key.Reason)), quote(string(c.Key.Outcome)), c.Count)
+	}
+}
+
+func (r *Recorder) writeAttempts(w *bufio.Writer) {
+	writeHead(w, "attempts_total", "counter", "Attempts beyond a call's first, by contract and kind.")
+	for _, s := range Merge(r) {
+		if s.Contract == hemlocktally.ContractName(NoName) {
+			continue
+		}
+		printf(w, "hemlocktally_attempts_total{contract=%s,kind=\"Retry\"} %d\n", quote(string(s.Contract)), s.Retried)
+		printf(w, "hemlocktally_attempts_total{contract=%s,kind=\"Hedge\"} %d\n", quote(string(s.Contract)), s.Hedged)
+	}
+}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -1,134 +1,201 @@
-// Package recorder keeps histograms of calls for each contract and tenant.
+// Package recorder keeps what an instance knows of its calls: a histogram for
+// each contract, tenant, outcome and part of a call's time, counts of refusals,
+// and the records of recent, slow and refused calls. Its memory is bounded
+// whatever callers send.
 package recorder
 
 import (
-	"sort"
+	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rcrowley/go-metrics"
 
 	"hemlocktally"
 )
 
+const (
+	shardCount = 8
+	shardCalls = 64
+	// maxClasses bounds the histograms of one instance. A class is a contract, a
+	// tenant and an outcome; the calls of further ones are folded.
+	maxClasses = 48
+	// FoldedName stands in for the names that are over the bound.
+	FoldedName = "Other"
+	// NoName stands in for a contract or tenant that a call does not have.
+	NoName = "None"
+)
+
 // Recorder counts and times calls. Its zero value is ready. It implements
 // hemlocktally.Recorder.
 type Recorder struct {
-	mu      sync.Mutex
-	classes map[hemlocktally.ContractName]*class
-}
+	shards [shardCount]shard
 
-type class struct {
-	total    *hdrhistogram.Histogram
-	added    *hdrhistogram.Histogram
-	refused  uint64
-	retried  uint64
-	hedged   uint64
-	outcomes map[hemlocktally.Outcome]uint64
+	mu       sync.Mutex
+	registry metrics.Registry
+	classes  map[ClassKey]*class
+	refusals map[RefusalKey]*RefusalCount
+	kept     keeper
 }
 
-const (
-	lowestMicroseconds  = 1
-	highestMicroseconds = 120_000_000
-	significantDigits   = 3
-)
-
-func newClass() *class {
-	newHistogram := func() *hdrhistogram.Histogram {
-		return hdrhistogram.New(lowestMicroseconds, highestMicroseconds, significantDigits)
-	}
-	return &class{total: newHistogram(), added: newHistogram(), outcomes: map[hemlocktally.Outcome]uint64{}}
+// shard gathers calls so that Record seldom waits for the histograms' lock.
+type shard struct {
+	mu    sync.Mutex
+	calls []hemlocktally.CallRecord
+	_     [64]byte // Shards stand on cache lines of their own.
 }
 
 // Record adds one call.
 func (r *Recorder) Record(record hemlocktally.CallRecord) {
+	s := &r.shards[rand.Uint32()%shardCount]
+	s.mu.Lock()
+	if s.calls == nil {
+		s.calls = make([]hemlocktally.CallRecord, 0, shardCalls)
+	}
+	s.calls = append(s.calls, record)
+	if len(s.calls) < shardCalls {
+		s.mu.Unlock()
+		return
+	}
+	r.absorb(s)
+	s.mu.Unlock()
+}
+
+// absorb moves the shard's calls into the histograms. The shard is locked.
+func (r *Recorder) absorb(s *shard) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.classes == nil {
-		r.classes = map[hemlocktally.ContractName]*class{}
-	}
-	k := r.classes[record.Contract]
-	if k == nil {
-		k = newClass()
-		r.classes[record.Contract] = k
+	for i := range s.calls {
+		r.add(&s.calls[i])
 	}
-	k.outcomes[record.Outcome]++
-	for _, a := range record.Attempts {
-		switch a.Kind {
-		case hemlocktally.AttemptRetry:
-			k.retried++
-		case hemlocktally.AttemptHedge:
-			k.hedged++
-		case hemlocktally.AttemptFirst:
-		}
+	clear(s.calls)
+	s.calls = s.calls[:0]
+}
+
+// flush moves the calls of all shards into the histograms.
+func (r *Recorder) flush() {
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		r.absorb(s)
+		s.mu.Unlock()
 	}
+}
+
+func (r *Recorder) add(record *hemlocktally.CallRecord) {
+	k := r.class(record)
+	k.add(record)
 	if record.Outcome != hemlocktally.OutcomeDone {
-		k.refused++
-		return
+		r.refuse(record)
 	}
-	_ = k.total.RecordValue(record.Total.Microseconds())
-	_ = k.added.RecordValue(record.Added().Microseconds())
+	r.kept.keep(record, k.isSlow(record.Total))
 }
 
-// Summary is what was recorded of one contract.
-type Summary struct {
-	Contract hemlocktally.ContractName
-	Calls    uint64
-	Refused  uint64
-	Retried  uint64
-	Hedged   uint64
-	P50      time.Duration
-	P99      time.Duration
-	P999     time.Duration
-	AddedP50 time.Duration
-	AddedP99 time.Duration
+// class returns the class of a call, folding tenants and then contracts where
+// there are too many.
+func (r *Recorder) class(record *hemlocktally.CallRecord) *class {
+	if r.classes == nil {
+		r.classes = map[ClassKey]*class{}
+		r.registry = metrics.NewRegistry()
+	}
+	exact := ClassKey{Contract: orNone(string(record.Contract)), Tenant: orNone(record.Tenant), Outcome: record.Outcome}
+	folded := ClassKey{Contract: exact.Contract, Tenant: FoldedName, Outcome: exact.Outcome}
+	last := ClassKey{Contract: FoldedName, Tenant: FoldedName, Outcome: exact.Outcome}
+	for _, key := range []ClassKey{exact, folded, last} {
+		if k, ok := r.classes[key]; ok {
+			return k
+		}
+		if len(r.classes) < maxClasses || key == last {
+			k := newClass(r.registry, key)
+			r.classes[key] = k
+			return k
+		}
+	}
+	return nil
 }
 
-// Merge sums the records of several recorders, exactly, contract by contract.
-func Merge(recorders ...*Recorder) []Summary {
-	merged := map[hemlocktally.ContractName]*class{}
-	for _, r := range recorders {
-		r.addTo(merged)
+func orNone(name string) string {
+	if name == "" {
+		return NoName
 	}
-	summaries := make([]Summary, 0, len(merged))
-	for name, k := range merged {
-		summaries = append(summaries, k.summary(name))
-	}
-	sort.Slice(summaries, func(i, j int) bool { return summaries[i].Contract < summaries[j].Contract })
-	return summaries
+	return name
 }
 
-func (r *Recorder) addTo(merged map[hemlocktally.ContractName]*class) {
+// Registry returns the metrics registry that holds all histograms, named
+// Contract/Tenant/Outcome/Measure.
+func (r *Recorder) Registry() metrics.Registry {
+	r.flush()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for name, k := range r.classes {
-		sum := merged[name]
-		if sum == nil {
-			sum = newClass()
-			merged[name] = sum
-		}
-		sum.total.Merge(k.total)
-		sum.added.Merge(k.added)
-		sum.refused += k.refused
-		sum.retried += k.retried
-		sum.hedged += k.hedged
-		for outcome, n := range k.outcomes {
-			sum.outcomes[outcome] += n
+	if r.registry == nil {
+		r.registry = metrics.NewRegistry()
+		r.classes = map[ClassKey]*class{}
+	}
+	return r.registry
+}
+
+// Find returns the record of a call that is still kept.
+func (r *Recorder) Find(call hemlocktally.CallID) (hemlocktally.CallRecord, bool) {
+	for _, record := range r.Calls() {
+		if record.Call == call {
+			return record, true
 		}
 	}
+	return hemlocktally.CallRecord{}, false
+}
+
+// Calls returns the kept records, the newest first.
+func (r *Recorder) Calls() []hemlocktally.CallRecord {
+	r.flush()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.kept.all()
+}
+
+// RefusalKey names one kind of refusal.
+type RefusalKey struct {
+	Contract string
+	Reason   hemlocktally.Reason
+	Outcome  hemlocktally.Outcome
 }
 
-func (k *class) summary(name hemlocktally.ContractName) Summary {
-	quantile := func(h *hdrhistogram.Histogram, q float64) time.Duration {
-		return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
+// RefusalCount says how often a kind of refusal was met, and when.
+type RefusalCount struct {
+	Key   RefusalKey
+	Count uint64
+	Since time.Time // Since is the first of them in this process's life.
+	Last  time.Time
+}
+
+// maxRefusals bounds the kinds of refusals that are told apart.
+const maxRefusals = 512
+
+func (r *Recorder) refuse(record *hemlocktally.CallRecord) {
+	if r.refusals == nil {
+		r.refusals = map[RefusalKey]*RefusalCount{}
 	}
-	s := Summary{
-		Contract: name, Refused: k.refused, Retried: k.retried, Hedged: k.hedged,
-		P50: quantile(k.total, 50), P99: quantile(k.total, 99), P999: quantile(k.total, 99.9),
-		AddedP50: quantile(k.added, 50), AddedP99: quantile(k.added, 99),
+	key := RefusalKey{Contract: orNone(string(record.Contract)), Reason: record.Reason, Outcome: record.Outcome}
+	if r.refusals[key] == nil && len(r.refusals) >= maxRefusals {
+		key.Contract = FoldedName
 	}
-	for _, n := range k.outcomes {
-		s.Calls += n
+	at := record.Started.Add(record.Total)
+	count := r.refusals[key]
+	if count == nil {
+		count = &RefusalCount{Key: key, Since: at}
+		r.refusals[key] = count
+	}
+	count.Count++
+	count.Last = at
+}
+
+// Refusals returns the counts of refusals.
+func (r *Recorder) Refusals() []RefusalCount {
+	r.flush()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts := make([]RefusalCount, 0, len(r.refusals))
+	for _, c := range r.refusals {
+		counts = append(counts, *c)
 	}
-	return s
+	return counts
 }
