--- a/change.go
+++ b/change.go
@@ -40,6 +40,7 @@
 	ID       string // ID is unique for each intended change; repeating it changes nothing.
 	Author   string
 	Base     Revision // Base is the revision that the author saw.
+	Because  string   `json:",omitempty"` // Because is the author's reason.
 	Commands []Command
 }
 
--- a/interpreter/evaluator.go
+++ b/interpreter/evaluator.go
@@ -102,3 +102,6 @@
 	t, _ := time.Parse(time.RFC3339, v)
 	return t
 }
+
+// Less reports whether value a of a kind comes before value b.
+func Less(kind Kind, a, b string) bool { return compare(kind, a, b) < 0 }
