--- a/inspector/inspector.go
+++ b/inspector/inspector.go
@@ -34,7 +34,8 @@
 type Inspector struct {
 	Self     hemlocktally.InstanceID
 	Members  hemlocktally.Viewer
-	Sources  map[interpreter.Topic]Source
+	Sources  map[interpreter.Topic]Source // Sources are asked of every member.
+	Locals   map[interpreter.Topic]Source // Locals are asked of the instance that answers the operator only.
 	Recorder *recorder.Recorder
 	Revision func() hemlocktally.Revision // Revision is the one in force here.
 	HTTP     *http.Client                 // HTTP reaches the peers.
@@ -110,7 +111,7 @@
 func (i *Inspector) gather(ctx context.Context, schema interpreter.TopicSchema, argument string) []part {
 	ctx, cancel := context.WithTimeout(ctx, i.timeout())
 	defer cancel()
-	members := i.Members.View().Members
+	members := i.membersFor(schema.Topic)
 	parts := make([]part, len(members))
 	turns := make(chan struct{}, maxParallel)
 	var asked sync.WaitGroup
@@ -125,6 +126,14 @@
 	return parts
 }
 
+// membersFor returns the members that must be asked about a topic.
+func (i *Inspector) membersFor(topic interpreter.Topic) []hemlocktally.Instance {
+	if i.Sources[topic] != nil || topic == interpreter.TopicLatencies {
+		return i.Members.View().Members
+	}
+	return []hemlocktally.Instance{{ID: i.Self}}
+}
+
 func (i *Inspector) timeout() time.Duration {
 	if i.Timeout <= 0 {
 		return defaultTimeout
--- a/inspector/merger.go
+++ b/inspector/merger.go
@@ -52,6 +52,7 @@
 		}
 		r.join(schema, merged[at].Values, row.Values)
 	}
+	slices.SortStableFunc(merged, func(a, b interpreter.Row) int { return r.compare(schema, a, b) })
 	if schema.Topic == interpreter.TopicTargets {
 		setShares(schema, merged)
 	}
@@ -66,6 +67,17 @@
 	return strings.Join(parts, "\x00")
 }
 
+// compare orders rows by their keys.
+func (r rule) compare(schema interpreter.TopicSchema, a, b interpreter.Row) int {
+	for _, name := range r.keys {
+		column, _ := schema.Column(name)
+		if order := interpreter.Compare(column.Kind, schema.Get(a, name), schema.Get(b, name)); order != 0 {
+			return order
+		}
+	}
+	return 0
+}
+
 func (r rule) join(schema interpreter.TopicSchema, sum, row []string) {
 	for n, column := range schema.Columns {
 		switch {
@@ -74,8 +86,8 @@
 			sum[n] = row[n]
 		case slices.Contains(r.sums, column.Name):
 			sum[n] = format(parse(sum[n]) + parse(row[n]))
-		case slices.Contains(r.least, column.Name) && interpreter.Less(column.Kind, row[n], sum[n]),
-			slices.Contains(r.greatest, column.Name) && interpreter.Less(column.Kind, sum[n], row[n]):
+		case slices.Contains(r.least, column.Name) && interpreter.Compare(column.Kind, row[n], sum[n]) < 0,
+			slices.Contains(r.greatest, column.Name) && interpreter.Compare(column.Kind, row[n], sum[n]) > 0:
 			sum[n] = row[n]
 		}
 	}
--- a/interpreter/evaluator.go
+++ b/interpreter/evaluator.go
@@ -35,7 +35,7 @@
 	}
 	if column, ok := schema.Column(query.OrderBy); ok {
 		slices.SortStableFunc(selected, func(a, b Row) int {
-			order := compare(column.Kind, schema.Get(a, column.Name), schema.Get(b, column.Name))
+			order := Compare(column.Kind, schema.Get(a, column.Name), schema.Get(b, column.Name))
 			if query.Descending {
 				return -order
 			}
@@ -62,7 +62,7 @@
 	if c.Operator == OperatorContains {
 		return strings.Contains(strings.ToLower(value), strings.ToLower(c.Value))
 	}
-	order := compare(kind, value, c.Value)
+	order := Compare(kind, value, c.Value)
 	switch c.Operator {
 	case OperatorEqual:
 		return order == 0
@@ -79,8 +79,9 @@
 	}
 }
 
-// compare orders two values of a kind. An empty value comes first.
-func compare(kind Kind, a, b string) int {
+// Compare orders two values of a kind. An empty value comes first; text is
+// compared whatever the case of its letters, and digits in it as numbers.
+func Compare(kind Kind, a, b string) int {
 	if a == "" || b == "" {
 		return cmp.Compare(a, b)
 	}
@@ -94,7 +95,7 @@
 	case KindFlag:
 		return cmp.Compare(strconv.FormatBool(flag(a)), strconv.FormatBool(flag(b)))
 	default:
-		return strings.Compare(strings.ToLower(a), strings.ToLower(b))
+		return compareText(strings.ToLower(a), strings.ToLower(b))
 	}
 }
 
@@ -103,5 +104,25 @@
 	return t
 }
 
-// Less reports whether value a of a kind comes before value b.
-func Less(kind Kind, a, b string) bool { return compare(kind, a, b) < 0 }
+// compareText orders texts so that entry-2 comes before entry-10.
+func compareText(a, b string) int {
+	for a != "" && b != "" {
+		digitsA, digitsB := leadingDigits(a), leadingDigits(b)
+		if digitsA != "" && digitsB != "" {
+			if order := cmp.Or(cmp.Compare(number(digitsA), number(digitsB)), cmp.Compare(len(digitsA), len(digitsB))); order != 0 {
+				return order
+			}
+			a, b = a[len(digitsA):], b[len(digitsB):]
+			continue
+		}
+		if a[0] != b[0] {
+			return cmp.Compare(a[0], b[0])
+		}
+		a, b = a[1:], b[1:]
+	}
+	return cmp.Compare(len(a), len(b))
+}
+
+func leadingDigits(text string) string {
+	return text[:len(text)-len(strings.TrimLeft(text, "0123456789"))]
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -3,6 +3,7 @@
 package loader
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"reflect"
@@ -16,52 +17,69 @@
 )
 
 // Load reads the file into the settings, a pointer to a struct whose fields are
-// sections and whose sections' fields are keys. It returns a
-// *hemlocktally.SettingError for an unknown section or key and for a bad value.
+// sections and whose sections' fields are keys; a section that is a map takes
+// any key. It returns a *hemlocktally.SettingError for each unknown section or
+// key and each bad value, joined.
 func Load(path string, settings any) error {
 	file, err := ini.LoadSources(ini.LoadOptions{
-		AllowShadows:             false,
+		AllowShadows:             true, // Shadows show keys that stand twice.
 		SpaceBeforeInlineComment: true,
 	}, path)
 	if err != nil {
-		return fmt.Errorf("settings %s: %w", path, err)
+		return &hemlocktally.SettingError{File: path, Found: err.Error(), Allowed: "a readable file of [Section] lines and Key = value lines"}
 	}
-	b := binder{file: path, root: reflect.ValueOf(settings).Elem()}
+	b := &binder{file: path, root: reflect.ValueOf(settings).Elem()}
 	for _, section := range file.Sections() {
 		if section.Name() == ini.DefaultSection && len(section.Keys()) == 0 {
 			continue
 		}
-		if err := b.bindSection(section); err != nil {
-			return err
-		}
+		b.bindSection(section)
 	}
-	return nil
+	return errors.Join(b.bad...)
 }
 
+// binder sets the fields of a struct from sections and gathers what is wrong.
 type binder struct {
 	file string
 	root reflect.Value
+	bad  []error
 }
 
-func (b binder) bindSection(section *ini.Section) error {
+func (b *binder) bindSection(section *ini.Section) {
 	field := b.root.FieldByName(section.Name())
 	if !field.IsValid() {
-		return b.fail(section.Name(), "", section.Name(), "a section of "+fieldNames(b.root))
+		b.fail(section.Name(), "", section.Name(), "a section of "+fieldNames(b.root))
+		return
 	}
 	for _, key := range section.Keys() {
-		value := field.FieldByName(key.Name())
-		if !value.IsValid() {
-			return b.fail(section.Name(), key.Name(), key.Name(), "a key of "+fieldNames(field))
+		if values := key.ValueWithShadows(); len(values) > 1 {
+			b.fail(section.Name(), key.Name(), strings.Join(values, " and "), "one value; the key stands twice")
+			continue
 		}
-		if err := setValue(value, key.Value()); err != nil {
-			return b.fail(section.Name(), key.Name(), key.Value(), err.Error())
+		b.bindKey(section.Name(), field, key)
+	}
+}
+
+func (b *binder) bindKey(section string, field reflect.Value, key *ini.Key) {
+	if field.Kind() == reflect.Map {
+		if field.IsNil() {
+			field.Set(reflect.MakeMap(field.Type()))
 		}
+		field.SetMapIndex(reflect.ValueOf(key.Name()), reflect.ValueOf(key.Value()))
+		return
+	}
+	value := field.FieldByName(key.Name())
+	if !value.IsValid() {
+		b.fail(section, key.Name(), key.Name(), "a key of "+fieldNames(field))
+		return
+	}
+	if err := setValue(value, key.Value()); err != nil {
+		b.fail(section, key.Name(), key.Value(), err.Error())
 	}
-	return nil
 }
 
-func (b binder) fail(section, key, found, allowed string) error {
-	return &hemlocktally.SettingError{File: b.file, Section: section, Key: key, Found: found, Allowed: allowed}
+func (b *binder) fail(section, key, found, allowed string) {
+	b.bad = append(b.bad, &hemlocktally.SettingError{File: b.file, Section: section, Key: key, Found: found, Allowed: allowed})
 }
 
 func fieldNames(v reflect.Value) string {
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -1,7 +1,10 @@
 package loader
 
 import (
+	"errors"
+	"maps"
 	"net/netip"
+	"os"
 	"slices"
 	"strings"
 	"time"
@@ -12,13 +15,14 @@
 // Settings are all keys of one entry instance. Its fields are the sections of
 // the file.
 type Settings struct {
-	Instance InstanceSettings
-	Listen   ListenSettings
-	Platform PlatformSettings
-	Keys     KeySettings
-	Limits   LimitSettings
-	Routing  RoutingSettings
-	Log      LogSettings
+	Instance     InstanceSettings
+	Listen       ListenSettings
+	Platform     PlatformSettings
+	Keys         KeySettings
+	OperatorKeys map[string]string // OperatorKeys hold a secret for each operator, by name.
+	Limits       LimitSettings
+	Routing      RoutingSettings
+	Log          LogSettings
 }
 
 // InstanceSettings say who the instance is.
@@ -44,8 +48,26 @@
 
 // KeySettings hold the secrets between instances and of operators.
 type KeySettings struct {
-	Peer     string
-	Operator string
+	Peer            string
+	Operator        string // Operator is the key of the operator named "operator".
+	CertificateFile string // CertificateFile turns on TLS for peers and operators.
+	PrivateKeyFile  string
+	AuthorityFile   string // AuthorityFile holds the certificates that peers are checked against.
+}
+
+// DefaultOperator is the name of whoever shows the key Keys.Operator.
+const DefaultOperator = "operator"
+
+// Operators returns every operator's secret, by name.
+func (s Settings) Operators() map[string]string {
+	all := maps.Clone(s.OperatorKeys)
+	if all == nil {
+		all = map[string]string{}
+	}
+	if s.Keys.Operator != "" {
+		all[DefaultOperator] = s.Keys.Operator
+	}
+	return all
 }
 
 // LimitSettings bound what one request may use.
@@ -109,17 +131,18 @@
 	}
 }
 
-// Check returns a *hemlocktally.SettingError for the first key that is missing
-// or has a value that can't work.
+// Check returns a *hemlocktally.SettingError for each key that is missing or
+// has a value that can't work, joined.
 func (s Settings) Check(file string) error {
-	for _, check := range s.checks() {
+	var bad []error
+	for _, check := range append(s.checks(), s.keyChecks()...) {
 		if !check.ok {
-			return &hemlocktally.SettingError{
+			bad = append(bad, &hemlocktally.SettingError{
 				File: file, Section: check.section, Key: check.key, Found: check.found, Allowed: check.allowed,
-			}
+			})
 		}
 	}
-	return nil
+	return errors.Join(bad...)
 }
 
 type settingCheck struct {
@@ -137,14 +160,39 @@
 		{"Listen", "Operators", s.Listen.Operators, address, isAddress(s.Listen.Operators)},
 		{"Platform", "Store", s.Platform.Store, "a URL such as http://127.0.0.1:7000", isURL(s.Platform.Store)},
 		{"Platform", "InstanceList", s.Platform.InstanceList, "a URL such as http://127.0.0.1:7000", isURL(s.Platform.InstanceList)},
-		{"Keys", "Peer", hide(s.Keys.Peer), "a secret of 16 characters or more", len(s.Keys.Peer) >= minKeyLength},
-		{"Keys", "Operator", hide(s.Keys.Operator), "a secret of 16 characters or more", len(s.Keys.Operator) >= minKeyLength},
 		{"Routing", "Policy", s.Routing.Policy, strings.Join(Policies, ", "), slices.Contains(Policies, s.Routing.Policy)},
 		{"Log", "Format", s.Log.Format, "Text, JSON", s.Log.Format == "Text" || s.Log.Format == "JSON"},
 		{"Log", "Level", s.Log.Level, "debug, info, warning, error", slices.Contains([]string{"debug", "info", "warning", "error"}, s.Log.Level)},
 	}
 }
 
+// keyChecks look at secrets and at the files of TLS.
+func (s Settings) keyChecks() []settingCheck {
+	const allowed = "a secret of 16 characters or more"
+	checks := []settingCheck{
+		{"Keys", "Peer", hide(s.Keys.Peer), allowed, len(s.Keys.Peer) >= minKeyLength},
+		{"Keys", "Operator", "", "a secret here or under OperatorKeys", len(s.Operators()) > 0},
+	}
+	operators := s.Operators()
+	for _, name := range slices.Sorted(maps.Keys(operators)) {
+		section, key := "OperatorKeys", name
+		if name == DefaultOperator && s.Keys.Operator != "" {
+			section, key = "Keys", "Operator"
+		}
+		checks = append(checks, settingCheck{section, key, hide(operators[name]), allowed, len(operators[name]) >= minKeyLength})
+	}
+	if s.Keys.CertificateFile == "" && s.Keys.PrivateKeyFile == "" && s.Keys.AuthorityFile == "" {
+		return checks
+	}
+	for _, f := range []struct{ key, path string }{
+		{"CertificateFile", s.Keys.CertificateFile}, {"PrivateKeyFile", s.Keys.PrivateKeyFile}, {"AuthorityFile", s.Keys.AuthorityFile},
+	} {
+		_, err := os.Stat(f.path)
+		checks = append(checks, settingCheck{"Keys", f.key, f.path, "a PEM file that can be read; all three files together turn on TLS", err == nil})
+	}
+	return checks
+}
+
 const minKeyLength = 16
 
 func hide(secret string) string {
--- a/runner/peers.go
+++ b/runner/peers.go
@@ -18,8 +18,9 @@
 func (d *Daemon) servePeers(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.Handle(messenger.AllocationPathPrefix, messenger.NewAllocationServer(d.tally))
+	mux.Handle(messenger.InspectionPathPrefix, messenger.NewInspectionServer(d.inspector))
 	server := d.server(requireKey(d.Settings.Keys.Peer, mux))
-	return serveUntil(ctx, server, d.Listeners.Peers, peerStopTimeout)
+	return d.serveSecure(ctx, server, &countedListener{d.Listeners.Peers, &d.peerTraffic})
 }
 
 // keyTransport adds the peers' key to each request.
@@ -32,6 +33,9 @@
 func (t *keyTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	r.Header.Set("Authorization", "Bearer "+t.key)
+	if t.next.TLSClientConfig != nil {
+		r.URL.Scheme = "https"
+	}
 	return t.next.RoundTrip(r)
 }
 
--- a/runner/platform.go
+++ b/runner/platform.go
@@ -12,7 +12,7 @@
 func (d *Daemon) assemblePlatform() {
 	d.store = &storer.Client{
 		Base: d.Settings.Platform.Store, Key: d.Settings.Platform.Key, Timeout: d.Settings.Platform.Timeout,
-		HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DialContext: d.storeTraffic.Dial}},
 	}
 	d.registrar = &registrar.Registrar{Store: d.store, Self: d.self}
 	d.configurator = &configurator.Configurator{Store: d.store}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -16,7 +16,9 @@
 
 	"hemlocktally"
 	"hemlocktally/allocator"
+	"hemlocktally/commander"
 	"hemlocktally/configurator"
+	"hemlocktally/inspector"
 	"hemlocktally/loader"
 	"hemlocktally/logger"
 	"hemlocktally/recorder"
@@ -76,6 +78,13 @@
 	peerHTTP     *http.Client
 	links        *http.Transport
 	leaving      atomic.Bool
+	inspector    *inspector.Inspector
+	commander    *commander.Commander
+	offers       chan struct{} // offers holds one item for each command that is being followed.
+	certificate  *certificate
+	peerTraffic  trafficCounter
+	storeTraffic trafficCounter
+	started      time.Time
 }
 
 // New assembles an instance. The listeners stay open until Run ends.
@@ -90,9 +99,12 @@
 		OperatorAddress: listeners.Operators.Addr().String(),
 		State:           hemlocktally.InstanceServing,
 	}
+	d.started = time.Now()
+	d.certificate = &certificate{keys: d.Settings.Keys, log: log}
 	d.assemblePlatform()
 	d.assembleTally()
 	d.assembleEntry()
+	d.assembleInspection()
 	return d
 }
 
--- a/runner/tally.go
+++ b/runner/tally.go
@@ -15,6 +15,7 @@
 func (d *Daemon) assembleTally() {
 	d.peerHTTP = &http.Client{Transport: &keyTransport{key: d.Settings.Keys.Peer, next: &http.Transport{
 		MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute,
+		DialContext: d.peerTraffic.Dial, TLSClientConfig: d.certificate.clientConfig(),
 	}}}
 	d.tally = &allocator.Server{Self: d.self.ID, Configuration: d.configurator}
 	alone := &chooser.Chooser{
--- /dev/null
+++ b/runner/traffic.go
@@ -0,0 +1,62 @@
+package runner
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// trafficCounter counts the bytes of the connections that it made or accepted.
+// Its zero value is ready.
+type trafficCounter struct {
+	in, out atomic.Uint64
+}
+
+// Bytes returns what was read and what was written.
+func (t *trafficCounter) Bytes() (in, out uint64) { return t.in.Load(), t.out.Load() }
+
+const dialTimeout = 2 * time.Second
+
+// Dial opens a counted connection.
+func (t *trafficCounter) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn, counter: t}, nil
+}
+
+// countedListener counts the connections that it accepts.
+type countedListener struct {
+	net.Listener
+	counter *trafficCounter
+}
+
+// Accept waits for the next connection.
+func (l *countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn, counter: l.counter}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	counter *trafficCounter
+}
+
+// Read counts what it reads.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.counter.in.Add(uint64(n))
+	return n, err
+}
+
+// Write counts what it writes.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.counter.out.Add(uint64(n))
+	return n, err
+}
