Command line for operators: ask, tell, shell, contracts, playground

Cause: operators had raw JSON over HTTP at best. Change: ask and tell print tables, steps and faults, or JSON; the shell has history and completion; contracts files in INI are checked, compared, applied in one change and exported; both deployments stand in examples/contracts/ and a test holds them equal to what the demo runs; playground keeps a fleet of 16 running to try it on; exit codes 4 to 6 tell refused, late and unknown changes apart.

--- a/cmd/hemlocktally/main.go
+++ b/cmd/hemlocktally/main.go
@@ -13,13 +13,18 @@
 	"github.com/urfave/cli/v3"
 
 	"hemlocktally"
+	"hemlocktally/commander"
+	"hemlocktally/interpreter"
 )
 
 // Exit codes of the program.
 const (
 	exitFailed   = 1 // exitFailed says that the work failed.
 	exitUsage    = 2 // exitUsage says that the command line was wrong.
-	exitSettings = 3 // exitSettings says that a settings file was wrong.
+	exitSettings = 3 // exitSettings says that a settings or contracts file was wrong.
+	exitRefused  = 4 // exitRefused says that the fleet refused a command, which had no effect.
+	exitLate     = 5 // exitLate says that a change is accepted but was not seen in force everywhere in time.
+	exitUnknown  = 6 // exitUnknown says that the store lost its answer: the change may be accepted.
 )
 
 const version = "0.1.0"
@@ -38,10 +43,13 @@
 	return &cli.Command{
 		Name:  "hemlocktally",
 		Usage: "a load balancer for callers whose work must be prompt, whole and done once",
-		Description: "Exit codes: 0 done, 1 the work failed, 2 the command line was wrong, 3 a settings file was wrong.\n" +
+		Description: "Exit codes: 0 done, 1 the work failed, 2 the command line or a statement was wrong, 3 a settings or contracts\n" +
+			"file was wrong, 4 the fleet refused a command (it lost a race or names a thing that is not there), 5 a change is\n" +
+			"accepted but was not seen in force everywhere in time, 6 the store lost its answer (ask show Revisions).\n" +
 			"Ctrl-C stops gracefully: calls in flight are finished.",
 		Commands: []*cli.Command{
 			serveCommand(), demoCommand(), platformCommand(), targetCommand(), settingsCommand(), eventsCommand(), versionCommand(),
+			askCommand(), tellCommand(), shellCommand(), contractsCommand(), playgroundCommand(),
 		},
 		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
 			return &usageError{err}
@@ -68,11 +76,30 @@
 func exitCode(err error) int {
 	var usage *usageError
 	var setting *hemlocktally.SettingError
+	var syntax *interpreter.SyntaxError
+	var fault *commander.Fault
 	switch {
-	case errors.As(err, &usage):
+	case errors.As(err, &usage), errors.As(err, &syntax):
 		return exitUsage
 	case errors.As(err, &setting):
 		return exitSettings
+	case errors.As(err, &fault):
+		return faultCode(fault)
+	default:
+		return exitFailed
+	}
+}
+
+func faultCode(fault *commander.Fault) int {
+	switch {
+	case fault.Unknown:
+		return exitUnknown
+	case fault.Kind == commander.FaultSyntax:
+		return exitUsage
+	case fault.Kind == commander.FaultPlan, fault.Kind == commander.FaultRace:
+		return exitRefused
+	case fault.Kind == commander.FaultLate:
+		return exitLate
 	default:
 		return exitFailed
 	}
--- a/inspector/merger.go
+++ b/inspector/merger.go
@@ -21,13 +21,15 @@
 // rules holds the topics whose rows are joined; the rows of the others are
 // listed one after another.
 var rules = map[interpreter.Topic]rule{
-	interpreter.TopicRevisions: {keys: []string{"Revision"}, sums: []string{"Instances"}},
-	interpreter.TopicInstances: {keys: []string{"Instance"}, least: []string{"HeardAgo"}, greatest: []string{"Revision"}},
-	interpreter.TopicZones:     {keys: []string{"AvailabilityZone"}, sums: []string{"InFlight"}},
-	interpreter.TopicTargets:   {keys: []string{"Service", "Target"}, sums: []string{"InFlight", "Cap", "Served"}},
-	interpreter.TopicServices:  {keys: []string{"Service"}, sums: []string{"InFlight", "Served"}},
-	interpreter.TopicContracts: {keys: []string{"Contract"}},
-	interpreter.TopicOwners:    {keys: []string{"Service", "AvailabilityZone", "Instance"}, sums: []string{"InFlight"}},
+	interpreter.TopicConfiguration: {keys: []string{"Instance"}},
+	interpreter.TopicStore:         {keys: []string{"Instance"}},
+	interpreter.TopicRevisions:     {keys: []string{"Revision"}, sums: []string{"Instances"}},
+	interpreter.TopicInstances:     {keys: []string{"Instance"}, least: []string{"HeardAgo"}, greatest: []string{"Revision"}},
+	interpreter.TopicZones:         {keys: []string{"AvailabilityZone"}, sums: []string{"InFlight"}},
+	interpreter.TopicTargets:       {keys: []string{"Service", "Target"}, sums: []string{"InFlight", "Cap", "Served"}},
+	interpreter.TopicServices:      {keys: []string{"Service"}, sums: []string{"InFlight", "Served"}},
+	interpreter.TopicContracts:     {keys: []string{"Contract"}},
+	interpreter.TopicOwners:        {keys: []string{"Service", "AvailabilityZone", "Instance"}, sums: []string{"InFlight"}},
 	interpreter.TopicRefusals: {
 		keys: []string{"Contract", "Reason", "Outcome"}, sums: []string{"Count", "Instances"},
 		least: []string{"Since"}, greatest: []string{"Last"},
@@ -38,7 +40,7 @@
 func merge(schema interpreter.TopicSchema, rows []interpreter.Row) []interpreter.Row {
 	r, ok := rules[schema.Topic]
 	if !ok {
-		return rows
+		return newestFirst(schema, rows)
 	}
 	var merged []interpreter.Row
 	places := map[string]int{}
@@ -59,6 +61,11 @@
 	return merged
 }
 
+// newestFirst orders the rows of a topic that has a start time.
+func newestFirst(schema interpreter.TopicSchema, rows []interpreter.Row) []interpreter.Row {
+	return interpreter.Evaluate(interpreter.Query{Topic: schema.Topic, OrderBy: "Started", Descending: true}, rows)
+}
+
 func (r rule) key(schema interpreter.TopicSchema, row interpreter.Row) string {
 	parts := make([]string, 0, len(r.keys))
 	for _, name := range r.keys {
--- /dev/null
+++ b/loader/declaration_test.go
@@ -0,0 +1,113 @@
+package loader_test
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hemlocktally"
+	"hemlocktally/experimenter"
+	"hemlocktally/loader"
+)
+
+func load(c *qt.C, path string) loader.Declaration {
+	d, err := loader.LoadDeclaration(path)
+	c.Assert(err, qt.IsNil)
+	return d
+}
+
+// apply returns the configuration after the declaration's commands.
+func apply(c *qt.C, config *hemlocktally.Configuration, d loader.Declaration) *hemlocktally.Configuration {
+	after, err := config.Apply(hemlocktally.Accepted{
+		Revision: config.Revision + 1, Change: hemlocktally.Change{Commands: d.Commands(config)},
+	})
+	c.Assert(err, qt.IsNil)
+	return after
+}
+
+func TestExamplesGoRound(t *testing.T) {
+	for _, name := range []string{"agency", "association"} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			d := load(c, "../examples/contracts/"+name+".ini")
+			config := apply(c, &hemlocktally.Configuration{}, d)
+			c.Check(d.Commands(config), qt.HasLen, 0)
+			var exported bytes.Buffer
+			c.Assert(loader.DeclarationOf(config).Write(&exported), qt.IsNil)
+			again := load(c, write(c, exported.String()))
+			c.Check(again, qt.DeepEquals, d)
+		})
+	}
+}
+
+func TestExamplesDeclareWhatTheDemoRuns(t *testing.T) {
+	for _, deployment := range []experimenter.Deployment{experimenter.Agency(), experimenter.Association()} {
+		t.Run(deployment.Name, func(t *testing.T) {
+			c := qt.New(t)
+			d := load(c, "../examples/contracts/"+deployment.Name+".ini")
+			c.Check(d.Contracts, qt.DeepEquals, deployment.Contracts)
+			c.Check(d.Callers, qt.DeepEquals, deployment.Callers)
+			c.Check(d.Zones, qt.DeepEquals, deployment.Zones)
+			c.Assert(d.Services, qt.HasLen, len(deployment.Services))
+			for i, s := range deployment.Services {
+				c.Check(d.Services[i].Name, qt.Equals, s.Name)
+				c.Check(d.Services[i].Targets, qt.HasLen, s.Targets)
+			}
+		})
+	}
+}
+
+func TestApplyKeepsTargetsOutAndOrder(t *testing.T) {
+	c := qt.New(t)
+	d := load(c, "../examples/contracts/association.ini")
+	config := apply(c, &hemlocktally.Configuration{}, d)
+	config, err := config.Apply(hemlocktally.Accepted{Revision: 2, Change: hemlocktally.Change{Commands: []hemlocktally.Command{
+		{Kind: hemlocktally.CommandTargetOut, Name: "holds", Target: "holds-1"},
+		{Kind: hemlocktally.CommandZoneOut, Name: "kingston-a"},
+	}}})
+	c.Assert(err, qt.IsNil)
+	d.Contracts[0], d.Contracts[1] = d.Contracts[1], d.Contracts[0]
+	d.Contracts[3].Deadline = 300 * time.Millisecond
+	d.Contracts = append(d.Contracts[:2], d.Contracts[3])
+	d.Services[1].ProbesPerSecond = 9
+	after := apply(c, config, d)
+	c.Check(after.Contracts, qt.DeepEquals, d.Contracts)
+	holds, _ := after.Service("holds")
+	c.Check(holds.Targets[0].Out, qt.IsTrue)
+	c.Check(holds.ProbesPerSecond, qt.Equals, 9.0)
+	c.Check(after.ZoneOut("kingston-a"), qt.IsTrue)
+	c.Check(d.Commands(after), qt.HasLen, 0)
+}
+
+func TestDeclarationNamesEveryBadKey(t *testing.T) {
+	c := qt.New(t)
+	text, err := os.ReadFile("../examples/contracts/association.ini")
+	c.Assert(err, qt.IsNil)
+	bad := strings.NewReplacer(
+		"Address = 127.0.0.1:9201", "Address = catalogue.local:80",
+		"Methods = GET", "Method = GET",
+		"Deadline = 2s", "Deadline = soon",
+		"KeySHA256 = ", "KeySHA256 = x",
+		"AvailabilityZone = kingston-b", "AvailabilityZone = kingston-x",
+		"[Contract Deposits]", "[Contrakt Deposits]",
+	).Replace(string(text))
+	_, err = loader.LoadDeclaration(write(c, bad))
+	for _, want := range []string{
+		`[Target catalogue/catalogue-1] Address: found "catalogue.local:80"`,
+		`[Contract CounterSearch] Method: found "Method", allowed: a key of Service, Host,`,
+		`[Contract Holds] Deadline: found "soon", allowed: a duration such as 250ms`,
+		`[Caller counter] KeySHA256`,
+		`AvailabilityZone: found "kingston-x", allowed: a declared zone: kingston-a, kingston-b, kingston-c`,
+		`[Contrakt Deposits] : found "Contrakt Deposits"`,
+	} {
+		c.Check(err, qt.ErrorMatches, "(?s).*"+quoteMeta(want)+".*")
+	}
+}
+
+func quoteMeta(text string) string {
+	return strings.NewReplacer("[", `\[`, "]", `\]`, ".", `\.`).Replace(text)
+}
--- /dev/null
+++ b/loader/exporter.go
@@ -0,0 +1,79 @@
+package loader
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+
+	"hemlocktally"
+)
+
+// DeclarationOf returns what a contracts file would have to declare for the
+// configuration.
+func DeclarationOf(c *hemlocktally.Configuration) Declaration {
+	d := Declaration{Callers: c.Callers, Contracts: c.Contracts}
+	for _, z := range c.Zones {
+		d.Zones = append(d.Zones, z.Name)
+	}
+	for _, s := range c.Services {
+		d.Services = append(d.Services, keepOut(s, hemlocktally.Service{}))
+	}
+	return d
+}
+
+// Write writes the declaration as a contracts file.
+func (d Declaration) Write(w io.Writer) error {
+	out := bufio.NewWriter(w)
+	for _, zone := range d.Zones {
+		writeSection(out, sectionZone, string(zone), struct{}{})
+	}
+	for _, s := range d.Services {
+		writeSection(out, sectionService, string(s.Name), ServiceSection{ProbePath: s.ProbePath, ProbesPerSecond: s.ProbesPerSecond})
+		for _, t := range s.Targets {
+			writeSection(out, sectionTarget, string(s.Name)+"/"+string(t.Name), TargetSection{
+				Address: t.Address, AvailabilityZone: string(t.Zone), Slots: t.Slots, MaxConnections: t.MaxConnections,
+			})
+		}
+	}
+	for _, c := range d.Callers {
+		writeSection(out, sectionCaller, string(c.Name), CallerSection{Tenant: c.Tenant, KeySHA256: c.KeySHA256})
+	}
+	for _, c := range d.Contracts {
+		writeSection(out, sectionContract, string(c.Name), contractSection(c))
+	}
+	return out.Flush()
+}
+
+func contractSection(c hemlocktally.Contract) ContractSection {
+	s := ContractSection{
+		Service: string(c.Service), Host: c.Match.Host, PathPrefix: c.Match.PathPrefix, Methods: c.Match.Methods,
+		NonIdempotent: c.NonIdempotent, Deadline: c.Deadline, QueueLimit: c.QueueLimit,
+		Hedge: c.Hedge, HedgeBudget: c.HedgeBudget, RetryBudget: c.RetryBudget,
+	}
+	for _, caller := range c.Match.Callers {
+		s.Callers = append(s.Callers, string(caller))
+	}
+	if c.Priority >= hemlocktally.PriorityHigh {
+		s.Priority = priorityHigh
+	}
+	return s
+}
+
+// writeSection writes the keys of a section that are not zero.
+func writeSection(w io.Writer, kind, name string, section any) {
+	_, _ = fmt.Fprintf(w, "[%s %s]\n", kind, name)
+	v := reflect.ValueOf(section)
+	for i := range v.NumField() {
+		if v.Field(i).IsZero() {
+			continue
+		}
+		text := fmt.Sprint(v.Field(i).Interface())
+		if list, ok := v.Field(i).Interface().([]string); ok {
+			text = strings.Join(list, ", ")
+		}
+		_, _ = fmt.Fprintf(w, "%s = %s\n", v.Type().Field(i).Name, text)
+	}
+	_, _ = fmt.Fprintln(w)
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -21,12 +21,9 @@
 // any key. It returns a *hemlocktally.SettingError for each unknown section or
 // key and each bad value, joined.
 func Load(path string, settings any) error {
-	file, err := ini.LoadSources(ini.LoadOptions{
-		AllowShadows:             true, // Shadows show keys that stand twice.
-		SpaceBeforeInlineComment: true,
-	}, path)
+	file, err := loadINI(path)
 	if err != nil {
-		return &hemlocktally.SettingError{File: path, Found: err.Error(), Allowed: "a readable file of [Section] lines and Key = value lines"}
+		return err
 	}
 	b := &binder{file: path, root: reflect.ValueOf(settings).Elem()}
 	for _, section := range file.Sections() {
@@ -38,6 +35,17 @@
 	return errors.Join(b.bad...)
 }
 
+func loadINI(path string) (*ini.File, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{
+		AllowShadows:             true, // Shadows show keys that stand twice.
+		SpaceBeforeInlineComment: true,
+	}, path)
+	if err != nil {
+		return nil, &hemlocktally.SettingError{File: path, Found: err.Error(), Allowed: "a readable file of [Section] lines and Key = value lines"}
+	}
+	return file, nil
+}
+
 // binder sets the fields of a struct from sections and gathers what is wrong.
 type binder struct {
 	file string
@@ -83,6 +91,9 @@
 }
 
 func fieldNames(v reflect.Value) string {
+	if v.NumField() == 0 {
+		return "none: the section has no keys"
+	}
 	names := make([]string, 0, v.NumField())
 	for i := range v.NumField() {
 		names = append(names, v.Type().Field(i).Name)
