--- a/cmd/hemlocktally/main.go
+++ b/cmd/hemlocktally/main.go
@@ -49,7 +49,7 @@
 			"Ctrl-C stops gracefully: calls in flight are finished.",
 		Commands: []*cli.Command{
 			serveCommand(), demoCommand(), platformCommand(), targetCommand(), settingsCommand(), eventsCommand(), versionCommand(),
-			askCommand(), tellCommand(), shellCommand(), contractsCommand(), playgroundCommand(),
+			askCommand(), tellCommand(), shellCommand(), contractsCommand(), reportCommand(), playgroundCommand(),
 		},
 		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
 			return &usageError{err}
--- a/inspector/wire.go
+++ b/inspector/wire.go
@@ -1,6 +1,10 @@
 package inspector
 
 import (
+	"context"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
 	"hemlocktally"
 	"hemlocktally/interpreter"
 	"hemlocktally/messenger"
@@ -56,3 +60,31 @@
 	}
 	return list, nil
 }
+
+// Distributions returns the merged histograms of all members that answer.
+func (i *Inspector) Distributions(ctx context.Context) []recorder.Distribution {
+	schema, _ := interpreter.SchemaOf(string(interpreter.TopicLatencies))
+	var lists [][]recorder.Distribution
+	for _, p := range i.gather(ctx, schema, "") {
+		lists = append(lists, p.distributions)
+	}
+	return recorder.MergeDistributions(lists...)
+}
+
+// WriteDistributions writes histograms as JSON.
+func WriteDistributions(list []recorder.Distribution) ([]byte, error) {
+	documents, err := wireDistributions(list)
+	if err != nil {
+		return nil, err
+	}
+	return protojson.Marshal(&messenger.InspectResponse{Distributions: documents})
+}
+
+// ReadDistributions reads what WriteDistributions wrote.
+func ReadDistributions(text []byte) ([]recorder.Distribution, error) {
+	var document messenger.InspectResponse
+	if err := protojson.Unmarshal(text, &document); err != nil {
+		return nil, err
+	}
+	return distributionsOf(document.Distributions)
+}
--- a/runner/inspection.go
+++ b/runner/inspection.go
@@ -285,6 +285,17 @@
 	_ = d.recorder.WriteMetrics(w, d.gauges())
 }
 
+// serveHistograms returns the fleet's merged histograms, for reports.
+func (d *Daemon) serveHistograms(w http.ResponseWriter, r *http.Request) {
+	text, err := inspector.WriteDistributions(d.inspector.Distributions(r.Context()))
+	if err != nil {
+		writeFault(w, http.StatusInternalServerError, &commander.Fault{Kind: commander.FaultStore, Detail: err.Error()})
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(text)
+}
+
 // gauges are the values that an instance exposes besides its calls.
 func (d *Daemon) gauges() []recorder.Gauge {
 	view := d.registrar.View()
--- a/runner/operators.go
+++ b/runner/operators.go
@@ -32,6 +32,7 @@
 		writeJSON(w, http.StatusOK, d.configurator.Current())
 	})
 	guarded.HandleFunc("GET /metrics", d.serveMetrics)
+	guarded.HandleFunc("GET /histograms", d.serveHistograms)
 	guarded.HandleFunc("POST /ask", d.serveAsk)
 	guarded.HandleFunc("POST /tell", d.serveTell)
 	guarded.HandleFunc("POST /change", d.serveChange)
