Settings: sample, every bad key at once, usage errors that name the choices

Cause: a missing flag printed the whole help and exited with 1; only the first bad key was named; there was no sample to start from. Change: settings sample; settings check names the unknown, the bad and the missing keys in one pass; wrong usage exits with 2 and says what there is, at every level of the commands; a setting's error leaves out an empty section.

--- a/cmd/hemlocktally/main.go
+++ b/cmd/hemlocktally/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -31,7 +32,9 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	err := root().Run(ctx, os.Args)
+	program := root()
+	reportUsage(program)
+	err := program.Run(ctx, os.Args)
 	stop()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "hemlocktally:", err)
@@ -51,14 +54,29 @@
 			serveCommand(), demoCommand(), platformCommand(), targetCommand(), settingsCommand(), eventsCommand(), versionCommand(),
 			askCommand(), tellCommand(), shellCommand(), contractsCommand(), reportCommand(), playgroundCommand(),
 		},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return &usageError{err}
-		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		CommandNotFound: func(_ context.Context, _ *cli.Command, name string) {
-			fmt.Fprintf(os.Stderr, "hemlocktally: no command %q; see hemlocktally --help\n", name)
-			os.Exit(exitUsage)
-		},
+	}
+}
+
+// reportUsage makes a wrong command line a *usageError at every level of the
+// commands, and lets a group of commands name what it has.
+func reportUsage(command *cli.Command) {
+	command.OnUsageError = func(_ context.Context, c *cli.Command, err error, _ bool) error {
+		return &usageError{fmt.Errorf("%w; see %s --help", err, c.FullName())}
+	}
+	var names []string
+	for _, sub := range command.Commands {
+		reportUsage(sub)
+		names = append(names, sub.Name)
+	}
+	if len(names) == 0 || command.Action != nil {
+		return
+	}
+	command.Action = func(_ context.Context, c *cli.Command) error {
+		if c.Args().Present() {
+			return &usageError{fmt.Errorf("found %q, expected one of %s; see %s --help", c.Args().First(), strings.Join(names, ", "), c.FullName())}
+		}
+		return cli.ShowSubcommandHelp(c)
 	}
 }
 
--- a/cmd/hemlocktally/serve.go
+++ b/cmd/hemlocktally/serve.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"fmt"
+	"errors"
 	"os"
 
 	"github.com/urfave/cli/v3"
 
+	"hemlocktally"
 	"hemlocktally/loader"
 	"hemlocktally/logger"
 	"hemlocktally/runner"
@@ -31,12 +32,14 @@
 // readSettings reads and checks a settings file before any port is opened.
 func readSettings(path string) (loader.Settings, error) {
 	var settings loader.Settings
-	if err := loader.Load(path, &settings); err != nil {
-		return settings, err
+	err := loader.Load(path, &settings)
+	var bad *hemlocktally.SettingError
+	if errors.As(err, &bad) && bad.Section == "" {
+		return settings, err // The file can't be read at all.
 	}
 	loader.ApplyEnvironment(&settings)
 	settings = settings.WithDefaults()
-	return settings, settings.Check(path)
+	return settings, errors.Join(err, settings.Check(path))
 }
 
 func serve(ctx context.Context, c *cli.Command) error {
@@ -54,23 +57,3 @@
 	}
 	return runner.New(settings, log, listeners).Run(ctx)
 }
-
-func settingsCommand() *cli.Command {
-	return &cli.Command{
-		Name:  "settings",
-		Usage: "work with settings files",
-		Commands: []*cli.Command{{
-			Name:        "check",
-			Usage:       "check a settings file without starting anything",
-			Description: "Example:\n  hemlocktally settings check --settings examples/settings/entry.ini",
-			Flags:       settingsFlags(),
-			Action: func(_ context.Context, c *cli.Command) error {
-				if _, err := readSettings(c.String(settingsFlag)); err != nil {
-					return err
-				}
-				_, err := fmt.Fprintln(c.Root().Writer, c.String(settingsFlag)+": all keys are good")
-				return err
-			},
-		}},
-	}
-}
--- a/errors.go
+++ b/errors.go
@@ -88,5 +88,12 @@
 
 // Error names file, section, key, what was found and what is allowed.
 func (e *SettingError) Error() string {
-	return fmt.Sprintf("%s: [%s] %s: found %q, allowed: %s", e.File, e.Section, e.Key, e.Found, e.Allowed)
+	place := e.File
+	if e.Section != "" {
+		place += ": [" + e.Section + "]"
+	}
+	if e.Key != "" {
+		place += " " + e.Key
+	}
+	return fmt.Sprintf("%s: found %q, allowed: %s", place, e.Found, e.Allowed)
 }
--- a/loader/declaration_test.go
+++ b/loader/declaration_test.go
@@ -102,7 +102,7 @@
 		`[Contract Holds] Deadline: found "soon", allowed: a duration such as 250ms`,
 		`[Caller counter] KeySHA256`,
 		`AvailabilityZone: found "kingston-x", allowed: a declared zone: kingston-a, kingston-b, kingston-c`,
-		`[Contrakt Deposits] : found "Contrakt Deposits"`,
+		`[Contrakt Deposits]: found "Contrakt Deposits"`,
 	} {
 		c.Check(err, qt.ErrorMatches, "(?s).*"+quoteMeta(want)+".*")
 	}
