--- a/runner/runner.go
+++ b/runner/runner.go
@@ -16,8 +16,10 @@
 
 	"hemlocktally"
 	"hemlocktally/allocator"
+	"hemlocktally/claimer"
 	"hemlocktally/commander"
 	"hemlocktally/configurator"
+	"hemlocktally/dialer"
 	"hemlocktally/inspector"
 	"hemlocktally/loader"
 	"hemlocktally/logger"
@@ -76,7 +78,9 @@
 	tally        *allocator.Server
 	granter      hemlocktally.Granter
 	peerHTTP     *http.Client
-	links        *http.Transport
+	links        *dialer.Dialer
+	claimHolder  *claimer.Server
+	claims       *claimer.Client
 	leaving      atomic.Bool
 	inspector    *inspector.Inspector
 	commander    *commander.Commander
@@ -85,6 +89,8 @@
 	peerTraffic  trafficCounter
 	storeTraffic trafficCounter
 	started      time.Time
+	sockets      sockets
+	peerDelay    atomic.Pointer[PeerDelay]
 }
 
 // New assembles an instance. The listeners stay open until Run ends.
@@ -101,8 +107,10 @@
 	}
 	d.started = time.Now()
 	d.certificate = &certificate{keys: d.Settings.Keys, log: log}
+	d.keepListeners()
 	d.assemblePlatform()
 	d.assembleTally()
+	d.assembleClaims()
 	d.assembleEntry()
 	d.assembleInspection()
 	return d
@@ -125,9 +133,9 @@
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var group run.Group
-	group.Add(func() error { return d.serveCallers(ctx) }, func(error) {})
+	group.Add(func() error { return d.serveCallersAndLeave(ctx) }, func(error) {})
 	for _, task := range []func(context.Context) error{
-		d.configurator.Run, d.registrar.Run, d.tally.Run, d.servePeers, d.serveOperators,
+		d.links.Run, d.configurator.Run, d.registrar.Run, d.tally.Run, d.claimHolder.Run, d.servePeers, d.serveOperators,
 	} {
 		group.Add(func() error { return task(inner) }, func(error) { cancel() })
 	}
@@ -148,6 +156,11 @@
 
 // serveUntil serves until the context ends, then shuts down within the limit.
 func serveUntil(ctx context.Context, server *http.Server, listener net.Listener, limit time.Duration) error {
+	return serveUntilWithin(ctx, server, listener, func() time.Duration { return limit })
+}
+
+// serveUntilWithin is serveUntil with a limit that is known only at the end.
+func serveUntilWithin(ctx context.Context, server *http.Server, listener net.Listener, limit func() time.Duration) error {
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	select {
@@ -155,7 +168,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit())
 	defer cancel()
 	err := server.Shutdown(stop)
 	if err != nil {
@@ -168,14 +181,14 @@
 }
 
 func (d *Daemon) closeIdle() {
-	d.links.CloseIdleConnections()
+	d.links.CloseIdle()
 	d.peerHTTP.CloseIdleConnections()
 }
 
 // Ready reports whether the instance has a configuration and knows of at least
 // the given number of members.
 func (d *Daemon) Ready(members int) bool {
-	return d.configurator.Current().Revision > 0 && len(d.registrar.View().Members) >= members
+	return d.claimHolder.Ready() && d.configurator.Current().Revision > 0 && len(d.registrar.View().Members) >= members
 }
 
 // Change offers a change to the store.
--- a/runner/traffic.go
+++ b/runner/traffic.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync/atomic"
-	"time"
 )
 
 // trafficCounter counts the bytes of the connections that it made or accepted.
@@ -16,15 +15,17 @@
 // Bytes returns what was read and what was written.
 func (t *trafficCounter) Bytes() (in, out uint64) { return t.in.Load(), t.out.Load() }
 
-const dialTimeout = 2 * time.Second
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Dial opens a counted connection.
-func (t *trafficCounter) Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
+// through returns a dial function whose connections are counted.
+func (t *trafficCounter) through(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: conn, counter: t}, nil
 	}
-	return &countedConn{Conn: conn, counter: t}, nil
 }
 
 // countedListener counts the connections that it accepts.
