--- a/runner/platform.go
+++ b/runner/platform.go
@@ -14,7 +14,7 @@
 func (d *Daemon) assemblePlatform() {
 	d.store = &storer.Client{
 		Base: d.Settings.Platform.Store, Key: d.Settings.Platform.Key, Timeout: d.Settings.Platform.Timeout,
-		HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DialContext: d.sockets.dial}}, Log: d.Log,
+		HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DialContext: d.storeTraffic.through(d.sockets.dial)}}, Log: d.Log,
 	}
 	d.controlHTTP = d.peerClient(controlLinks)
 	d.configurator = &configurator.Configurator{Store: d.store}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -17,8 +17,10 @@
 	"hemlocktally"
 	"hemlocktally/allocator"
 	"hemlocktally/claimer"
+	"hemlocktally/commander"
 	"hemlocktally/configurator"
 	"hemlocktally/dialer"
+	"hemlocktally/inspector"
 	"hemlocktally/loader"
 	"hemlocktally/logger"
 	"hemlocktally/recorder"
@@ -81,6 +83,13 @@
 	claims       *claimer.Client
 	controlHTTP  *http.Client // controlHTTP keeps heartbeats apart from calls for turns.
 	leaving      atomic.Bool
+	inspector    *inspector.Inspector
+	commander    *commander.Commander
+	offers       chan struct{} // offers holds one item for each command that is being followed.
+	certificate  *certificate
+	peerTraffic  trafficCounter
+	storeTraffic trafficCounter
+	started      time.Time
 	sockets      sockets
 	peerDelay    atomic.Pointer[PeerDelay]
 }
@@ -97,11 +106,14 @@
 		OperatorAddress: listeners.Operators.Addr().String(),
 		State:           hemlocktally.InstanceServing,
 	}
+	d.started = time.Now()
+	d.certificate = &certificate{keys: d.Settings.Keys, log: log}
 	d.keepListeners()
 	d.assemblePlatform()
 	d.assembleTally()
 	d.assembleClaims()
 	d.assembleEntry()
+	d.assembleInspection()
 	return d
 }
 
