--- a/experimenter/experimenter.go
+++ b/experimenter/experimenter.go
@@ -34,6 +34,7 @@
 	Callers   []hemlocktally.Caller
 	Policy    string
 	Seed      uint64
+	Log       logger.Logger // Log takes the events of all instances.
 }
 
 // DeployedService is a service with the number of its targets, which are
@@ -177,7 +178,7 @@
 		Routing:  loader.RoutingSettings{Policy: f.Deployment.Policy},
 		Limits:   loader.LimitSettings{SettleTime: settleTime},
 	}
-	daemon := runner.New(settings, logger.Logger{}, listeners)
+	daemon := runner.New(settings, f.Deployment.Log, listeners)
 	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	f.Daemons = append(f.Daemons, daemon)
 	f.stops = append(f.stops, stop)
--- a/runner/abort.go
+++ b/runner/abort.go
@@ -13,11 +13,12 @@
 	mu      sync.Mutex
 	aborted bool
 	open    map[net.Conn]struct{}
+	gate    gate
 }
 
 var errAborted = errors.New("the instance has crashed")
 
-func (s *sockets) add(conn net.Conn) (net.Conn, error) {
+func (s *sockets) add(conn net.Conn, address string) (net.Conn, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.aborted {
@@ -27,7 +28,7 @@
 	if s.open == nil {
 		s.open = map[net.Conn]struct{}{}
 	}
-	kept := &keptConn{Conn: conn, sockets: s}
+	kept := &keptConn{Conn: newGatedConn(conn, &s.gate, address), sockets: s}
 	s.open[kept] = struct{}{}
 	return kept, nil
 }
@@ -47,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return s.add(conn)
+	return s.add(conn, address)
 }
 
 type keptConn struct {
@@ -74,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return l.sockets.add(conn)
+	return l.sockets.add(conn, "")
 }
 
 // Abort closes every socket of the instance at once, with no handover, so that
