--- a/runner/entry.go
+++ b/runner/entry.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"hemlocktally"
 	"hemlocktally/dialer"
 	"hemlocktally/dispatcher"
 	"hemlocktally/logger"
@@ -88,3 +89,6 @@
 	}
 	w.WriteHeader(http.StatusOK)
 }
+
+// Configuration returns the configuration in force at the instance.
+func (d *Daemon) Configuration() *hemlocktally.Configuration { return d.configurator.Current() }
