--- a/runner/entry.go
+++ b/runner/entry.go
@@ -26,7 +26,7 @@
 	limits := d.Settings.Limits
 	server := d.server(d.endConnections(&dispatcher.Dispatcher{
 		Self: d.self.ID, Configuration: d.configurator, Granter: d.granter, Recorder: d.recorder,
-		Links: d.links, Log: d.Log, BodyLimit: limits.BodyBytes, HoldBack: limits.HoldBackBytes,
+		Claimer: d.claims, Links: d.links, Log: d.Log, BodyLimit: limits.BodyBytes, HoldBack: limits.HoldBackBytes,
 		ReadTimeout: limits.ReadBodyTimeout, WriteTimeout: limits.WriteTimeout,
 	}))
 	server.Protocols = callerProtocols()
@@ -72,6 +72,7 @@
 
 func (d *Daemon) noteLeaving(ctx context.Context) {
 	d.leaving.Store(true)
+	d.registrar.Leave()
 	d.Log.Log(logger.EventStopping, logger.Fields{"Instance": d.self.ID, "Cause": context.Cause(ctx).Error()})
 	d.Log.Log(logger.EventSettling, logger.Fields{"Instance": d.self.ID, "Settle": d.Settings.Limits.SettleTime})
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -16,8 +16,11 @@
 
 	"hemlocktally"
 	"hemlocktally/allocator"
+	"hemlocktally/claimer"
+	"hemlocktally/commander"
 	"hemlocktally/configurator"
 	"hemlocktally/dialer"
+	"hemlocktally/inspector"
 	"hemlocktally/loader"
 	"hemlocktally/logger"
 	"hemlocktally/recorder"
@@ -76,7 +79,19 @@
 	granter      hemlocktally.Granter
 	peerHTTP     *http.Client
 	links        *dialer.Dialer
+	claimHolder  *claimer.Server
+	claims       *claimer.Client
+	controlHTTP  *http.Client // controlHTTP keeps heartbeats apart from calls for turns.
 	leaving      atomic.Bool
+	inspector    *inspector.Inspector
+	commander    *commander.Commander
+	offers       chan struct{} // offers holds one item for each command that is being followed.
+	certificate  *certificate
+	peerTraffic  trafficCounter
+	storeTraffic trafficCounter
+	started      time.Time
+	sockets      sockets
+	peerDelay    atomic.Pointer[PeerDelay]
 }
 
 // New assembles an instance. The listeners stay open until Run ends.
@@ -91,9 +106,14 @@
 		OperatorAddress: listeners.Operators.Addr().String(),
 		State:           hemlocktally.InstanceServing,
 	}
+	d.started = time.Now()
+	d.certificate = &certificate{keys: d.Settings.Keys, log: log}
+	d.keepListeners()
 	d.assemblePlatform()
 	d.assembleTally()
+	d.assembleClaims()
 	d.assembleEntry()
+	d.assembleInspection()
 	return d
 }
 
@@ -114,9 +134,9 @@
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var group run.Group
-	group.Add(func() error { return d.serveCallers(ctx) }, func(error) {})
+	group.Add(func() error { return d.serveCallersAndLeave(ctx) }, func(error) {})
 	for _, task := range []func(context.Context) error{
-		d.links.Run, d.configurator.Run, d.registrar.Run, d.tally.Run, d.servePeers, d.serveOperators,
+		d.links.Run, d.configurator.Run, d.registrar.Run, d.tally.Run, d.claimHolder.Run, d.servePeers, d.serveOperators,
 	} {
 		group.Add(func() error { return task(inner) }, func(error) { cancel() })
 	}
@@ -164,12 +184,14 @@
 func (d *Daemon) closeIdle() {
 	d.links.CloseIdle()
 	d.peerHTTP.CloseIdleConnections()
+	d.controlHTTP.CloseIdleConnections()
+	d.store.HTTP.CloseIdleConnections()
 }
 
 // Ready reports whether the instance has a configuration and knows of at least
 // the given number of members.
 func (d *Daemon) Ready(members int) bool {
-	return d.configurator.Current().Revision > 0 && len(d.registrar.View().Members) >= members
+	return d.claimHolder.Ready() && d.configurator.Current().Revision > 0 && len(d.registrar.View().Members) >= members
 }
 
 // Change offers a change to the store.
