Configurator: changes by compare-and-swap, spread between peers, provisional stops

Cause: the whole configuration lay in one value, which 20,000 targets outgrow; every instance polled it; a lost answer was an error; the loser of a race saw only an ID; nothing could be done in an outage. Change: one head is swapped per change and carries the changes since the last

Lost answers are settled by change ID, a repeat returns the first acceptance, a RaceError holds the winner's change. A pure State only lets revisions rise, and a chained hash finds other content of the same revision. Changes go from peer to peer, with reconciliation; few watchers a zone. A stop in an outage is provisional, marked, and settled by the store. InForce, WaitInForce and History are new. Figures: none measured on sockets yet. Conclusion: revisions neither revert nor diverge in these tests.

--- a/change.go
+++ b/change.go
@@ -48,6 +48,12 @@
 	Revision   Revision
 	AcceptedAt time.Time
 	Change     Change
+	Hash       string // Hash is the configuration's hash after the change.
+}
+
+// IsStop reports whether the command only takes something out of service.
+func (c Command) IsStop() bool {
+	return c.Kind == CommandZoneOut || c.Kind == CommandTargetOut || c.Kind == CommandInstanceOut
 }
 
 // Apply returns the configuration after an accepted change. The receiver is
@@ -63,6 +69,7 @@
 	next.ChangeID = accepted.Change.ID
 	next.Author = accepted.Change.Author
 	next.AcceptedAt = accepted.AcceptedAt
+	next.Hash = accepted.Hash
 	return next, nil
 }
 
--- a/configuration.go
+++ b/configuration.go
@@ -19,6 +19,12 @@
 	Contracts    []Contract
 	Callers      []Caller
 	InstancesOut []InstanceID
+	// Hash sums up all accepted changes up to the revision. The same revision
+	// with another hash is another configuration.
+	Hash string
+	// Provisional holds the stops that are in force among the instances but not
+	// yet accepted by the store. Their effect is already in the fields above.
+	Provisional []ProvisionalStop `json:",omitempty"`
 }
 
 // Configurer gives the configuration in force.
--- a/configurator/configurator.go
+++ b/configurator/configurator.go
@@ -1,35 +1,72 @@
-// Package configurator keeps the configuration in force: it reads accepted
-// revisions from the store and never goes back to an older one.
+// Package configurator keeps the configuration in force. Changes are accepted
+// by compare-and-swap of one head in the store and spread from peer to peer; a
+// State decides in pure steps what is put in force, and never goes back to an
+// older revision or to other content of the same one.
 package configurator
 
 import (
 	"context"
-	"encoding/json"
+	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"hemlocktally"
+	"hemlocktally/logger"
 )
 
 // Error is the class of this package's errors.
 var Error = errs.Class("configurator")
 
-// Configurator follows the configuration in the store. It implements
-// hemlocktally.Configurer.
+// Configurator follows the configuration for one instance. It implements
+// hemlocktally.Configurer and messenger.Configuration.
 type Configurator struct {
 	Store hemlocktally.Store
+	// Self and Members say whom to spread changes to; without Members the
+	// instance is alone with the store.
+	Self    hemlocktally.InstanceID
+	Members hemlocktally.Viewer
+	// HTTP sends to peers; it adds the peers' key.
+	HTTP *http.Client
+	// Applied returns the revision that the parts of the instance act on, where
+	// that may lag behind the one in force; nil means that it does not.
+	Applied func() hemlocktally.Revision
+	// SettleLimit bounds the reading back of a lost answer, beyond the caller's
+	// own time, so that an operator who gave up does not leave it open; zero
+	// means DefaultSettleLimit.
+	SettleLimit time.Duration
+	Log         logger.Logger
 
-	current atomic.Pointer[hemlocktally.Configuration]
+	mu        sync.Mutex
+	state     State
+	current   atomic.Pointer[hemlocktally.Configuration]
+	once      sync.Once
+	outbox    chan Cmd
+	divergent atomic.Uint64
+	messages  atomic.Uint64
+	bytes     atomic.Uint64
 }
 
+// The sources of a configuration besides peers.
 const (
-	headKey      = "Configuration/Head"
-	pollInterval = 500 * time.Millisecond
+	sourceStore = "store"
+	sourceHere  = "this instance"
+	outboxSize  = 256
 )
 
-// Current returns the configuration in force; it is empty before the first.
+// workCmd is work for the background of Run.
+type workCmd struct {
+	work func(context.Context)
+}
+
+func (c *Configurator) init() {
+	c.once.Do(func() { c.outbox = make(chan Cmd, outboxSize) })
+}
+
+// Current returns the configuration in force, provisional stops included; it is
+// empty before the first. The pointer stays the same until something changes.
 func (c *Configurator) Current() *hemlocktally.Configuration {
 	if config := c.current.Load(); config != nil {
 		return config
@@ -37,87 +74,75 @@
 	return &hemlocktally.Configuration{}
 }
 
-// Run follows the store until the context ends.
-func (c *Configurator) Run(ctx context.Context) error {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
-		_ = c.refresh(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+// Divergences returns how often other content was offered for a revision.
+func (c *Configurator) Divergences() uint64 { return c.divergent.Load() }
+
+// Traffic returns how many messages were exchanged with peers, and their bytes
+// without headers.
+func (c *Configurator) Traffic() (messages, bytes uint64) {
+	return c.messages.Load(), c.bytes.Load()
 }
 
-func (c *Configurator) refresh(ctx context.Context) error {
-	entry, err := c.Store.Get(ctx, headKey)
-	if err != nil {
-		return Error.Wrap(err)
+// History returns the newest accepted changes that are kept, newest first.
+func (c *Configurator) History(limit int) []hemlocktally.Accepted {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []hemlocktally.Accepted
+	for i := len(c.state.recent) - 1; i >= 0 && len(list) < limit; i-- {
+		list = append(list, c.state.recent[i])
 	}
-	var config hemlocktally.Configuration
-	if err := json.Unmarshal(entry.Value, &config); err != nil {
-		return Error.Wrap(err)
-	}
-	c.install(&config)
-	return nil
+	return list
 }
 
-// install puts the configuration in force unless a newer one already is.
-func (c *Configurator) install(config *hemlocktally.Configuration) {
-	for {
-		present := c.current.Load()
-		if present != nil && present.Revision >= config.Revision {
-			return
-		}
-		if c.current.CompareAndSwap(present, config) {
-			return
-		}
-	}
+func (c *Configurator) archive() archive { return archive{store: c.Store} }
+
+// accepted returns the accepted configuration, without provisional stops.
+func (c *Configurator) accepted() *hemlocktally.Configuration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Accepted()
 }
 
-// Change offers a change to the store and returns the accepted revision. It
-// returns a *hemlocktally.RaceError where another change came first, and a
-// *hemlocktally.ChangeError where a command can't be applied.
-func (c *Configurator) Change(ctx context.Context, change hemlocktally.Change) (hemlocktally.Accepted, error) {
-	present, version, err := c.read(ctx)
-	if err != nil {
-		return hemlocktally.Accepted{}, err
-	}
-	if present.Revision != change.Base {
-		return hemlocktally.Accepted{}, &hemlocktally.RaceError{Base: change.Base, Winner: hemlocktally.Accepted{
-			Revision: present.Revision, AcceptedAt: present.AcceptedAt,
-			Change: hemlocktally.Change{ID: present.ChangeID, Author: present.Author},
-		}}
-	}
-	accepted := hemlocktally.Accepted{Revision: present.Revision + 1, AcceptedAt: time.Now().UTC(), Change: change}
-	next, err := present.Apply(accepted)
-	if err != nil {
-		return hemlocktally.Accepted{}, err
-	}
-	value, err := json.Marshal(next)
-	if err != nil {
-		return hemlocktally.Accepted{}, Error.Wrap(err)
+// update takes one step and publishes what follows. Commands that need I/O are
+// left to Run; reconciliation makes up for those that don't fit its outbox.
+func (c *Configurator) update(msg Msg) {
+	c.init()
+	c.mu.Lock()
+	cmds := c.state.Update(msg, time.Now())
+	if len(cmds) > 0 {
+		if effective := c.state.Effective(); effective.Revision > 0 || len(effective.Provisional) > 0 {
+			c.current.Store(effective)
+		}
 	}
-	if _, err := c.Store.Swap(ctx, hemlocktally.Entry{Key: headKey, Value: value, Version: version}); err != nil {
-		return hemlocktally.Accepted{}, Error.Wrap(err)
+	c.mu.Unlock()
+	for _, cmd := range cmds {
+		c.log(cmd)
+		select {
+		case c.outbox <- cmd:
+		default:
+		}
 	}
-	c.install(next)
-	return accepted, nil
 }
 
-func (c *Configurator) read(ctx context.Context) (*hemlocktally.Configuration, hemlocktally.StoreVersion, error) {
-	entry, err := c.Store.Get(ctx, headKey)
-	if isAbsent(err) {
-		return &hemlocktally.Configuration{}, 0, nil
-	}
-	if err != nil {
-		return nil, 0, Error.Wrap(err)
-	}
-	var config hemlocktally.Configuration
-	if err := json.Unmarshal(entry.Value, &config); err != nil {
-		return nil, 0, Error.Wrap(err)
+// Run follows the store and the peers until the context ends.
+func (c *Configurator) Run(ctx context.Context) error {
+	c.init()
+	work, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t := &task{configurator: c, ctx: work, slots: make(chan struct{}, concurrency)}
+	defer t.running.Wait()
+	defer cancel()
+	t.running.Go(func() { c.follow(work) })
+	ticker := time.NewTicker(reconcileTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case cmd := <-c.outbox:
+			t.run(cmd)
+		case now := <-ticker.C:
+			t.tick(now)
+		}
 	}
-	return &config, entry.Version, nil
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -21,8 +21,11 @@
 type Registrar struct {
 	Store hemlocktally.Store
 	Self  hemlocktally.Instance
-	// Configuration tells the revision in force and who was taken out.
+	// Configuration tells who was taken out.
 	Configuration hemlocktally.Configurer
+	// Acting returns the revision that the instance acts on and reports; nil
+	// means the one in force.
+	Acting func() hemlocktally.Revision
 	// HTTP sends to peers; it adds the peers' key.
 	HTTP *http.Client
 	// InstanceList is the base URL of the platform's list; empty means none.
@@ -136,7 +139,11 @@
 		return TickMsg{}
 	}
 	config := r.Configuration.Current()
-	return TickMsg{Revision: config.Revision, Out: config.InstanceOut(r.Self.ID) || config.ZoneOut(r.Self.Zone)}
+	revision := config.Revision
+	if r.Acting != nil {
+		revision = r.Acting()
+	}
+	return TickMsg{Revision: revision, Out: config.InstanceOut(r.Self.ID) || config.ZoneOut(r.Self.Zone)}
 }
 
 // watch brings the records of the store while the instance is a watcher.
--- a/registrar/simulation_test.go
+++ b/registrar/simulation_test.go
@@ -157,6 +157,10 @@
 		n.fault = "a frozen view was emptied"
 	}
 	n.last = view
+	s.checkLease(n)
+}
+
+func (s *simulation) checkLease(n *node) {
 	lease := n.state.Lease()
 	if lease.live(s.now) && n.ended[lease.id] {
 		n.fault = "a lease came back after its end"
--- a/runner/peers.go
+++ b/runner/peers.go
@@ -19,6 +19,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(messenger.AllocationPathPrefix, messenger.NewAllocationServer(d.tally))
 	mux.Handle(messenger.MembershipPathPrefix, messenger.NewMembershipServer(d.registrar))
+	mux.Handle(messenger.ConfigurationPathPrefix, messenger.NewConfigurationServer(d.configurator))
 	server := d.server(requireKey(d.Settings.Keys.Peer, mux))
 	return serveUntil(ctx, server, d.Listeners.Peers, peerStopTimeout)
 }
--- a/runner/platform.go
+++ b/runner/platform.go
@@ -20,9 +20,10 @@
 	d.controlHTTP = &http.Client{Transport: &keyTransport{key: d.Settings.Keys.Peer, next: &http.Transport{
 		MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute,
 	}}}
-	d.configurator = &configurator.Configurator{Store: d.store}
+	d.configurator = &configurator.Configurator{Store: d.store, Self: d.self.ID, HTTP: d.controlHTTP, Log: d.Log}
 	d.registrar = &registrar.Registrar{
-		Store: d.store, Self: d.self, Configuration: d.configurator, HTTP: d.controlHTTP,
+		Store: d.store, Self: d.self, Configuration: d.configurator, Acting: d.configurator.Acting, HTTP: d.controlHTTP,
 		InstanceList: d.Settings.Platform.InstanceList, Seed: rand.Uint64(), Sized: d.store.SetMembers, Log: d.Log,
 	}
+	d.configurator.Members = d.registrar
 }
