--- a/experimenter/experimenter.go
+++ b/experimenter/experimenter.go
@@ -59,6 +59,7 @@
 	daemons      sync.WaitGroup
 	mu           sync.Mutex
 	failures     []error
+	crashed      map[int]bool
 }
 
 // The keys that instances and operators of an experiment use.
@@ -70,6 +71,10 @@
 // NonIdempotentWork starts the name of work that must not run twice.
 const NonIdempotentWork = "once-"
 
+// settleTime is short here: the stand-in of the platform's balancer sees at once
+// that an instance is leaving.
+const settleTime = 200 * time.Millisecond
+
 const startTimeout = 10 * time.Second
 
 // Start runs the deployment and returns once every instance is ready.
@@ -170,12 +175,17 @@
 		Platform: loader.PlatformSettings{Store: f.StoreURL},
 		Keys:     loader.KeySettings{Peer: PeerKey, Operator: OperatorKey},
 		Routing:  loader.RoutingSettings{Policy: f.Deployment.Policy},
+		Limits:   loader.LimitSettings{SettleTime: settleTime},
 	}
 	daemon := runner.New(settings, logger.Logger{}, listeners)
 	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	f.Daemons = append(f.Daemons, daemon)
 	f.stops = append(f.stops, stop)
-	f.daemons.Go(func() { f.fail(daemon.Run(ctx)) })
+	f.daemons.Go(func() {
+		if err := daemon.Run(ctx); !f.Crashed(i) {
+			f.fail(err)
+		}
+	})
 	return nil
 }
 
--- a/registrar/simulation_test.go
+++ b/registrar/simulation_test.go
@@ -160,6 +160,7 @@
 	s.checkLease(n)
 }
 
+// checkLease asserts that a lease ends once, and here before it does in the store.
 func (s *simulation) checkLease(n *node) {
 	lease := n.state.Lease()
 	if lease.live(s.now) && n.ended[lease.id] {
--- a/runner/peers.go
+++ b/runner/peers.go
@@ -6,6 +6,7 @@
 	"crypto/subtle"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"hemlocktally/messenger"
@@ -18,23 +19,59 @@
 func (d *Daemon) servePeers(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.Handle(messenger.AllocationPathPrefix, messenger.NewAllocationServer(d.tally))
+	mux.Handle(messenger.InspectionPathPrefix, messenger.NewInspectionServer(d.inspector))
+	mux.Handle(messenger.ClaimsPathPrefix, messenger.NewClaimsServer(d.claimHolder))
 	mux.Handle(messenger.MembershipPathPrefix, messenger.NewMembershipServer(d.registrar))
 	mux.Handle(messenger.ConfigurationPathPrefix, messenger.NewConfigurationServer(d.configurator))
 	server := d.server(requireKey(d.Settings.Keys.Peer, mux))
-	return serveUntil(ctx, server, d.Listeners.Peers, peerStopTimeout)
+	return d.serveSecure(ctx, server, &countedListener{d.Listeners.Peers, &d.peerTraffic})
+}
+
+// Idle links kept to each peer: heartbeats need few, turns need many.
+const (
+	controlLinks = 2
+	tallyLinks   = 256
+)
+
+// peerClient returns a client that shows the peers' key and keeps the given
+// number of idle links to each peer.
+func (d *Daemon) peerClient(links int) *http.Client {
+	return &http.Client{Transport: &keyTransport{key: d.Settings.Keys.Peer, delay: &d.peerDelay, next: &http.Transport{
+		MaxIdleConnsPerHost: links, IdleConnTimeout: time.Minute,
+		DialContext: d.peerTraffic.through(d.sockets.dial), TLSClientConfig: d.certificate.clientConfig(),
+	}}}
 }
 
 // keyTransport adds the peers' key to each request.
 type keyTransport struct {
-	key  string
-	next *http.Transport
+	key   string
+	next  *http.Transport
+	delay *atomic.Pointer[PeerDelay]
 }
 
+// PeerDelay gives the one-way delay to a peer's address.
+type PeerDelay func(address string) time.Duration
+
+// DelayPeers adds a delay to each call of a peer, there and back, so that the
+// bench can place instances in zones at a distance.
+func (d *Daemon) DelayPeers(delay PeerDelay) { d.peerDelay.Store(&delay) }
+
 // RoundTrip sends a copy of the request with the key.
 func (t *keyTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	r.Header.Set("Authorization", "Bearer "+t.key)
-	return t.next.RoundTrip(r)
+	if t.next.TLSClientConfig != nil {
+		r.URL.Scheme = "https"
+	}
+	delay := t.delay.Load()
+	if delay == nil {
+		return t.next.RoundTrip(r)
+	}
+	oneWay := (*delay)(r.URL.Host)
+	time.Sleep(oneWay)
+	response, err := t.next.RoundTrip(r)
+	time.Sleep(oneWay)
+	return response, err
 }
 
 // CloseIdleConnections closes the links that no request uses.
--- a/runner/platform.go
+++ b/runner/platform.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"net/http"
-	"time"
 
 	"hemlocktally/configurator"
 	"hemlocktally/registrar"
@@ -15,11 +14,9 @@
 func (d *Daemon) assemblePlatform() {
 	d.store = &storer.Client{
 		Base: d.Settings.Platform.Store, Key: d.Settings.Platform.Key, Timeout: d.Settings.Platform.Timeout,
-		HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}, Log: d.Log,
+		HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DialContext: d.storeTraffic.through(d.sockets.dial)}}, Log: d.Log,
 	}
-	d.controlHTTP = &http.Client{Transport: &keyTransport{key: d.Settings.Keys.Peer, next: &http.Transport{
-		MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute,
-	}}}
+	d.controlHTTP = d.peerClient(controlLinks)
 	d.configurator = &configurator.Configurator{Store: d.store, Self: d.self.ID, HTTP: d.controlHTTP, Log: d.Log}
 	d.registrar = &registrar.Registrar{
 		Store: d.store, Self: d.self, Configuration: d.configurator, Acting: d.configurator.Acting, HTTP: d.controlHTTP,
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -16,7 +16,11 @@
 
 	"hemlocktally"
 	"hemlocktally/allocator"
+	"hemlocktally/claimer"
+	"hemlocktally/commander"
 	"hemlocktally/configurator"
+	"hemlocktally/dialer"
+	"hemlocktally/inspector"
 	"hemlocktally/loader"
 	"hemlocktally/logger"
 	"hemlocktally/recorder"
@@ -74,9 +78,20 @@
 	tally        *allocator.Server
 	granter      hemlocktally.Granter
 	peerHTTP     *http.Client
+	links        *dialer.Dialer
+	claimHolder  *claimer.Server
+	claims       *claimer.Client
 	controlHTTP  *http.Client // controlHTTP keeps heartbeats apart from calls for turns.
-	links        *http.Transport
 	leaving      atomic.Bool
+	inspector    *inspector.Inspector
+	commander    *commander.Commander
+	offers       chan struct{} // offers holds one item for each command that is being followed.
+	certificate  *certificate
+	peerTraffic  trafficCounter
+	storeTraffic trafficCounter
+	started      time.Time
+	sockets      sockets
+	peerDelay    atomic.Pointer[PeerDelay]
 }
 
 // New assembles an instance. The listeners stay open until Run ends.
@@ -91,9 +106,14 @@
 		OperatorAddress: listeners.Operators.Addr().String(),
 		State:           hemlocktally.InstanceServing,
 	}
+	d.started = time.Now()
+	d.certificate = &certificate{keys: d.Settings.Keys, log: log}
+	d.keepListeners()
 	d.assemblePlatform()
 	d.assembleTally()
+	d.assembleClaims()
 	d.assembleEntry()
+	d.assembleInspection()
 	return d
 }
 
@@ -114,9 +134,9 @@
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var group run.Group
-	group.Add(func() error { return d.serveCallers(ctx) }, func(error) {})
+	group.Add(func() error { return d.serveCallersAndLeave(ctx) }, func(error) {})
 	for _, task := range []func(context.Context) error{
-		d.configurator.Run, d.registrar.Run, d.tally.Run, d.servePeers, d.serveOperators,
+		d.links.Run, d.configurator.Run, d.registrar.Run, d.tally.Run, d.claimHolder.Run, d.servePeers, d.serveOperators,
 	} {
 		group.Add(func() error { return task(inner) }, func(error) { cancel() })
 	}
@@ -137,6 +157,11 @@
 
 // serveUntil serves until the context ends, then shuts down within the limit.
 func serveUntil(ctx context.Context, server *http.Server, listener net.Listener, limit time.Duration) error {
+	return serveUntilWithin(ctx, server, listener, func() time.Duration { return limit })
+}
+
+// serveUntilWithin is serveUntil with a limit that is known only at the end.
+func serveUntilWithin(ctx context.Context, server *http.Server, listener net.Listener, limit func() time.Duration) error {
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	select {
@@ -144,7 +169,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit())
 	defer cancel()
 	err := server.Shutdown(stop)
 	if err != nil {
@@ -157,7 +182,7 @@
 }
 
 func (d *Daemon) closeIdle() {
-	d.links.CloseIdleConnections()
+	d.links.CloseIdle()
 	d.peerHTTP.CloseIdleConnections()
 	d.controlHTTP.CloseIdleConnections()
 	d.store.HTTP.CloseIdleConnections()
@@ -166,7 +191,7 @@
 // Ready reports whether the instance has a configuration and knows of at least
 // the given number of members.
 func (d *Daemon) Ready(members int) bool {
-	return d.configurator.Current().Revision > 0 && len(d.registrar.View().Members) >= members
+	return d.claimHolder.Ready() && d.configurator.Current().Revision > 0 && len(d.registrar.View().Members) >= members
 }
 
 // Change offers a change to the store.
