--- a/runner/peers.go
+++ b/runner/peers.go
@@ -22,6 +22,7 @@
 	mux.Handle(messenger.InspectionPathPrefix, messenger.NewInspectionServer(d.inspector))
 	mux.Handle(messenger.ClaimsPathPrefix, messenger.NewClaimsServer(d.claimHolder))
 	mux.Handle(messenger.MembershipPathPrefix, messenger.NewMembershipServer(d.registrar))
+	mux.Handle(messenger.ConfigurationPathPrefix, messenger.NewConfigurationServer(d.configurator))
 	server := d.server(requireKey(d.Settings.Keys.Peer, mux))
 	return d.serveSecure(ctx, server, &countedListener{d.Listeners.Peers, &d.peerTraffic})
 }
