--- a/cmd/hemlocktally/soak.go
+++ b/cmd/hemlocktally/soak.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -126,6 +128,9 @@
 	for _, row := range rows {
 		_, _ = fmt.Fprintf(table, "%s\t%d\n", row.name, row.value)
 	}
+	for _, reason := range slices.Sorted(maps.Keys(r.Reasons)) {
+		_, _ = fmt.Fprintf(table, "refused: %s\t%d\n", reason, r.Reasons[reason])
+	}
 	for _, failure := range r.StopFailed {
 		_, _ = fmt.Fprintf(table, "an instance ended with\t%s\n", failure)
 	}
--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -173,8 +174,13 @@
 		}
 		a.ranAs = c.work.name + "#" + ranAs
 	}
+	var refusal hemlocktally.Refusal
+	refused := a.outcome != hemlocktally.OutcomeDone && json.Unmarshal([]byte(answer), &refusal) == nil
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if refused {
+		s.report.Reasons[string(refusal.Outcome)+" "+string(refusal.Reason)]++
+	}
 	switch a.outcome {
 	case hemlocktally.OutcomeDone:
 		s.report.Done++
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -74,6 +74,7 @@
 	Changes     int
 	RacesLost   int
 	StopFailed  []string
+	Reasons     map[string]int // Reasons counts refusals by outcome and reason.
 }
 
 // Broke reports whether any promise was broken.
@@ -112,6 +113,7 @@
 func (s *Soak) Run(ctx context.Context) (Report, error) {
 	s.defaults()
 	s.report.Seed, s.report.Faults = s.Seed, len(s.Faults)
+	s.report.Reasons = map[string]int{}
 	deployment := experimenter.Association()
 	deployment.Instances, deployment.Seed, deployment.Log = s.Instances, s.Seed, s.logger()
 	fleet, err := experimenter.Start(ctx, deployment)
