--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -49,7 +49,7 @@
 	// without a time in it must not be used again after that.
 	KeyLifetime = 10 * time.Minute
 	// ClockMargin bounds how far the wall clocks of callers and instances differ.
-	ClockMargin = 2 * time.Second
+	ClockMargin = time.Second
 
 	maxKeyBytes        = 256
 	maxRecords         = 100_000
--- a/cmd/hemlocktally/soak.go
+++ b/cmd/hemlocktally/soak.go
@@ -116,6 +116,7 @@
 		{"changes accepted", r.Changes},
 		{"changes that lost a race or the store", r.RacesLost},
 		{"calls in a stopped zone, store or peers at fault", r.Hidden},
+		{"calls cut by planned stops of paused instances", r.CutPaused},
 		{"PROMISE doubled work", r.Doubled},
 		{"PROMISE false not run", r.FalseNotRun},
 		{"PROMISE mixed or short answers", r.Wrong},
--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -201,11 +201,16 @@
 	s := c.soak
 	s.mu.Lock()
 	s.report.Broken++
-	planned := x.stopping && !x.crashed && x.paused == 0
+	planned := x.stopping && !x.crashed
+	halted := x.halted
 	s.mu.Unlock()
 	var timeout interface{ Timeout() bool }
 	timedOut := errors.As(cause, &timeout) && timeout.Timeout()
+	counter := &s.report.Cut
+	if halted {
+		counter = &s.report.CutPaused
+	}
 	if planned && !timedOut {
-		s.broke(&s.report.Cut, 1, fmt.Sprintf("attempt %s at stopping instance %d: %v", a.name, x.index+1, cause))
+		s.broke(counter, 1, fmt.Sprintf("attempt %s at stopping instance %d: %v", a.name, x.index+1, cause))
 	}
 }
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -139,7 +139,7 @@
 		x.crashed = true
 		s.fleet.Crash(x.index)
 	} else {
-		x.stopping = true
+		x.stopping, x.halted = true, x.paused > 0
 		s.fleet.StopInstance(x.index)
 	}
 	if i, err := s.fleet.Add(ctx); err == nil {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -46,6 +46,7 @@
 	crashed  bool
 	stopping bool // stopping is set from the start of a planned stop.
 	paused   int
+	halted   bool // halted is set once the instance was paused and stopping at the same time.
 	revision hemlocktally.Revision
 }
 
@@ -70,6 +71,7 @@
 	ZoneWork    int // ZoneWork counts calls started in a zone more than 2 s after it was taken out, with the store up.
 	Cut         int // Cut counts calls cut by a planned stop.
 	Invariants  int // Invariants counts broken invariants that instances logged.
+	CutPaused   int // CutPaused is like Cut, at instances that were paused while they stopped.
 	Hidden      int // Hidden is like ZoneWork, while the store or peers were at fault.
 	Changes     int
 	RacesLost   int
