dialer: a link is ready before the first call; hedges aren't added time

A trial that printed the calls with more than 2 ms showed two kinds: in the first 400 ms calls that waited for their first link (new=true, up to 26 ms at once), and all along calls whose grant took 2 to 9 ms. Hedged calls also counted the first attempt's time at its target as the balancer's. Change: Run opens a link to each target that has none, 32 at once and for up to 512 targets; a new link counts as proven by its handshake; Serving of a call with several attempts is the time in which any of them had a turn.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -20,6 +20,9 @@
 	maxIdle      = 8                      // maxIdle bounds the idle links to one target.
 	dialTimeout  = 500 * time.Millisecond // dialTimeout bounds the opening of a link.
 	sweepEvery   = time.Second
+	warmEvery    = 100 * time.Millisecond
+	warmAtOnce   = 32  // warmAtOnce bounds the links that are opened ahead in one round.
+	maxWarm      = 512 // maxWarm is the number of targets above which no link is opened ahead.
 	linkBufBytes = 8 << 10
 	// maxAnswerHeaderBytes bounds the header of a target's answer.
 	maxAnswerHeaderBytes = 256 << 10
@@ -32,6 +35,9 @@
 // Viewer, the instance takes itself to be the only one.
 type Dialer struct {
 	Viewer hemlocktally.Viewer
+	// Configuration names the targets to which Run keeps a link ready; it may be
+	// nil.
+	Configuration hemlocktally.Configurer
 	// Dial opens a connection; nil means a net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -136,6 +142,8 @@
 		return nil, err
 	}
 	conn := &trackedConn{Conn: raw}
+	now := time.Now()
+	conn.heard.Store(&now) // The handshake proves the connection as an answer would.
 	client, err := d.transport.NewClientConn(context.WithValue(ctx, handOverKey{}, conn), "http", target.Address)
 	if err != nil {
 		_ = raw.Close()
@@ -183,6 +191,7 @@
 
 // Links returns how many links to the address are open.
 func (d *Dialer) Links(address string) int {
+	d.init()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if p := d.pools[address]; p != nil {
@@ -191,26 +200,73 @@
 	return 0
 }
 
-// Run closes links that nobody uses until the context ends, and then all that
-// are idle.
+// Run keeps a link to each target ready and closes those that nobody uses until
+// the context ends, and then all that are idle.
 func (d *Dialer) Run(ctx context.Context) error {
 	d.init()
-	ticker := time.NewTicker(sweepEvery)
+	swept := time.Now()
+	ticker := time.NewTicker(warmEvery)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			d.CloseIdle()
 			return nil
-		case <-ticker.C:
-			d.sweep(time.Now().Add(-idleLimit))
+		case now := <-ticker.C:
+			d.warm(ctx)
+			if now.Sub(swept) >= sweepEvery {
+				swept = now
+				d.sweep(now.Add(-idleLimit))
+			}
+		}
+	}
+}
+
+// warm opens a link to some of the targets that have none, so that the first
+// calls need not wait for one.
+func (d *Dialer) warm(ctx context.Context) {
+	if d.Configuration == nil {
+		return
+	}
+	left := warmAtOnce
+	config := d.Configuration.Current()
+	for _, service := range config.Services {
+		for _, target := range service.Targets {
+			if left == 0 {
+				return
+			}
+			if !config.TargetOut(target) && d.reserveFirst(target.Address) {
+				left--
+				d.openIdle(ctx, target)
+			}
 		}
 	}
 }
 
+// reserveFirst counts a link to be opened where there is none.
+func (d *Dialer) reserveFirst(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.pools[address] != nil || len(d.pools) >= maxWarm {
+		return false
+	}
+	d.pools[address] = &pool{open: 1}
+	return true
+}
+
+func (d *Dialer) openIdle(ctx context.Context, target hemlocktally.Target) {
+	l, err := d.dial(ctx, target)
+	if err != nil {
+		d.update(target.Address, func(p *pool) { p.lost() })
+		return
+	}
+	d.put(l, false)
+}
+
 // CloseIdle closes the idle links; those in use are closed when they are
 // released.
 func (d *Dialer) CloseIdle() {
+	d.init()
 	d.mu.Lock()
 	d.closed = true
 	d.mu.Unlock()
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -200,3 +200,32 @@
 	c.Check(errors.Is(err, refused), qt.IsTrue)
 	c.Check(d.Links("127.0.0.1:1"), qt.Equals, 0)
 }
+
+type fixedConfiguration struct{ config hemlocktally.Configuration }
+
+func (f *fixedConfiguration) Current() *hemlocktally.Configuration { return &f.config }
+
+func TestRunKeepsALinkReady(t *testing.T) {
+	c := qt.New(t)
+	stand, target := start(t)
+	out := target
+	out.Name, out.Address, out.Out = "b", "127.0.0.1:1", true
+	d := newDialer(t, nil)
+	d.Configuration = &fixedConfiguration{hemlocktally.Configuration{
+		Services: []hemlocktally.Service{{Name: "svc", Targets: []hemlocktally.Target{out, target}}},
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { c.Check(d.Run(ctx), qt.IsNil) })
+	for end := time.Now().Add(5 * time.Second); d.Links(target.Address) == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	link := take(t, d, hemlocktally.LinkRequest{Target: target})
+	c.Check(link.New(), qt.IsFalse)
+	c.Check(use(link, target.Address, time.Second), qt.IsNil)
+	link.Release(false)
+	c.Check(stand.Counters().Connections, qt.Equals, 1)
+	c.Check(d.Links(out.Address), qt.Equals, 0)
+	cancel()
+	group.Wait()
+}
--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -37,10 +37,11 @@
 		c.passWhole(answer)
 		return
 	}
+	streaming := time.Now()
 	outcome := c.stream(answer)
 	answer.ended <- outcome
 	a.cancel(errLost)
-	c.record.Serving = time.Since(a.sent)
+	c.record.Serving += time.Since(streaming)
 	c.record.Attempts[a.number-1].Outcome = outcome
 }
 
@@ -130,6 +131,7 @@
 func (c *call) note(msg any) {
 	switch msg := msg.(type) {
 	case grantedMsg:
+		c.busy.begin(time.Now())
 		r := &c.record.Attempts[msg.Attempt-1]
 		r.Grant, r.Owner, r.Target, r.Zone = msg.grant.ID, msg.grant.Owner, msg.grant.Target.Name, msg.grant.Target.Zone
 		r.Alone, r.Cold, r.Waited = msg.grant.Alone, msg.grant.Cold, msg.grant.Waited
@@ -140,15 +142,55 @@
 	case answeredMsg:
 		c.noteEnd(msg.Attempt, msg.trace, "")
 		c.attempts[msg.Attempt-1].answer = msg.answer
-		c.record.Serving = msg.trace.took
+		c.busy.end(time.Now())
+		c.record.Serving = c.served(msg.trace)
 		c.dispatcher.latencies.record(c.contract.Name, msg.trace.took, time.Now())
 	case failedMsg:
+		c.busy.end(time.Now())
 		c.noteEnd(msg.Attempt, msg.trace, msg.Error.Detail)
 	case GrantRefusedMsg:
 		c.noteEnd(msg.Attempt, attemptTrace{outcome: hemlocktally.AttemptUnused}, msg.Error.Error())
 	}
 }
 
+// served is how long targets were at work on the call: for a single attempt
+// from its link to its answer, else the time in which any attempt had a turn.
+func (c *call) served(winner attemptTrace) time.Duration {
+	if len(c.attempts) == 1 {
+		return winner.took
+	}
+	return max(winner.took, c.busy.at(time.Now()))
+}
+
+// busyTime adds up the time in which at least one attempt had a turn.
+type busyTime struct {
+	running int
+	since   time.Time
+	sum     time.Duration
+}
+
+func (b *busyTime) begin(now time.Time) {
+	if b.running == 0 {
+		b.since = now
+	}
+	b.running++
+}
+
+func (b *busyTime) end(now time.Time) {
+	b.running--
+	if b.running == 0 {
+		b.sum += now.Sub(b.since)
+	}
+}
+
+// at returns the sum up to now.
+func (b *busyTime) at(now time.Time) time.Duration {
+	if b.running == 0 {
+		return b.sum
+	}
+	return b.sum + now.Sub(b.since)
+}
+
 func (c *call) noteEnd(attempt int, trace attemptTrace, detail string) {
 	r := &c.record.Attempts[attempt-1]
 	r.Outcome, r.Took, r.NewLink, r.BytesOut, r.Detail = trace.outcome, trace.took, trace.newLink, trace.sent, detail
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -220,6 +220,7 @@
 	}
 	answer.rest = response.Body
 	answer.ended = make(chan hemlocktally.AttemptOutcome, 1)
+	result.Latency = time.Since(a.sent)
 	msg.trace = a.trace(*result)
 	a.call.inbox <- msg
 	a.awaitPassed(ctx, answer, result)
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -30,6 +30,7 @@
 	broken     bool                     // broken is set where an answer could not be passed on whole.
 
 	plan     Plan
+	busy     busyTime
 	attempts []*attempt
 	inbox    chan any // inbox takes the messages of the attempts.
 	hedge    *time.Timer
--- a/runner/added_bench_test.go
+++ b/runner/added_bench_test.go
@@ -47,6 +47,7 @@
 }
 
 func benchmarkAdded(b *testing.B, policy string, rate int) {
+	b.Helper()
 	c := qt.New(b)
 	fleet, err := experimenter.Start(context.Background(), experimenter.Deployment{
 		Name: "bench", Zones: []hemlocktally.ZoneName{"one"}, Instances: 3, Seed: 1, Policy: policy,
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -15,7 +15,7 @@
 // assembleEntry makes the links to targets.
 func (d *Daemon) assembleEntry() {
 	d.recorder = &recorder.Recorder{}
-	d.links = &dialer.Dialer{Viewer: d.registrar}
+	d.links = &dialer.Dialer{Viewer: d.registrar, Configuration: d.configurator}
 }
 
 // serveCallers serves calls until the context ends and all calls are finished.
