--- a/runner/platform.go
+++ b/runner/platform.go
@@ -17,9 +17,10 @@
 		HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DialContext: d.storeTraffic.through(d.sockets.dial)}}, Log: d.Log,
 	}
 	d.controlHTTP = d.peerClient(controlLinks)
-	d.configurator = &configurator.Configurator{Store: d.store}
+	d.configurator = &configurator.Configurator{Store: d.store, Self: d.self.ID, HTTP: d.controlHTTP, Log: d.Log}
 	d.registrar = &registrar.Registrar{
-		Store: d.store, Self: d.self, Configuration: d.configurator, HTTP: d.controlHTTP,
+		Store: d.store, Self: d.self, Configuration: d.configurator, Acting: d.configurator.Acting, HTTP: d.controlHTTP,
 		InstanceList: d.Settings.Platform.InstanceList, Seed: rand.Uint64(), Sized: d.store.SetMembers, Log: d.Log,
 	}
+	d.configurator.Members = d.registrar
 }
