--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -64,10 +64,15 @@
 
 // Share returns how many links to the target this instance may hold.
 func (d *Dialer) Share(target hemlocktally.Target) int {
-	instances := 1
+	instances := 0
 	if d.Viewer != nil {
-		instances = max(1, len(d.Viewer.View().Serving()))
+		for _, member := range d.Viewer.View().Members {
+			if member.State == hemlocktally.InstanceServing {
+				instances++
+			}
+		}
 	}
+	instances = max(1, instances)
 	return max(1, int(float64(target.ConnectionLimit())*(1-shareReserve))/instances)
 }
 
--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -12,6 +12,12 @@
 	"hemlocktally"
 )
 
+// endless reports whether the end of an answer is marked by nothing but the end
+// of its connection, so that a broken one would look whole.
+func endless(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
+}
+
 // readHeld reads an answer up to one byte more than the bound. The error says
 // that the answer broke off.
 func readHeld(response *http.Response, bound int64) ([]byte, error) {
@@ -61,13 +67,13 @@
 		}
 	}
 	stripHopByHop(header)
-	header.Set(hemlocktally.HeaderCall, string(c.record.Call))
-	header.Set(hemlocktally.HeaderOutcome, string(hemlocktally.OutcomeDone))
+	header[hemlocktally.HeaderCall] = []string{string(c.record.Call)}
+	header[hemlocktally.HeaderOutcome] = []string{string(hemlocktally.OutcomeDone)}
 	switch {
 	case status == http.StatusNoContent:
 		header.Del("Content-Length")
 	case length >= 0 && status != http.StatusNotModified:
-		header.Set("Content-Length", strconv.FormatInt(length, 10))
+		header["Content-Length"] = []string{strconv.FormatInt(length, 10)}
 	}
 	c.writer.WriteHeader(status)
 }
--- a/dispatcher/answer_test.go
+++ b/dispatcher/answer_test.go
@@ -53,6 +53,7 @@
 
 func TestBrokenHeldAnswerIsRetriedElsewhere(t *testing.T) {
 	for _, broken := range []string{
+		"HTTP/1.1 200 OK\r\n\r\nan answer without a marked end", "HTTP/1.0 200 OK\r\n\r\nolder, and without one too",
 		"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
 	} {
 		c := qt.New(t)
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -202,6 +202,9 @@
 		return a.sendError(ctx, errors.New("the target switched protocols"), result)
 	}
 	held, err := readHeld(response, a.call.dispatcher.HoldBack)
+	if err == nil && endless(response) {
+		err = errors.New("the answer has neither a length nor chunks, so it can't be known to be whole")
+	}
 	if err != nil {
 		failed := a.sendError(ctx, err, result)
 		if failed.Error.Reason == hemlocktally.ReasonTargetFailed {
