--- a/dispatcher/failure.go
+++ b/dispatcher/failure.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"hemlocktally"
@@ -63,30 +64,43 @@
 	}
 }
 
-// watchSilence ends an attempt of idempotent work whose link seems to have lost
-// its other end. It returns a function that ends the watch.
+// silenceWatch ends an attempt whose link seems to have lost its other end.
+type silenceWatch struct {
+	mu      sync.Mutex
+	stopped bool
+	timer   *time.Timer
+}
+
+// watchSilence starts a watch for an attempt of idempotent work. It returns a
+// function that ends the watch; the link is not looked at after that.
 func (a *attempt) watchSilence() func() {
 	c := a.call
 	if c.contract.NonIdempotent || c.body.streamed() {
 		return func() {}
 	}
 	patience := c.dispatcher.latencies.patience(c.contract.Name, time.Until(c.deadline), time.Now())
-	stop := make(chan struct{})
-	timer := time.AfterFunc(patience, func() {
-		for {
-			if a.link.Silent() {
-				a.cancel(errSilent)
-				return
-			}
-			select {
-			case <-stop:
-				return
-			case <-time.After(patience):
-			}
-		}
-	})
-	return func() {
-		timer.Stop()
-		close(stop)
+	w := &silenceWatch{}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(patience, func() { w.look(a, patience) })
+	return w.stop
+}
+
+func (w *silenceWatch) look(a *attempt, patience time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.stopped:
+	case a.link.Silent():
+		a.cancel(errSilent)
+	default:
+		w.timer.Reset(patience)
 	}
 }
+
+func (w *silenceWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
