--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -12,6 +12,12 @@
 	"hemlocktally"
 )
 
+// endless reports whether the end of an answer is marked by nothing but the end
+// of its connection, so that a broken one would look whole.
+func endless(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
+}
+
 // readHeld reads an answer up to one byte more than the bound. The error says
 // that the answer broke off.
 func readHeld(response *http.Response, bound int64) ([]byte, error) {
@@ -37,10 +43,11 @@
 		c.passWhole(answer)
 		return
 	}
+	streaming := time.Now()
 	outcome := c.stream(answer)
 	answer.ended <- outcome
 	a.cancel(errLost)
-	c.record.Serving = time.Since(a.sent)
+	c.record.Serving += time.Since(streaming)
 	c.record.Attempts[a.number-1].Outcome = outcome
 }
 
@@ -60,13 +67,13 @@
 		}
 	}
 	stripHopByHop(header)
-	header.Set(hemlocktally.HeaderCall, string(c.record.Call))
-	header.Set(hemlocktally.HeaderOutcome, string(hemlocktally.OutcomeDone))
+	header[hemlocktally.HeaderCall] = []string{string(c.record.Call)}
+	header[hemlocktally.HeaderOutcome] = []string{string(hemlocktally.OutcomeDone)}
 	switch {
 	case status == http.StatusNoContent:
 		header.Del("Content-Length")
 	case length >= 0 && status != http.StatusNotModified:
-		header.Set("Content-Length", strconv.FormatInt(length, 10))
+		header["Content-Length"] = []string{strconv.FormatInt(length, 10)}
 	}
 	c.writer.WriteHeader(status)
 }
@@ -130,6 +137,7 @@
 func (c *call) note(msg any) {
 	switch msg := msg.(type) {
 	case grantedMsg:
+		c.busy.begin(time.Now())
 		r := &c.record.Attempts[msg.Attempt-1]
 		r.Grant, r.Owner, r.Target, r.Zone = msg.grant.ID, msg.grant.Owner, msg.grant.Target.Name, msg.grant.Target.Zone
 		r.Alone, r.Cold, r.Waited = msg.grant.Alone, msg.grant.Cold, msg.grant.Waited
@@ -140,15 +148,55 @@
 	case answeredMsg:
 		c.noteEnd(msg.Attempt, msg.trace, "")
 		c.attempts[msg.Attempt-1].answer = msg.answer
-		c.record.Serving = msg.trace.took
+		c.busy.end(time.Now())
+		c.record.Serving = c.served(msg.trace)
 		c.dispatcher.latencies.record(c.contract.Name, msg.trace.took, time.Now())
 	case failedMsg:
+		c.busy.end(time.Now())
 		c.noteEnd(msg.Attempt, msg.trace, msg.Error.Detail)
 	case GrantRefusedMsg:
 		c.noteEnd(msg.Attempt, attemptTrace{outcome: hemlocktally.AttemptUnused}, msg.Error.Error())
 	}
 }
 
+// served is how long targets were at work on the call: for a single attempt
+// from its link to its answer, else the time in which any attempt had a turn.
+func (c *call) served(winner attemptTrace) time.Duration {
+	if len(c.attempts) == 1 {
+		return winner.took
+	}
+	return max(winner.took, c.busy.at(time.Now()))
+}
+
+// busyTime adds up the time in which at least one attempt had a turn.
+type busyTime struct {
+	running int
+	since   time.Time
+	sum     time.Duration
+}
+
+func (b *busyTime) begin(now time.Time) {
+	if b.running == 0 {
+		b.since = now
+	}
+	b.running++
+}
+
+func (b *busyTime) end(now time.Time) {
+	b.running--
+	if b.running == 0 {
+		b.sum += now.Sub(b.since)
+	}
+}
+
+// at returns the sum up to now.
+func (b *busyTime) at(now time.Time) time.Duration {
+	if b.running == 0 {
+		return b.sum
+	}
+	return b.sum + now.Sub(b.since)
+}
+
 func (c *call) noteEnd(attempt int, trace attemptTrace, detail string) {
 	r := &c.record.Attempts[attempt-1]
 	r.Outcome, r.Took, r.NewLink, r.BytesOut, r.Detail = trace.outcome, trace.took, trace.newLink, trace.sent, detail
