--- a/runner/entry.go
+++ b/runner/entry.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"hemlocktally"
 	"hemlocktally/dialer"
 	"hemlocktally/dispatcher"
 	"hemlocktally/logger"
@@ -71,6 +72,7 @@
 
 func (d *Daemon) noteLeaving(ctx context.Context) {
 	d.leaving.Store(true)
+	d.registrar.Leave()
 	d.Log.Log(logger.EventStopping, logger.Fields{"Instance": d.self.ID, "Cause": context.Cause(ctx).Error()})
 	d.Log.Log(logger.EventSettling, logger.Fields{"Instance": d.self.ID, "Settle": d.Settings.Limits.SettleTime})
 }
@@ -88,3 +90,6 @@
 	}
 	w.WriteHeader(http.StatusOK)
 }
+
+// Configuration returns the configuration in force at the instance.
+func (d *Daemon) Configuration() *hemlocktally.Configuration { return d.configurator.Current() }
--- a/runner/peers.go
+++ b/runner/peers.go
@@ -21,10 +21,27 @@
 	mux.Handle(messenger.AllocationPathPrefix, messenger.NewAllocationServer(d.tally))
 	mux.Handle(messenger.InspectionPathPrefix, messenger.NewInspectionServer(d.inspector))
 	mux.Handle(messenger.ClaimsPathPrefix, messenger.NewClaimsServer(d.claimHolder))
+	mux.Handle(messenger.MembershipPathPrefix, messenger.NewMembershipServer(d.registrar))
+	mux.Handle(messenger.ConfigurationPathPrefix, messenger.NewConfigurationServer(d.configurator))
 	server := d.server(requireKey(d.Settings.Keys.Peer, mux))
 	return d.serveSecure(ctx, server, &countedListener{d.Listeners.Peers, &d.peerTraffic})
 }
 
+// Idle links kept to each peer: heartbeats need few, turns need many.
+const (
+	controlLinks = 2
+	tallyLinks   = 256
+)
+
+// peerClient returns a client that shows the peers' key and keeps the given
+// number of idle links to each peer.
+func (d *Daemon) peerClient(links int) *http.Client {
+	return &http.Client{Transport: &keyTransport{key: d.Settings.Keys.Peer, delay: &d.peerDelay, next: &http.Transport{
+		MaxIdleConnsPerHost: links, IdleConnTimeout: time.Minute,
+		DialContext: d.peerTraffic.through(d.sockets.dial), TLSClientConfig: d.certificate.clientConfig(),
+	}}}
+}
+
 // keyTransport adds the peers' key to each request.
 type keyTransport struct {
 	key   string
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -81,6 +81,7 @@
 	links        *dialer.Dialer
 	claimHolder  *claimer.Server
 	claims       *claimer.Client
+	controlHTTP  *http.Client // controlHTTP keeps heartbeats apart from calls for turns.
 	leaving      atomic.Bool
 	inspector    *inspector.Inspector
 	commander    *commander.Commander
@@ -183,6 +184,8 @@
 func (d *Daemon) closeIdle() {
 	d.links.CloseIdle()
 	d.peerHTTP.CloseIdleConnections()
+	d.controlHTTP.CloseIdleConnections()
+	d.store.HTTP.CloseIdleConnections()
 }
 
 // Ready reports whether the instance has a configuration and knows of at least
