Operators' commands use provisional stops, waits and history of the configurator

Cause: take out failed while the store was down, and waits polled by themselves. Conclusion: the language now stands on the fleet's own mechanisms.

--- a/cmd/hemlocktally/tell.go
+++ b/cmd/hemlocktally/tell.go
@@ -72,11 +72,10 @@
 	case commander.StepAccepted:
 		lines = append(lines, fmt.Sprintf("accepted as revision %d", step.Revision))
 	case commander.StepWaiting:
-		lines = append(lines, fmt.Sprintf("in force on %d of %d instances, waiting for %s",
-			step.InForce, step.Instances, strings.Join(step.Missing, ", ")))
+		lines = append(lines, fmt.Sprintf("in force on %d of %d instances", step.InForce, step.Instances))
 	case commander.StepInForce:
 		lines = append(lines, fmt.Sprintf("in force on all %d instances after %s", step.Instances, step.Took.Round(time.Millisecond)))
-	case commander.StepFailed:
+	case commander.StepProvisional, commander.StepFailed:
 		lines = append(lines, step.Detail)
 	}
 	for _, d := range step.Differences {
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -4,25 +4,25 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"github.com/oklog/ulid/v2"
 
 	"hemlocktally"
-	"hemlocktally/inspector"
 	"hemlocktally/interpreter"
 )
 
 // Changer offers a change to the fleet.
 type Changer interface {
 	hemlocktally.Configurer
+	// Change has a change accepted, or refused with an error.
 	Change(ctx context.Context, change hemlocktally.Change) (hemlocktally.Accepted, error)
-}
-
-// Asker answers queries for the fleet.
-type Asker interface {
-	Ask(ctx context.Context, query interpreter.Query) inspector.Answer
+	// Stop has a change that only takes out accepted or, while the store does not
+	// answer, put in force provisionally.
+	Stop(ctx context.Context, change hemlocktally.Change) (hemlocktally.Stopped, error)
+	// WaitInForce waits until every member acts on the revision. It returns a
+	// *hemlocktally.LaggingError once the context ends.
+	WaitInForce(ctx context.Context, revision hemlocktally.Revision, progress func(done, all int)) error
 }
 
 // StepKind is the part of a command's life that a message is about.
@@ -32,9 +32,12 @@
 const (
 	StepPlanned  StepKind = "Planned"  // StepPlanned shows what a dry run would change.
 	StepAccepted StepKind = "Accepted" // StepAccepted has a revision that lasts.
-	StepWaiting  StepKind = "Waiting"  // StepWaiting counts the instances where it is in force.
-	StepInForce  StepKind = "InForce"  // StepInForce is in force on every instance.
-	StepFailed   StepKind = "Failed"   // StepFailed ends a command that had no effect, or was not in force in time.
+	// StepProvisional is a stop that the instances keep among themselves, because
+	// the store does not answer; the store settles it later.
+	StepProvisional StepKind = "Provisional"
+	StepWaiting     StepKind = "Waiting" // StepWaiting counts the instances where it is in force.
+	StepInForce     StepKind = "InForce" // StepInForce is in force on every instance.
+	StepFailed      StepKind = "Failed"  // StepFailed ends a command that had no effect, or was not in force in time.
 )
 
 // StepMsg is one line of the progress of a command.
@@ -44,27 +47,23 @@
 	Differences []interpreter.Difference `json:",omitempty"`
 	InForce     int                      // InForce counts the instances that have the revision.
 	Instances   int
-	Missing     []string      `json:",omitempty"` // Missing names the instances that don't have it yet.
 	Took        time.Duration // Took counts from the acceptance.
 	Detail      string        `json:",omitempty"`
 }
 
 // Commander carries out commands on one instance. Its zero value lacks only the
-// Changer and the Asker.
+// Changer.
 type Commander struct {
 	Changer   Changer
-	Asker     Asker
 	WaitLimit time.Duration // WaitLimit bounds a wait; zero means 30 s.
 }
 
-const (
-	defaultWaitLimit = 30 * time.Second
-	pollInterval     = 100 * time.Millisecond
-)
+const defaultWaitLimit = 30 * time.Second
 
 // Tell carries out a command for an author and reports each step. The error is
 // a *interpreter.PlanError, a *hemlocktally.RaceError, a
-// *hemlocktally.ChangeError, a *NotInForceError or a failure of the store.
+// *hemlocktally.ChangeError, a *hemlocktally.LaggingError, a
+// *hemlocktally.UnknownChangeError or a failure of the store.
 func (c *Commander) Tell(ctx context.Context, author string, command interpreter.Command, report func(StepMsg)) error {
 	config := c.Changer.Current()
 	commands, err := interpreter.Plan(command, config)
@@ -77,13 +76,15 @@
 	if command.Base != 0 {
 		change.Base = command.Base
 	}
-	return c.Offer(ctx, change, Options{DryRun: command.DryRun, Wait: command.Wait}, report)
+	options := Options{DryRun: command.DryRun, Wait: command.Wait, Stop: command.Action == interpreter.ActionTakeOut}
+	return c.Offer(ctx, change, options, report)
 }
 
 // Options say how far a change is carried.
 type Options struct {
 	DryRun bool // DryRun only shows what would change.
 	Wait   bool // Wait follows the change until it is in force everywhere.
+	Stop   bool // Stop lets a change that only takes out be provisional while the store is down.
 }
 
 // Offer carries out a change as Tell does.
@@ -97,10 +98,17 @@
 	if options.DryRun {
 		return c.planned(config, change, differences, report)
 	}
-	accepted, err := c.Changer.Change(ctx, change)
+	accepted, err := c.send(ctx, change, options)
 	if err != nil {
 		return err
 	}
+	if accepted == nil {
+		report(StepMsg{
+			Kind: StepProvisional, Revision: config.Revision, Differences: differences,
+			Detail: "the store does not answer: in force among the instances, to be settled by the store later",
+		})
+		return nil
+	}
 	report(StepMsg{Kind: StepAccepted, Revision: accepted.Revision, Differences: differences})
 	if !options.Wait {
 		return nil
@@ -108,6 +116,16 @@
 	return c.wait(ctx, accepted.Revision, report)
 }
 
+// send offers the change; it returns nil where a stop is provisional.
+func (c *Commander) send(ctx context.Context, change hemlocktally.Change, options Options) (*hemlocktally.Accepted, error) {
+	if !options.Stop {
+		accepted, err := c.Changer.Change(ctx, change)
+		return &accepted, err
+	}
+	stopped, err := c.Changer.Stop(ctx, change)
+	return stopped.Accepted, err
+}
+
 func (c *Commander) planned(config *hemlocktally.Configuration, change hemlocktally.Change, differences []interpreter.Difference, report func(StepMsg)) error {
 	if change.Base != config.Revision {
 		return &hemlocktally.RaceError{Base: change.Base, Winner: hemlocktally.Accepted{
@@ -123,21 +141,7 @@
 	return nil
 }
 
-// NotInForceError says that an accepted revision was not seen in force
-// everywhere in time. It stays accepted.
-type NotInForceError struct {
-	Revision hemlocktally.Revision
-	Missing  []string
-	Waited   time.Duration
-}
-
-// Error names the revision and the instances that lack it.
-func (e *NotInForceError) Error() string {
-	return "revision " + strconv.FormatUint(uint64(e.Revision), 10) + " is accepted but was not seen in force on " +
-		joinNames(e.Missing) + " within " + e.Waited.String()
-}
-
-// wait asks the fleet until every instance has the revision.
+// wait follows the revision until every instance acts on it.
 func (c *Commander) wait(ctx context.Context, revision hemlocktally.Revision, report func(StepMsg)) error {
 	limit := c.WaitLimit
 	if limit <= 0 {
@@ -146,58 +150,18 @@
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
-		answer := c.Asker.Ask(ctx, interpreter.Query{Topic: interpreter.TopicConfiguration})
-		step := Progress(answer, revision)
-		step.Took = time.Since(started)
-		report(step)
-		if step.Kind == StepInForce {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return &NotInForceError{Revision: revision, Missing: step.Missing, Waited: step.Took.Round(time.Millisecond)}
-		case <-ticker.C:
+	step := StepMsg{Kind: StepWaiting, Revision: revision}
+	err := c.Changer.WaitInForce(ctx, revision, func(done, all int) {
+		if done == step.InForce && all == step.Instances {
+			return
 		}
+		step.InForce, step.Instances, step.Took = done, all, time.Since(started)
+		report(step)
+	})
+	if err != nil {
+		return err
 	}
-}
-
-// Progress counts the instances that say that they have the revision. One that
-// did not answer, or whose answer is remembered, does not count.
-func Progress(answer inspector.Answer, revision hemlocktally.Revision) StepMsg {
-	schema, _ := interpreter.SchemaOf(string(interpreter.TopicConfiguration))
-	has := map[string]bool{}
-	for _, row := range answer.Rows {
-		present, _ := strconv.ParseUint(schema.Get(row, "Revision"), 10, 64)
-		has[schema.Get(row, "Instance")] = hemlocktally.Revision(present) >= revision
-	}
-	step := StepMsg{Kind: StepWaiting, Revision: revision, Instances: len(answer.Parts)}
-	for _, p := range answer.Parts {
-		if p.Reached && has[string(p.Instance)] {
-			step.InForce++
-			continue
-		}
-		step.Missing = append(step.Missing, string(p.Instance))
-	}
-	if step.InForce == step.Instances {
-		step.Kind = StepInForce
-	}
-	return step
-}
-
-func joinNames(names []string) string {
-	const shown = 5
-	text := ""
-	for i, name := range names {
-		if i == shown {
-			return text + " and " + strconv.Itoa(len(names)-shown) + " more"
-		}
-		if i > 0 {
-			text += ", "
-		}
-		text += name
-	}
-	return text
+	step.Kind, step.Took = StepInForce, time.Since(started)
+	report(step)
+	return nil
 }
--- a/interpreter/topics.go
+++ b/interpreter/topics.go
@@ -132,7 +132,7 @@
 		TopicBudgets, join(text("Service", "Instance"), numbers("BudgetPerSecond", "UsedPerSecond", "Probes")),
 		"what measuring costs against its budget",
 	},
-	{TopicClaims, join(text("Range", "Holder", "State"), numbers("Epoch", "Claims")), "who holds which claims"},
+	{TopicClaims, join(numbers("Range"), text("Holder"), numbers("Epoch"), text("Lease")), "who holds which range of keys for claims"},
 	{
 		TopicCalls, join(text("Call", "Contract", "Service", "Caller", "Tenant", "Method", "Path", "Outcome", "Reason"), numbers("Status", "Attempts"),
 			text("Target"), durations("Total", "Queue", "Grant", "Serving", "Added"), times("Started"), text("Instance")),
--- a/runner/inspection.go
+++ b/runner/inspection.go
@@ -42,7 +42,7 @@
 			interpreter.TopicOwners:    d.ownerRows,
 		},
 	}
-	d.commander = &commander.Commander{Changer: d.configurator, Asker: d.inspector}
+	d.commander = &commander.Commander{Changer: d.configurator}
 }
 
 func row(values ...string) interpreter.Row { return interpreter.Row{Values: values} }
@@ -67,13 +67,25 @@
 	for i := range c.Services {
 		targets += len(c.Services[i].Targets)
 	}
-	return []interpreter.Row{row(string(d.self.ID), total(uint64(c.Revision)), c.Author, c.ChangeID, moment(c.AcceptedAt),
+	return []interpreter.Row{row(string(d.self.ID), total(uint64(d.configurator.Acting())), c.Author, c.ChangeID, moment(c.AcceptedAt),
 		count(len(c.Zones)), count(len(c.Services)), count(targets), count(len(c.Contracts)), count(len(c.Callers)))}
 }
 
+// maxRevisionRows bounds the history that one instance lists.
+const maxRevisionRows = 50
+
+// revisionRows lists the revision that is in force here and the ones before it.
 func (d *Daemon) revisionRows() []interpreter.Row {
-	c := d.configurator.Current()
-	return []interpreter.Row{row(total(uint64(c.Revision)), c.Author, c.ChangeID, moment(c.AcceptedAt), "1", "")}
+	acting := d.configurator.Acting()
+	var rows []interpreter.Row
+	for _, a := range d.configurator.History(maxRevisionRows) {
+		instances := "0"
+		if a.Revision == acting {
+			instances = "1"
+		}
+		rows = append(rows, row(total(uint64(a.Revision)), a.Change.Author, a.Change.ID, moment(a.AcceptedAt), instances, a.Change.Because))
+	}
+	return rows
 }
 
 func (d *Daemon) instanceRows() []interpreter.Row {
@@ -85,7 +97,7 @@
 			heard = time.Since(m.HeardAt).Round(time.Millisecond).String()
 		}
 		if m.ID == d.self.ID {
-			revision, heard = total(uint64(config.Revision)), "0s"
+			revision, heard = total(uint64(d.configurator.Acting())), "0s"
 		}
 		rows = append(rows, row(string(m.ID), string(m.Zone), string(m.State), strconv.FormatBool(config.InstanceOut(m.ID)),
 			revision, heard, m.CallerAddress, m.PeerAddress, m.OperatorAddress))
@@ -275,10 +287,21 @@
 		strconv.FormatBool(d.registrar.View().Frozen))}
 }
 
-// budgetRows and claimRows stay empty until the parts that know them are there.
+// budgetRows stays empty until the owners tell what they spent.
 func (d *Daemon) budgetRows() []interpreter.Row { return nil }
 
-func (d *Daemon) claimRows() []interpreter.Row { return nil }
+// claimRows lists the ranges of keys that this instance holds by its own view.
+func (d *Daemon) claimRows() []interpreter.Row {
+	table := d.claimHolder.Table()
+	var rows []interpreter.Row
+	for id := range table.Assignments {
+		a := &table.Assignments[id]
+		if a.Holder == d.self.ID && a.Incarnation == d.self.Incarnation {
+			rows = append(rows, row(count(id), string(a.Holder), total(a.Epoch), a.Lease))
+		}
+	}
+	return rows
+}
 
 func (d *Daemon) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
--- a/runner/operators_test.go
+++ b/runner/operators_test.go
@@ -112,7 +112,7 @@
 		c.Assert(answer.Rows, qt.HasLen, 1)
 		c.Check(answer.Rows[0].Values[0], qt.Equals, "kingston-a")
 	}
-	revision := ask(c, fleet.Daemons[0], "show Revisions").Rows[0]
+	revision := ask(c, fleet.Daemons[0], "show Revisions order by Revision desc limit 1").Rows[0]
 	c.Check(column(interpreter.TopicRevisions, revision, "Author"), qt.Equals, "operator")
 }
 
