--- a/cmd/hemlocktally/main.go
+++ b/cmd/hemlocktally/main.go
@@ -52,7 +52,7 @@
 			"Ctrl-C stops gracefully: calls in flight are finished.",
 		Commands: []*cli.Command{
 			serveCommand(), demoCommand(), benchCommand(), platformCommand(), targetCommand(), settingsCommand(), eventsCommand(), versionCommand(),
-			askCommand(), tellCommand(), shellCommand(), contractsCommand(), reportCommand(), playgroundCommand(), callersCommand(),
+			askCommand(), tellCommand(), shellCommand(), contractsCommand(), reportCommand(), playgroundCommand(), callersCommand(), slopesCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
--- a/runner/traffic.go
+++ b/runner/traffic.go
@@ -61,3 +61,17 @@
 	c.counter.out.Add(uint64(n))
 	return n, err
 }
+
+// Traffic is what an instance exchanged since its start.
+type Traffic struct {
+	PeerBytes  uint64 // PeerBytes counts both directions.
+	StoreBytes uint64 // StoreBytes counts both directions.
+	StoreCalls uint64
+}
+
+// Traffic returns what the instance exchanged with peers and store.
+func (d *Daemon) Traffic() Traffic {
+	peerIn, peerOut := d.peerTraffic.Bytes()
+	storeIn, storeOut := d.storeTraffic.Bytes()
+	return Traffic{PeerBytes: peerIn + peerOut, StoreBytes: storeIn + storeOut, StoreCalls: d.store.Calls()}
+}
