--- a/interpreter/pages_test.go
+++ b/interpreter/pages_test.go
@@ -92,3 +92,25 @@
 	c.Check(reasons > 15, qt.IsTrue)
 	c.Check(string(page), qt.Contains, "`"+string(hemlocktally.OutcomeUnknown)+"`")
 }
+
+func TestTranscriptShowsTheColumnsOfTheLanguage(t *testing.T) {
+	c := qt.New(t)
+	page, err := os.ReadFile(pages + "transcript.md")
+	c.Assert(err, qt.IsNil)
+	tables := 0
+	for _, lines := range blocks(string(page), "text") {
+		question, isAsk := strings.CutPrefix(lines[0], "$ hemlocktally ask '")
+		if !isAsk || len(lines) < 2 || strings.HasPrefix(lines[1], "column ") || strings.HasPrefix(lines[1], "hemlocktally:") {
+			continue
+		}
+		statement, err := interpreter.Parse(strings.TrimSuffix(question, "'"))
+		c.Assert(err, qt.IsNil)
+		if query, ok := statement.(interpreter.Query); ok {
+			schema, _ := interpreter.SchemaOf(string(query.Topic))
+			c.Check(strings.Fields(lines[1]), qt.DeepEquals, schema.ColumnNames())
+			c.Check(lines[len(lines)-1], qt.Matches, `[0-9]+ rows?, from [0-9]+ of [0-9]+ instances`)
+			tables++
+		}
+	}
+	c.Check(tables > 5, qt.IsTrue)
+}
--- a/scripts/control_cost.sh
+++ b/scripts/control_cost.sh
@@ -5,12 +5,12 @@
 # Idle is control alone. Busy adds the forwarding of calls and their grants; the
 # difference by calls is the cost of a call, not of control.
 #
-#   scripts/control_cost.sh [INSTANCES] [SECONDS] [CALLS_A_SECOND]
+#   scripts/control_cost.sh [INSTANCES] [SECONDS] ['CALLS_A_SECOND ...']
 set -eu
 . "$(dirname "$0")/fleet.sh"
 count=${1:-16}
 seconds=${2:-10}
-rate=${3:-400}
+rates=${3:-400 1600}
 trap fleet_stop EXIT
 trap 'exit 1' INT TERM
 
@@ -63,12 +63,14 @@
 sleep "$seconds"
 sample "$DIR/b"
 compare "idle" "$DIR/a" "$DIR/b"
-"$PROGRAM" callers $CALLERS --rate "$rate" --for "${seconds}s" > "$DIR/callers.log" &
-calling=$!
-sample "$DIR/a"
-wait "$calling"
-sample "$DIR/b"
-compare "busy, $rate calls/s in all" "$DIR/a" "$DIR/b"
+for rate in $rates; do
+    "$PROGRAM" callers $CALLERS --rate "$rate" --for "${seconds}s" >> "$DIR/callers.log" &
+    calling=$!
+    sample "$DIR/a"
+    wait "$calling"
+    sample "$DIR/b"
+    compare "busy, $rate calls/s in all" "$DIR/a" "$DIR/b"
+done
 echo "| goal | 1.90 | 32.0 | | | 14.0 | |"
 echo
 cat "$DIR/callers.log"
--- a/surveyor/records.go
+++ b/surveyor/records.go
@@ -62,6 +62,7 @@
 			if err != nil {
 				return nil, err
 			}
+			runtime.KeepAlive(config) // So that only the configuration that was read is counted.
 			heap.Points = append(heap.Points, Point{x, megabytes})
 			decode.Points = append(decode.Points, Point{x, spent.Seconds() * 1000})
 			spent, err = applyCost(config)
