--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -25,7 +25,7 @@
 
 // Stated is the size that the design is made for. Its number of instances is
 // worked out in docs/CAPACITY.md.
-var Stated = Size{Instances: 500, Services: 2400, Targets: 20000, ChangesPerMinute: 6900.0 / (24 * 60)}
+var Stated = Size{Instances: 2270, Services: 2400, Targets: 20000, ChangesPerMinute: 6900.0 / (24 * 60)}
 
 // Axis is what a series grows with.
 type Axis string
