Demo runs the example contracts files

Cause: both deployments stood twice, in the examples and in the experimenter. Conclusion: one source for each deployment.

--- a/experimenter/deployments.go
+++ b/experimenter/deployments.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"hemlocktally"
+	"hemlocktally/examples"
+	"hemlocktally/loader"
 )
 
 // CrewKey and CounterKey are the keys of the high-priority stand-in callers.
@@ -14,46 +16,48 @@
 	CounterKey = "counter-caller-key"
 )
 
-// Agency returns the deployment of the Prairie Wetland Restoration Agency.
-func Agency() Deployment {
-	return Deployment{
-		Name:      "agency",
-		Zones:     []hemlocktally.ZoneName{"carrot-river", "hudson-bay", "prince-albert"},
-		Instances: 15,
-		Services: []DeployedService{
-			{Name: "bog-log", Targets: 15, MaxConnections: 220, Mean: 10 * time.Millisecond},
-			{Name: "easements", Targets: 7, MaxConnections: 220, Mean: 15 * time.Millisecond},
-			{Name: "payments", Targets: 6, MaxConnections: 220, Mean: 15 * time.Millisecond},
-		},
-		Callers: []hemlocktally.Caller{caller("crew", "agency", CrewKey)},
-		Contracts: []hemlocktally.Contract{
-			read("CrewReads", "bog-log", "/log/", hemlocktally.PriorityHigh, "crew"),
-			read("PublicReads", "bog-log", "/log/", hemlocktally.PriorityNormal),
-			write("Agreements", "easements", "/agreements/"),
-			write("Payments", "payments", "/payments/"),
-		},
+const (
+	readMean  = 10 * time.Millisecond
+	writeMean = 15 * time.Millisecond
+	// entryInstances is how many entry instances each deployment has today.
+	entryInstances = 15
+)
+
+// Agency returns the deployment of the Prairie Wetland Restoration Agency, as
+// examples/contracts/agency.ini declares it.
+func Agency() Deployment { return declared("agency") }
+
+// Association returns the deployment of the Caribbean Prop Lenders Association,
+// as examples/contracts/association.ini declares it.
+func Association() Deployment { return declared("association") }
+
+// declared reads an example file, which is part of the program. Tests read it
+// too; a fault in it would leave a deployment without services.
+func declared(name string) Deployment {
+	file := "contracts/" + name + ".ini"
+	text, _ := examples.Files.ReadFile(file)
+	declaration, _ := loader.ParseDeclaration(file, text)
+	deployment := Deployment{
+		Name: name, Instances: entryInstances, Zones: declaration.Zones,
+		Callers: declaration.Callers, Contracts: declaration.Contracts,
+	}
+	for _, service := range declaration.Services {
+		deployment.Services = append(deployment.Services, DeployedService{
+			Name: service.Name, Targets: len(service.Targets), MaxConnections: service.Targets[0].MaxConnections,
+			Mean: meanOf(service.Name, declaration.Contracts),
+		})
 	}
+	return deployment
 }
 
-// Association returns the deployment of the Caribbean Prop Lenders Association.
-func Association() Deployment {
-	return Deployment{
-		Name:      "association",
-		Zones:     []hemlocktally.ZoneName{"kingston-a", "kingston-b", "kingston-c"},
-		Instances: 15,
-		Services: []DeployedService{
-			{Name: "catalogue", Targets: 16, MaxConnections: 240, Mean: 10 * time.Millisecond},
-			{Name: "holds", Targets: 10, MaxConnections: 240, Mean: 15 * time.Millisecond},
-			{Name: "deposits", Targets: 6, MaxConnections: 240, Mean: 15 * time.Millisecond},
-		},
-		Callers: []hemlocktally.Caller{caller("counter", "association", CounterKey)},
-		Contracts: []hemlocktally.Contract{
-			read("CounterSearch", "catalogue", "/catalogue/", hemlocktally.PriorityHigh, "counter"),
-			read("PublicSearch", "catalogue", "/catalogue/", hemlocktally.PriorityNormal),
-			write("Holds", "holds", "/holds/"),
-			write("Deposits", "deposits", "/deposits/"),
-		},
+// meanOf returns the mean time of a call; non-idempotent work takes longer.
+func meanOf(service hemlocktally.ServiceName, contracts []hemlocktally.Contract) time.Duration {
+	for _, contract := range contracts {
+		if contract.Service == service && contract.NonIdempotent {
+			return writeMean
+		}
 	}
+	return readMean
 }
 
 func caller(name hemlocktally.CallerName, tenant, key string) hemlocktally.Caller {
--- a/loader/declaration.go
+++ b/loader/declaration.go
@@ -75,12 +75,21 @@
 
 // LoadDeclaration reads and checks a contracts file. It returns a
 // *hemlocktally.SettingError for each thing that is wrong, joined.
-func LoadDeclaration(path string) (Declaration, error) {
-	file, err := loadINI(path)
+func LoadDeclaration(path string) (Declaration, error) { return readDeclaration(path, path) }
+
+// ParseDeclaration reads and checks the text of a contracts file, as
+// LoadDeclaration does. The name stands in errors.
+func ParseDeclaration(name string, text []byte) (Declaration, error) {
+	return readDeclaration(name, text)
+}
+
+// readDeclaration reads a source, which is a path or a text.
+func readDeclaration(name string, source any) (Declaration, error) {
+	file, err := loadINI(name, source)
 	if err != nil {
 		return Declaration{}, err
 	}
-	r := &declarationReader{binder: binder{file: path}}
+	r := &declarationReader{binder: binder{file: name}}
 	for _, kind := range []string{sectionZone, sectionService, sectionTarget, sectionCaller, sectionContract, ""} {
 		for _, section := range file.Sections() {
 			r.read(kind, section)
--- a/loader/declaration_test.go
+++ b/loader/declaration_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -44,18 +45,42 @@
 	}
 }
 
-func TestExamplesDeclareWhatTheDemoRuns(t *testing.T) {
-	for _, deployment := range []experimenter.Deployment{experimenter.Agency(), experimenter.Association()} {
-		t.Run(deployment.Name, func(t *testing.T) {
+// The sizes of both deployments today; the demo runs these files.
+func TestExamplesHaveTheSizesOfToday(t *testing.T) {
+	type size struct {
+		service              hemlocktally.ServiceName
+		targets, connections int
+		nonIdempotent        bool
+	}
+	for _, test := range []struct {
+		deployment experimenter.Deployment
+		sizes      []size
+	}{
+		{experimenter.Agency(), []size{{"bog-log", 15, 220, false}, {"easements", 7, 220, true}, {"payments", 6, 220, true}}},
+		{experimenter.Association(), []size{{"catalogue", 16, 240, false}, {"holds", 10, 240, true}, {"deposits", 6, 240, true}}},
+	} {
+		t.Run(test.deployment.Name, func(t *testing.T) {
 			c := qt.New(t)
-			d := load(c, "../examples/contracts/"+deployment.Name+".ini")
-			c.Check(d.Contracts, qt.DeepEquals, deployment.Contracts)
-			c.Check(d.Callers, qt.DeepEquals, deployment.Callers)
-			c.Check(d.Zones, qt.DeepEquals, deployment.Zones)
-			c.Assert(d.Services, qt.HasLen, len(deployment.Services))
-			for i, s := range deployment.Services {
-				c.Check(d.Services[i].Name, qt.Equals, s.Name)
-				c.Check(d.Services[i].Targets, qt.HasLen, s.Targets)
+			d := load(c, "../examples/contracts/"+test.deployment.Name+".ini")
+			c.Check(d.Contracts, qt.DeepEquals, test.deployment.Contracts)
+			c.Check(d.Callers, qt.DeepEquals, test.deployment.Callers)
+			c.Check(d.Zones, qt.HasLen, 3)
+			c.Assert(d.Services, qt.HasLen, len(test.sizes))
+			c.Assert(test.deployment.Services, qt.HasLen, len(test.sizes))
+			for i, want := range test.sizes {
+				s := d.Services[i]
+				c.Check(s.Name, qt.Equals, want.service)
+				c.Check(s.Targets, qt.HasLen, want.targets)
+				c.Check(test.deployment.Services[i].Targets, qt.Equals, want.targets)
+				for _, target := range s.Targets {
+					c.Check(target.Slots, qt.Equals, 2)
+					c.Check(target.MaxConnections, qt.Equals, want.connections)
+				}
+			}
+			for _, contract := range d.Contracts {
+				i := slices.IndexFunc(test.sizes, func(s size) bool { return s.service == contract.Service })
+				c.Check(contract.NonIdempotent, qt.Equals, test.sizes[i].nonIdempotent)
+				c.Check(contract.NonIdempotent && contract.Hedge, qt.IsFalse)
 			}
 		})
 	}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -21,7 +21,7 @@
 // any key. It returns a *hemlocktally.SettingError for each unknown section or
 // key and each bad value, joined.
 func Load(path string, settings any) error {
-	file, err := loadINI(path)
+	file, err := loadINI(path, path)
 	if err != nil {
 		return err
 	}
@@ -35,13 +35,14 @@
 	return errors.Join(b.bad...)
 }
 
-func loadINI(path string) (*ini.File, error) {
+// loadINI reads a source, which is a path or a text; the name stands in errors.
+func loadINI(name string, source any) (*ini.File, error) {
 	file, err := ini.LoadSources(ini.LoadOptions{
 		AllowShadows:             true, // Shadows show keys that stand twice.
 		SpaceBeforeInlineComment: true,
-	}, path)
+	}, source)
 	if err != nil {
-		return nil, &hemlocktally.SettingError{File: path, Found: err.Error(), Allowed: "a readable file of [Section] lines and Key = value lines"}
+		return nil, &hemlocktally.SettingError{File: name, Found: err.Error(), Allowed: "a readable file of [Section] lines and Key = value lines"}
 	}
 	return file, nil
 }
