dialer: the test of ready links waits until the link is idle

Cause: the test took its link as soon as one was counted, which a link being opened already is; on a busy machine it then opened a second. Ruled out: a fault of Run. Change: Dialer.Idle counts the links that are open and not in use; the test waits for one. Its assertions stay.

--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -217,7 +217,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { c.Check(d.Run(ctx), qt.IsNil) })
-	for end := time.Now().Add(5 * time.Second); d.Links(target.Address) == 0 && time.Now().Before(end); {
+	for end := time.Now().Add(5 * time.Second); d.Idle(target.Address) == 0 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
 	link := take(t, d, hemlocktally.LinkRequest{Target: target})
