--- a/cmd/hemlocktally/main.go
+++ b/cmd/hemlocktally/main.go
@@ -51,7 +51,7 @@
 			"accepted but was not seen in force everywhere in time, 6 the store lost its answer (ask show Revisions).\n" +
 			"Ctrl-C stops gracefully: calls in flight are finished.",
 		Commands: []*cli.Command{
-			serveCommand(), demoCommand(), benchCommand(), platformCommand(), targetCommand(), settingsCommand(), eventsCommand(), versionCommand(),
+			serveCommand(), demoCommand(), benchCommand(), benchFleetCommand(), platformCommand(), targetCommand(), settingsCommand(), eventsCommand(), versionCommand(),
 			askCommand(), tellCommand(), shellCommand(), contractsCommand(), reportCommand(), playgroundCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- a/imitator/platform.go
+++ b/imitator/platform.go
@@ -5,13 +5,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"sort"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
-
-	"github.com/google/uuid"
 )
 
 // PlatformFaults are the faults of the key-value service and instance list.
@@ -19,6 +14,8 @@
 	Down             bool
 	Delay            time.Duration
 	LoseWriteAnswers float64       // LoseWriteAnswers is the share of writes whose answer is lost after they took effect.
+	StaleReads       float64       // StaleReads is the share of reads that a lagging replica answers.
+	ReplicaLag       time.Duration // ReplicaLag is how far that replica lags; zero means DefaultReplicaLag.
 	ListLag          time.Duration // ListLag is how old the instance list is.
 }
 
@@ -48,6 +45,8 @@
 	mu       sync.Mutex
 	random   *rand.Rand
 	entries  map[string]storedEntry
+	past     map[string][]pastEntry // past holds the recent history of each key.
+	removed  map[string]uint64      // removed holds the sequence at which a key went away.
 	leases   map[string]*storedLease
 	sequence uint64
 	changed  chan struct{}
@@ -65,15 +64,7 @@
 	sequence uint64
 }
 
-type storedLease struct {
-	ttl time.Duration
-	end time.Time
-}
-
-const (
-	maxValueBytes      = 1 << 20
-	leaseSweepInterval = 20 * time.Millisecond
-)
+const maxValueBytes = 1 << 20
 
 // Serve answers on the listener until the context ends.
 func (p *Platform) Serve(ctx context.Context, listener net.Listener) error {
@@ -87,7 +78,9 @@
 func (p *Platform) SetFaults(faults PlatformFaults) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.init()
 	p.faults = faults
+	p.notify() // Waiting watches fail at once in an outage.
 }
 
 // Counters returns the calls counted so far.
@@ -124,6 +117,10 @@
 	mux.HandleFunc("GET /imitator/counters", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, p.Counters())
 	})
+	mux.HandleFunc("DELETE /imitator/lease", func(w http.ResponseWriter, r *http.Request) {
+		p.EndLease(r.URL.Query().Get("ID"))
+		w.WriteHeader(http.StatusNoContent)
+	})
 	mux.HandleFunc("PUT /imitator/faults", func(w http.ResponseWriter, r *http.Request) {
 		var faults PlatformFaults
 		if readJSON(w, r, &faults) {
@@ -138,6 +135,8 @@
 		return
 	}
 	p.entries = map[string]storedEntry{}
+	p.past = map[string][]pastEntry{}
+	p.removed = map[string]uint64{}
 	p.leases = map[string]*storedLease{}
 	p.listed = map[string][]ListedInstance{}
 	p.changed = make(chan struct{})
@@ -178,250 +177,3 @@
 	}
 	return p.faults.Delay, p.faults.Down, lose
 }
-
-type failure struct {
-	Detail string
-}
-
-func (p *Platform) get(r *http.Request) (int, any) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.expire(time.Now())
-	e, ok := p.entries[r.URL.Query().Get("Key")]
-	if !ok {
-		return http.StatusNotFound, failure{"no such key"}
-	}
-	return http.StatusOK, e
-}
-
-func (p *Platform) swap(r *http.Request) (int, any) {
-	var in storedEntry
-	if err := decode(r, &in); err != nil {
-		return http.StatusBadRequest, failure{err.Error()}
-	}
-	if len(in.Value) > maxValueBytes {
-		return http.StatusRequestEntityTooLarge, failure{"value over 1 MB"}
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.expire(time.Now())
-	if in.Lease != "" && p.leases[in.Lease] == nil {
-		return http.StatusNotFound, failure{"no such lease"}
-	}
-	present := p.entries[in.Key]
-	if present.Version != in.Version {
-		present.Key = in.Key
-		return http.StatusConflict, present
-	}
-	p.sequence++
-	in.Version = p.sequence
-	in.sequence = p.sequence
-	p.entries[in.Key] = in
-	p.notify()
-	return http.StatusOK, in
-}
-
-func (p *Platform) remove(r *http.Request) (int, any) {
-	key := r.URL.Query().Get("Key")
-	version, err := strconv.ParseUint(r.URL.Query().Get("Version"), 10, 64)
-	if err != nil {
-		return http.StatusBadRequest, failure{err.Error()}
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	present, ok := p.entries[key]
-	if !ok {
-		return http.StatusNotFound, failure{"no such key"}
-	}
-	if present.Version != version {
-		return http.StatusConflict, present
-	}
-	p.drop(key)
-	return http.StatusOK, present
-}
-
-type listing struct {
-	Entries  []storedEntry
-	Sequence uint64
-}
-
-func (p *Platform) list(r *http.Request) (int, any) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.expire(time.Now())
-	return http.StatusOK, p.below(r.URL.Query().Get("Prefix"))
-}
-
-func (p *Platform) below(prefix string) listing {
-	out := listing{Sequence: p.sequence}
-	for key, e := range p.entries {
-		if strings.HasPrefix(key, prefix) {
-			out.Entries = append(out.Entries, e)
-		}
-	}
-	sort.Slice(out.Entries, func(i, j int) bool { return out.Entries[i].Key < out.Entries[j].Key })
-	return out
-}
-
-// watch answers once anything below the prefix has changed, deletions included.
-func (p *Platform) watch(r *http.Request) (int, any) {
-	query := r.URL.Query()
-	after, err := strconv.ParseUint(query.Get("After"), 10, 64)
-	if err != nil {
-		return http.StatusBadRequest, failure{err.Error()}
-	}
-	wait, err := strconv.ParseInt(query.Get("WaitMilliseconds"), 10, 64)
-	if err != nil {
-		return http.StatusBadRequest, failure{err.Error()}
-	}
-	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
-	defer timer.Stop()
-	for {
-		p.mu.Lock()
-		found := p.below(query.Get("Prefix"))
-		changed := p.changed
-		down := p.faults.Down
-		p.mu.Unlock()
-		if down {
-			return http.StatusServiceUnavailable, failure{"the key-value service is down"}
-		}
-		if found.Sequence > after && p.touched(query.Get("Prefix"), after) {
-			return http.StatusOK, found
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return http.StatusOK, found
-		case <-r.Context().Done():
-			return http.StatusOK, found
-		}
-	}
-}
-
-// touched reports whether a key below the prefix was written after the
-// sequence. Deletions leave no entry, so they count for every prefix.
-func (p *Platform) touched(prefix string, after uint64) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	newest := uint64(0)
-	for key, e := range p.entries {
-		if strings.HasPrefix(key, prefix) && e.sequence > after {
-			return true
-		}
-		newest = max(newest, e.sequence)
-	}
-	return p.sequence > newest && p.sequence > after
-}
-
-func (p *Platform) grant(r *http.Request) (int, any) {
-	var in struct{ TTLMilliseconds int64 }
-	if err := decode(r, &in); err != nil || in.TTLMilliseconds <= 0 {
-		return http.StatusBadRequest, failure{"a lease needs TTLMilliseconds"}
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	id := uuid.NewString()
-	ttl := time.Duration(in.TTLMilliseconds) * time.Millisecond
-	p.leases[id] = &storedLease{ttl: ttl, end: time.Now().Add(ttl)}
-	return http.StatusOK, struct{ ID string }{id}
-}
-
-func (p *Platform) renew(r *http.Request) (int, any) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.expire(time.Now())
-	lease := p.leases[r.URL.Query().Get("ID")]
-	if lease == nil {
-		return http.StatusNotFound, failure{"no such lease"}
-	}
-	lease.end = time.Now().Add(lease.ttl)
-	return http.StatusOK, struct{}{}
-}
-
-func (p *Platform) revoke(r *http.Request) (int, any) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	id := r.URL.Query().Get("ID")
-	if p.leases[id] == nil {
-		return http.StatusNotFound, failure{"no such lease"}
-	}
-	p.endLease(id)
-	return http.StatusOK, struct{}{}
-}
-
-// EndLease lets the lease lapse now, whoever holds it.
-func (p *Platform) EndLease(id string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.init()
-	p.endLease(id)
-}
-
-func (p *Platform) sweepLeases(ctx context.Context) {
-	ticker := time.NewTicker(leaseSweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			p.mu.Lock()
-			p.init()
-			p.expire(now)
-			p.mu.Unlock()
-		}
-	}
-}
-
-func (p *Platform) expire(now time.Time) {
-	for id, lease := range p.leases {
-		if now.After(lease.end) {
-			p.endLease(id)
-		}
-	}
-}
-
-func (p *Platform) endLease(id string) {
-	delete(p.leases, id)
-	for key, e := range p.entries {
-		if e.Lease == id {
-			p.drop(key)
-		}
-	}
-}
-
-func (p *Platform) drop(key string) {
-	p.sequence++
-	delete(p.entries, key)
-	p.notify()
-}
-
-func (p *Platform) notify() {
-	close(p.changed)
-	p.changed = make(chan struct{})
-}
-
-func (p *Platform) instances(w http.ResponseWriter, _ *http.Request) {
-	p.mu.Lock()
-	p.init()
-	asOf := time.Now().Add(-p.faults.ListLag)
-	var lines []ListedInstance
-	for _, history := range p.listed {
-		for i := len(history) - 1; i >= 0; i-- {
-			if !history[i].Since.After(asOf) {
-				lines = append(lines, history[i])
-				break
-			}
-		}
-	}
-	p.mu.Unlock()
-	sort.Slice(lines, func(i, j int) bool { return lines[i].Name < lines[j].Name })
-	writeJSON(w, http.StatusOK, lines)
-}
-
-func (p *Platform) putInstance(w http.ResponseWriter, r *http.Request) {
-	var line ListedInstance
-	if readJSON(w, r, &line) {
-		p.List(line)
-	}
-}
--- a/registrar/beat.go
+++ b/registrar/beat.go
@@ -134,7 +134,7 @@
 			m.news = max(0, m.news-1)
 			beat.Known = append(beat.Known, m.wire())
 		}
-		beat.Suspicions = append(beat.Suspicions, m.suspicions(to)...)
+		beat.Suspicions = append(beat.Suspicions, m.suspicions(to, whole)...)
 	}
 	for _, b := range s.graves {
 		if b.news > 0 && len(beat.Known) < newsLimit {
@@ -145,11 +145,11 @@
 	return beat
 }
 
-// reply answers a heartbeat. A sender whose incarnation is held for gone is told
-// so, that it may come back as another.
-func (s *State) reply(beat *messenger.BeatMessage) *messenger.BeatMessage {
+// reply answers a heartbeat, with all that is known for a newcomer. A sender
+// whose incarnation is held for gone is told so, that it may come back as another.
+func (s *State) reply(beat *messenger.BeatMessage, whole bool) *messenger.BeatMessage {
 	from := beat.GetFrom()
-	reply := s.message(from.GetID(), beat.GetWhole())
+	reply := s.message(from.GetID(), whole)
 	if b := s.graves[grave{hemlocktally.InstanceID(from.GetID()), from.GetIncarnation()}]; b != nil {
 		reply.Known = append(reply.Known, b.last.wire())
 	}
@@ -158,10 +158,10 @@
 
 // suspicions returns the votes about the member that are still to be passed
 // on. The accused is always told, so that it can refute them.
-func (m *member) suspicions(to string) []*messenger.Suspicion {
+func (m *member) suspicions(to string, whole bool) []*messenger.Suspicion {
 	var list []*messenger.Suspicion
 	for by, left := range m.votes {
-		if left <= 0 && to != string(m.instance.ID) {
+		if left <= 0 && !whole && to != string(m.instance.ID) {
 			continue
 		}
 		m.votes[by] = left - 1
--- a/registrar/calls.go
+++ b/registrar/calls.go
@@ -16,7 +16,7 @@
 
 const (
 	recordPrefix    = "Instances/"
-	beatTimeout     = 400 * time.Millisecond
+	beatTimeout     = 300 * time.Millisecond
 	relayTimeout    = 2 * time.Second
 	registerTimeout = 3 * time.Second
 	hintTimeout     = time.Second
--- a/registrar/member.go
+++ b/registrar/member.go
@@ -13,8 +13,9 @@
 	votesToSuspect = 2
 	// failuresToVote is how many heartbeats in a row must fail before a vote.
 	failuresToVote = 2
-	// silenceLimit is the least time without an answer before a vote.
-	silenceLimit = 500 * time.Millisecond
+	// silenceLimit is the least time without an answer before a first vote. An
+	// instance that confirms another's vote needs one failure only.
+	silenceLimit = 400 * time.Millisecond
 	// voterWindow is how recently a member was heard that may vote.
 	voterWindow = 2 * time.Second
 )
@@ -187,11 +188,7 @@
 	if m.failures == 1 {
 		m.failing = msg.Sent
 	}
-	limit := silenceLimit
-	if len(m.votes) > 0 {
-		limit /= 2
-	}
-	if m.failures < failuresToVote || now.Sub(m.failing) < limit {
+	if len(m.votes) == 0 && (m.failures < failuresToVote || now.Sub(m.failing) < silenceLimit) {
 		return nil
 	}
 	return s.vote(&messenger.Suspicion{
--- a/registrar/simulation_test.go
+++ b/registrar/simulation_test.go
@@ -122,6 +122,9 @@
 }
 
 func (s *simulation) step(n *node, msg Msg, done func([]Cmd)) {
+	if (n.crashed || n.paused) && done != nil {
+		done(nil)
+	}
 	if n.crashed {
 		return
 	}
@@ -230,12 +233,13 @@
 		return
 	}
 	answer := func(cmds []Cmd) {
-		reply, ok := cmds[len(cmds)-1].(ReplyCmd)
-		if !ok || s.lost() {
+		if len(cmds) == 0 || s.lost() {
 			s.post(from, beatTimeout, silence)
 			return
 		}
-		s.post(from, hop, AnswerMsg{To: cmd.To, Beat: reply.Beat})
+		if reply, ok := cmds[len(cmds)-1].(ReplyCmd); ok {
+			s.post(from, hop, AnswerMsg{To: cmd.To, Beat: reply.Beat})
+		}
 	}
 	s.schedule(event{at: s.now.Add(hop), node: to, msg: BeatMsg{Beat: cmd.Beat}, done: answer})
 	if s.random.Float64() < s.repeat {
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -76,8 +76,9 @@
 	case TickMsg:
 		return s.tick(msg, now)
 	case BeatMsg:
+		known := s.members[hemlocktally.InstanceID(msg.Beat.GetFrom().GetID())] != nil
 		cmds := s.hear(msg.Beat, now)
-		return append(cmds, ReplyCmd{Beat: s.reply(msg.Beat)})
+		return append(cmds, ReplyCmd{Beat: s.reply(msg.Beat, msg.Beat.GetWhole() || !known)})
 	case AnswerMsg:
 		return s.answer(msg, now)
 	case SilenceMsg:
--- a/registrar/state_test.go
+++ b/registrar/state_test.go
@@ -27,7 +27,7 @@
 }
 
 // noticed is the time within which a crash or a return must be known.
-const noticed = 1500 * time.Millisecond
+const noticed = 1250 * time.Millisecond
 
 func form(c *qt.C, seed uint64, count int) *simulation {
 	s := simulate(seed, count)
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -76,9 +76,11 @@
 	d.Log.Log(logger.EventSettling, logger.Fields{"Instance": d.self.ID, "Settle": d.Settings.Limits.SettleTime})
 }
 
-// Accepting reports whether the platform's balancer may send new calls here.
+// Accepting reports whether the platform's balancer may send new calls here: not
+// while the instance is leaving, or operators have it or its zone out of service.
 func (d *Daemon) Accepting() bool {
-	return !d.leaving.Load() && d.configurator.Current().Revision > 0
+	config := d.configurator.Current()
+	return !d.leaving.Load() && config.Revision > 0 && !config.InstanceOut(d.self.ID) && !config.ZoneOut(d.self.Zone)
 }
 
 // serveReady tells the platform's balancer whether to send new calls here.
