Commander: a stop in an outage is provisional, and the operator is told

Cause: an operator who takes a zone out while the store is down got an error only. Change: a change that does nothing but take out goes through Stop; where the store does not decide, the step Provisional says what that means. A change whose outcome is unknown is told apart from one that the store never saw. The drawn membership run no longer puts two live instances at one address (found by rapid). Conclusion: the operator always knows which of the two he got.

--- a/change.go
+++ b/change.go
@@ -52,6 +52,11 @@
 	Hash       string // Hash is the configuration's hash after the change.
 }
 
+// OnlyStops reports whether the change takes out and does nothing else.
+func (c Change) OnlyStops() bool {
+	return len(c.Commands) > 0 && !slices.ContainsFunc(c.Commands, func(command Command) bool { return !command.IsStop() })
+}
+
 // IsStop reports whether the command only takes something out of service.
 func (c Command) IsStop() bool {
 	return c.Kind == CommandZoneOut || c.Kind == CommandTargetOut || c.Kind == CommandInstanceOut
--- a/cmd/hemlocktally/tell.go
+++ b/cmd/hemlocktally/tell.go
@@ -76,7 +76,7 @@
 			step.InForce, step.Instances, strings.Join(step.Missing, ", ")))
 	case commander.StepInForce:
 		lines = append(lines, fmt.Sprintf("in force on all %d instances after %s", step.Instances, step.Took.Round(time.Millisecond)))
-	case commander.StepFailed:
+	case commander.StepFailed, commander.StepProvisional:
 		lines = append(lines, step.Detail)
 	}
 	for _, d := range step.Differences {
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -20,6 +20,12 @@
 	Change(ctx context.Context, change hemlocktally.Change) (hemlocktally.Accepted, error)
 }
 
+// Stopper is a Changer that can also take out while the store is down.
+type Stopper interface {
+	// Stop returns an accepted change, or a stop that is only provisional.
+	Stop(ctx context.Context, change hemlocktally.Change) (hemlocktally.Stopped, error)
+}
+
 // Asker answers queries for the fleet.
 type Asker interface {
 	Ask(ctx context.Context, query interpreter.Query) inspector.Answer
@@ -32,9 +38,11 @@
 const (
 	StepPlanned  StepKind = "Planned"  // StepPlanned shows what a dry run would change.
 	StepAccepted StepKind = "Accepted" // StepAccepted has a revision that lasts.
-	StepWaiting  StepKind = "Waiting"  // StepWaiting counts the instances where it is in force.
-	StepInForce  StepKind = "InForce"  // StepInForce is in force on every instance.
-	StepFailed   StepKind = "Failed"   // StepFailed ends a command that had no effect, or was not in force in time.
+	// StepProvisional is a stop that only the instances hold, until the store settles it.
+	StepProvisional StepKind = "Provisional"
+	StepWaiting     StepKind = "Waiting" // StepWaiting counts the instances where it is in force.
+	StepInForce     StepKind = "InForce" // StepInForce is in force on every instance.
+	StepFailed      StepKind = "Failed"  // StepFailed ends a command that had no effect, or was not in force in time.
 )
 
 // StepMsg is one line of the progress of a command.
@@ -97,15 +105,32 @@
 	if options.DryRun {
 		return c.planned(config, change, differences, report)
 	}
-	accepted, err := c.Changer.Change(ctx, change)
+	got, err := c.offer(ctx, change)
 	if err != nil {
 		return err
 	}
-	report(StepMsg{Kind: StepAccepted, Revision: accepted.Revision, Differences: differences})
+	if got.Provisional != nil {
+		report(StepMsg{Kind: StepProvisional, Revision: config.Revision, Differences: differences, Detail: provisionalDetail})
+		return nil
+	}
+	report(StepMsg{Kind: StepAccepted, Revision: got.Accepted.Revision, Differences: differences})
 	if !options.Wait {
 		return nil
 	}
-	return c.wait(ctx, accepted.Revision, report)
+	return c.wait(ctx, got.Accepted.Revision, report)
+}
+
+const provisionalDetail = "the store is down: the stop is provisional. It spreads between the instances now, " +
+	"and becomes a revision or is dropped, with a log event, once the store is back"
+
+// offer hands the change on. One that only takes out may be done provisionally.
+func (c *Commander) offer(ctx context.Context, change hemlocktally.Change) (hemlocktally.Stopped, error) {
+	stopper, ok := c.Changer.(Stopper)
+	if ok && change.OnlyStops() {
+		return stopper.Stop(ctx, change)
+	}
+	accepted, err := c.Changer.Change(ctx, change)
+	return hemlocktally.Stopped{Accepted: &accepted}, err
 }
 
 func (c *Commander) planned(config *hemlocktally.Configuration, change hemlocktally.Change, differences []interpreter.Difference, report func(StepMsg)) error {
--- a/commander/fault.go
+++ b/commander/fault.go
@@ -45,6 +45,7 @@
 	var race *hemlocktally.RaceError
 	var store *hemlocktally.StoreError
 	var late *NotInForceError
+	var unknown *hemlocktally.UnknownChangeError
 	switch {
 	case errors.As(err, &syntax):
 		fault.Kind, fault.Offset, fault.Found, fault.Expected = FaultSyntax, syntax.Offset, syntax.Found, syntax.Expected
@@ -56,6 +57,8 @@
 		fault.Kind, fault.Winner = FaultRace, &race.Winner
 	case errors.As(err, &late):
 		fault.Kind = FaultLate
+	case errors.As(err, &unknown):
+		fault.Unknown = true
 	case errors.As(err, &store):
 		fault.Unknown = store.Unknown
 	}
--- /dev/null
+++ b/commander/stop_test.go
@@ -0,0 +1,57 @@
+package commander_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"hemlocktally"
+	"hemlocktally/commander"
+)
+
+// cutOff is a Changer whose store is down.
+type cutOff struct{}
+
+func (cutOff) Current() *hemlocktally.Configuration {
+	return &hemlocktally.Configuration{Revision: 3, Zones: []hemlocktally.AvailabilityZone{{Name: "north"}}}
+}
+
+func (cutOff) Change(context.Context, hemlocktally.Change) (hemlocktally.Accepted, error) {
+	return hemlocktally.Accepted{}, &hemlocktally.StoreError{Operation: "get", Cause: errors.New("down")}
+}
+
+func (cutOff) Stop(_ context.Context, change hemlocktally.Change) (hemlocktally.Stopped, error) {
+	return hemlocktally.Stopped{Provisional: &hemlocktally.ProvisionalStop{ID: change.ID}}, nil
+}
+
+func TestOperatorIsToldThatAStopIsProvisional(t *testing.T) {
+	c := qt.New(t)
+	follower := commander.Commander{Changer: cutOff{}}
+	offer := func(kinds ...hemlocktally.CommandKind) (steps []commander.StepKind, err error) {
+		change := hemlocktally.Change{ID: "a", Base: 3}
+		for _, kind := range kinds {
+			change.Commands = append(change.Commands, hemlocktally.Command{Kind: kind, Name: "north"})
+		}
+		err = follower.Offer(context.Background(), change, commander.Options{Wait: true}, func(step commander.StepMsg) {
+			steps = append(steps, step.Kind)
+		})
+		return steps, err
+	}
+	steps, err := offer(hemlocktally.CommandZoneOut)
+	c.Assert(err, qt.IsNil)
+	c.Check(steps, qt.DeepEquals, []commander.StepKind{commander.StepProvisional})
+
+	steps, err = offer(hemlocktally.CommandZoneOut, hemlocktally.CommandZoneBack)
+	var failed *hemlocktally.StoreError
+	c.Check(errors.As(err, &failed), qt.IsTrue)
+	c.Check(steps, qt.HasLen, 0)
+}
+
+func TestUnknownChangeIsSaidToBeUnknown(t *testing.T) {
+	c := qt.New(t)
+	cause := &hemlocktally.StoreError{Operation: "get", Cause: errors.New("down")}
+	c.Check(commander.FaultOf(&hemlocktally.UnknownChangeError{ChangeID: "a", Cause: cause}).Unknown, qt.IsTrue)
+	c.Check(commander.FaultOf(cause).Unknown, qt.IsFalse)
+}
--- a/registrar/state_test.go
+++ b/registrar/state_test.go
@@ -254,7 +254,7 @@
 	case "crash":
 		n.crashed = len(s.live()) > 3
 	case "replace":
-		if n.crashed && len(s.nodes) < 10 {
+		if s.at(n.address) == nil && len(s.nodes) < 10 {
 			s.add("", n.address)
 		}
 	case "loss":
