--- a/experimenter/experimenter.go
+++ b/experimenter/experimenter.go
@@ -178,6 +178,7 @@
 		Limits:   loader.LimitSettings{SettleTime: settleTime},
 	}
 	daemon := runner.New(settings, logger.Logger{}, listeners)
+	f.Platform.List(imitator.ListedInstance{Name: settings.Instance.ID, Zone: settings.Instance.Zone, Address: daemon.Self().PeerAddress})
 	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	f.Daemons = append(f.Daemons, daemon)
 	f.stops = append(f.stops, stop)
--- a/surveyor/fleet.go
+++ b/surveyor/fleet.go
@@ -34,6 +34,7 @@
 	Instances []*Instance
 
 	storeURL string
+	started  int
 	cancel   context.CancelFunc
 	around   sync.WaitGroup
 }
@@ -128,7 +129,8 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	number := len(f.Instances)
+	number := f.started
+	f.started++
 	i := &Instance{}
 	self := hemlocktally.Instance{
 		ID:          hemlocktally.InstanceID(fmt.Sprintf("entry-%03d", number+1)),
@@ -138,6 +140,7 @@
 		State:       hemlocktally.InstanceServing,
 	}
 	i.assemble(f.storeURL, self, uint64(number)+1)
+	f.Platform.List(imitator.ListedInstance{Name: string(self.ID), Zone: string(self.Zone), Address: self.PeerAddress})
 	mux := http.NewServeMux()
 	mux.Handle(messenger.MembershipPathPrefix, messenger.NewMembershipServer(i.Registrar))
 	mux.Handle(messenger.ConfigurationPathPrefix, messenger.NewConfigurationServer(i.Configurator))
@@ -160,7 +163,7 @@
 	i.Configurator = &configurator.Configurator{Store: i.Store, Self: self.ID, HTTP: client}
 	i.Registrar = &registrar.Registrar{
 		Store: i.Store, Self: self, Configuration: i.Configurator, Acting: i.Configurator.Acting,
-		HTTP: client, Seed: seed, Sized: i.Store.SetMembers,
+		HTTP: client, InstanceList: store, Seed: seed, Sized: i.Store.SetMembers,
 	}
 	i.Configurator.Members = i.Registrar
 }
