Registrar: an instance without a configuration only starts

Change: such an instance reports Starting and takes no work, but may watch; a head that can't be taken over is read again soon; the same older revision is logged once. Conclusion: an owner always has a configuration.

--- a/cmd/hemlocktally/fleet.go
+++ b/cmd/hemlocktally/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -19,8 +20,8 @@
 			"one row for each size of the fleet, then one for each size of the configuration.\n" +
 			"Example:\n  hemlocktally bench-fleet --instances 4,8,16 --services 10,2400",
 		Flags: []cli.Flag{
-			&cli.IntSliceFlag{Name: "instances", Usage: "the sizes of the fleet, each with --base-services", Value: []int{4, 8, 16, 32, 64}},
-			&cli.IntSliceFlag{Name: "services", Usage: "the sizes of the configuration, each with --base-instances", Value: []int{10, 100, 1000, 2400}},
+			&cli.IntSliceFlag{Name: "instances", Usage: "the sizes of the fleet, each with --base-services; 0 for none", Value: []int{4, 8, 16, 32, 64}},
+			&cli.IntSliceFlag{Name: "services", Usage: "the sizes of the configuration, each with --base-instances; 0 for none", Value: []int{10, 100, 1000, 2400}},
 			&cli.IntFlag{Name: "base-instances", Usage: "the fleet for the sizes of the configuration", Value: 16},
 			&cli.IntFlag{Name: "base-services", Usage: "the configuration for the sizes of the fleet", Value: 10},
 			&cli.IntFlag{Name: "changes", Usage: "how many changes are timed", Value: 40},
@@ -48,6 +49,7 @@
 		survey.Services = services
 		surveys = append(surveys, survey)
 	}
+	surveys = slices.DeleteFunc(surveys, func(s surveyor.Survey) bool { return s.Instances <= 0 || s.Services <= 0 })
 	var rows []surveyor.Row
 	for n, survey := range surveys {
 		_, _ = fmt.Fprintf(os.Stderr, "%d of %d: %d instances, %d services\n", n+1, len(surveys), survey.Instances, survey.Services)
--- a/configurator/configurator.go
+++ b/configurator/configurator.go
@@ -45,6 +45,7 @@
 	once      sync.Once
 	outbox    chan Cmd
 	divergent atomic.Uint64
+	staleAt   atomic.Uint64 // staleAt is one more than the older revision that was last logged.
 	messages  atomic.Uint64
 	bytes     atomic.Uint64
 }
--- a/configurator/follow.go
+++ b/configurator/follow.go
@@ -41,7 +41,10 @@
 			continue
 		}
 		after = sequence
-		c.observeEntries(ctx, entries)
+		if !c.observeEntries(ctx, entries) {
+			after, next = 0, time.Now()
+			pause(ctx, followPause)
+		}
 	}
 }
 
@@ -49,19 +52,26 @@
 	return c.Members == nil || registrar.Watching(c.Members.View(), c.Self, headKey)
 }
 
-func (c *Configurator) observeEntries(ctx context.Context, entries []hemlocktally.Entry) {
+// observeEntries takes over the head. It returns false where that is to be
+// tried again, for instance because a snapshot was replaced meanwhile.
+func (c *Configurator) observeEntries(ctx context.Context, entries []hemlocktally.Entry) bool {
 	for _, entry := range entries {
 		if entry.Key != headKey {
 			continue
 		}
 		h, err := decodeHead(entry.Value)
 		if err != nil {
-			continue
+			return false
 		}
 		if present := c.accepted().Revision; h.Revision < present {
-			c.Log.Log(logger.EventConfigurationStale, logger.Fields{"Revision": present, "StoreRevision": h.Revision})
+			if c.staleAt.Swap(uint64(h.Revision)+1) != uint64(h.Revision)+1 {
+				c.Log.Log(logger.EventConfigurationStale, logger.Fields{"Revision": present, "StoreRevision": h.Revision})
+			}
+			return false
+		}
+		if _, err = c.observe(ctx, h); err != nil {
+			return false
 		}
-		// What can't be read now is read with the next head or from a peer.
-		_, _ = c.observe(ctx, h)
 	}
+	return true
 }
--- a/registrar/lease.go
+++ b/registrar/lease.go
@@ -73,7 +73,9 @@
 	}
 	k.drop()
 	k.busy = true
-	return []Cmd{RegisterCmd{Record: s.Self}}
+	record := s.Self
+	record.State = hemlocktally.InstanceServing // Peers report the present state; the record stays as it is.
+	return []Cmd{RegisterCmd{Record: record}}
 }
 
 // reincarnate gives the instance a new incarnation, above the one given
--- a/registrar/messages.go
+++ b/registrar/messages.go
@@ -11,6 +11,7 @@
 type TickMsg struct {
 	Revision hemlocktally.Revision // Revision is the configuration that the instance acts on.
 	Out      bool                  // Out is set while operators have the instance or its zone out.
+	Starting bool                  // Starting is set while the instance has no configuration yet.
 }
 
 // BeatMsg is a heartbeat from a peer, which is answered with a ReplyCmd.
--- a/registrar/records.go
+++ b/registrar/records.go
@@ -74,13 +74,16 @@
 // Watching reports whether the instance is one of the few of its zone that wait
 // for changes in the store, for the role with the given name.
 func Watching(view hemlocktally.View, self hemlocktally.InstanceID, role string) bool {
+	able := func(m hemlocktally.Instance) bool {
+		return m.State == hemlocktally.InstanceServing || m.State == hemlocktally.InstanceStarting
+	}
 	own, ok := view.Find(self)
-	if !ok || own.State != hemlocktally.InstanceServing {
+	if !ok || !able(own) {
 		return false
 	}
 	var zone []hemlocktally.InstanceID
-	for _, m := range view.Serving() {
-		if m.Zone == own.Zone {
+	for _, m := range view.Members {
+		if m.Zone == own.Zone && able(m) {
 			zone = append(zone, m.ID)
 		}
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -143,7 +143,7 @@
 	if r.Acting != nil {
 		revision = r.Acting()
 	}
-	return TickMsg{Revision: revision, Out: config.InstanceOut(r.Self.ID) || config.ZoneOut(r.Self.Zone)}
+	return TickMsg{Starting: config.Revision == 0, Revision: revision, Out: config.InstanceOut(r.Self.ID) || config.ZoneOut(r.Self.Zone)}
 }
 
 // watch brings the records of the store while the instance is a watcher.
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -34,6 +34,7 @@
 	nextHint time.Time
 	frozen   bool
 	departed bool
+	started  bool // started is set once the instance had a configuration.
 
 	viewRevision uint64
 	changed      bool
@@ -136,10 +137,16 @@
 		s.Self.Revision = msg.Revision
 		s.bump()
 	}
+	s.started = s.started || !msg.Starting
+	able := s.Self.State == hemlocktally.InstanceStarting || s.Self.State == hemlocktally.InstanceServing ||
+		s.Self.State == hemlocktally.InstanceOut
 	switch {
-	case msg.Out && s.Self.State == hemlocktally.InstanceServing:
+	case !able:
+	case !s.started:
+		s.report(hemlocktally.InstanceStarting)
+	case msg.Out:
 		s.report(hemlocktally.InstanceOut)
-	case !msg.Out && s.Self.State == hemlocktally.InstanceOut:
+	default:
 		s.report(hemlocktally.InstanceServing)
 	}
 }
--- a/registrar/state_test.go
+++ b/registrar/state_test.go
@@ -202,6 +202,18 @@
 	s.sound(c)
 }
 
+func TestInstanceWithoutConfigurationOnlyStarts(t *testing.T) {
+	c := qt.New(t)
+	s := simulate(13, 1)
+	n := s.nodes[0]
+	s.step(n, TickMsg{Starting: true}, nil)
+	c.Check(n.serving(), qt.HasLen, 0)
+	s.step(n, TickMsg{Revision: 1}, nil)
+	c.Check(n.serving(), qt.HasLen, 1)
+	s.step(n, TickMsg{Starting: true}, nil)
+	c.Check(n.serving(), qt.HasLen, 1)
+}
+
 func TestMembersOutOfServiceDoNotServe(t *testing.T) {
 	c := qt.New(t)
 	s := form(c, 12, 5)
--- a/surveyor/fleet.go
+++ b/surveyor/fleet.go
@@ -99,7 +99,8 @@
 	pollPause    = 2 * time.Millisecond
 )
 
-// Start runs a fleet of the given size and returns once all agree on it.
+// Start runs a fleet of the given size and returns once all know one another.
+// They serve once a first configuration is in force.
 func Start(ctx context.Context, count int, seed uint64) (*Fleet, error) {
 	around, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	f := &Fleet{Platform: &imitator.Platform{Seed: seed}, cancel: cancel}
@@ -116,7 +117,7 @@
 			return nil, err
 		}
 	}
-	err = Await(ctx, startTimeout, func() bool { return f.agreed(count) })
+	err = Await(ctx, startTimeout, func() bool { return f.met(count) })
 	if err != nil {
 		f.Stop()
 	}
@@ -221,6 +222,16 @@
 	return live
 }
 
+// met reports whether every instance knows so many members.
+func (f *Fleet) met(members int) bool {
+	for _, i := range f.Instances {
+		if len(i.Registrar.View().Members) != members {
+			return false
+		}
+	}
+	return true
+}
+
 // agreed reports whether every live instance takes just so many for serving.
 func (f *Fleet) agreed(serving int) bool {
 	for _, i := range f.live() {
