Configurator: give a store that lost writes the configuration back

Cause: with an older head in the store, instances rightly kept theirs, but no change was possible any more until all were replaced. Change: a watcher that sees an older head of the same lineage, or none, for 5 s writes the configuration in force over it, by a swap that names the version read. Conclusion: an accepted configuration outlives the store's loss too.

--- a/configurator/change_test.go
+++ b/configurator/change_test.go
@@ -161,6 +161,29 @@
 	c.Check(late.Current().ZoneOut("north"), qt.IsTrue)
 }
 
+func TestStoreThatLostWritesIsRestored(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	store := newStore(1)
+	ctx, cancel := context.WithCancel(background)
+	configurer := &configurator.Configurator{Store: store}
+	for i := range 5 {
+		_, err := configurer.Change(background, change(fmt.Sprint("c", i), hemlocktally.Revision(i), service("log", 1+i)))
+		c.Assert(err, qt.IsNil)
+	}
+	store.set(func(s *fakeStore) { s.entries = map[string]hemlocktally.Entry{} })
+	ended := make(chan error, 1)
+	go func() { ended <- configurer.Run(ctx) }()
+	await(c, "the head is back", func() bool { return len(store.keys("Configuration/Head")) == 1 })
+	cancel()
+	c.Assert(<-ended, qt.IsNil)
+	late := &configurator.Configurator{Store: store}
+	accepted, err := late.Change(background, change("last", 5, zone(hemlocktally.CommandZoneOut)))
+	c.Assert(err, qt.IsNil)
+	c.Check(accepted.Revision, qt.Equals, hemlocktally.Revision(6))
+	c.Check(late.Current().Services[0].Targets, qt.HasLen, 5)
+}
+
 func await(c *qt.C, what string, reached func() bool) {
 	deadline := time.Now().Add(20 * time.Second)
 	for !reached() {
--- a/configurator/follow.go
+++ b/configurator/follow.go
@@ -23,6 +23,7 @@
 func (c *Configurator) follow(ctx context.Context) {
 	after := uint64(0)
 	next := time.Now()
+	var restore restorer
 	for ctx.Err() == nil {
 		watching := c.watching()
 		if !watching && time.Now().Before(next) {
@@ -41,7 +42,12 @@
 			continue
 		}
 		after = sequence
-		if !c.observeEntries(ctx, entries) {
+		h, err := headOf(entries)
+		older := err == nil && h.Revision < c.accepted().Revision
+		if restore.due(older, time.Now()) {
+			c.restore(ctx, h)
+		}
+		if err != nil || !c.takeHead(ctx, h.head) {
 			after, next = 0, time.Now()
 			pause(ctx, followPause)
 		}
@@ -52,26 +58,30 @@
 	return c.Members == nil || registrar.Watching(c.Members.View(), c.Self, headKey)
 }
 
-// observeEntries takes over the head. It returns false where that is to be
-// tried again, for instance because a snapshot was replaced meanwhile.
-func (c *Configurator) observeEntries(ctx context.Context, entries []hemlocktally.Entry) bool {
+// headOf returns the head among the entries below its key. It is zero where
+// there is none.
+func headOf(entries []hemlocktally.Entry) (versionedHead, error) {
 	for _, entry := range entries {
-		if entry.Key != headKey {
-			continue
-		}
-		h, err := decodeHead(entry.Value)
-		if err != nil {
-			return false
-		}
-		if present := c.accepted().Revision; h.Revision < present {
-			if c.staleAt.Swap(uint64(h.Revision)+1) != uint64(h.Revision)+1 {
-				c.Log.Log(logger.EventConfigurationStale, logger.Fields{"Revision": present, "StoreRevision": h.Revision})
-			}
-			return false
+		if entry.Key == headKey {
+			h, err := decodeHead(entry.Value)
+			return versionedHead{head: h, version: entry.Version}, err
 		}
-		if _, err = c.observe(ctx, h); err != nil {
-			return false
+	}
+	return versionedHead{}, nil
+}
+
+// takeHead puts a head in force. It returns false where that is to be tried
+// again, for instance because a snapshot was replaced meanwhile.
+func (c *Configurator) takeHead(ctx context.Context, h head) bool {
+	if present := c.accepted().Revision; h.Revision < present {
+		if c.staleAt.Swap(uint64(h.Revision)+1) != uint64(h.Revision)+1 {
+			c.Log.Log(logger.EventConfigurationStale, logger.Fields{"Revision": present, "StoreRevision": h.Revision})
 		}
+		return false
+	}
+	if h.Revision == 0 {
+		return true
 	}
-	return true
+	_, err := c.observe(ctx, h)
+	return err == nil
 }
--- a/configurator/state_test.go
+++ b/configurator/state_test.go
@@ -133,3 +133,13 @@
 	s.Update(StopsMsg{Stops: []hemlocktally.ProvisionalStop{out}}, now.Add(time.Hour))
 	c.Check(s.Effective().ZoneOut("north"), qt.IsFalse, qt.Commentf("a settled stop came back"))
 }
+
+func TestRestoreWaitsForALaggingReplica(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	var r restorer
+	c.Check(r.due(true, now), qt.IsFalse)
+	c.Check(r.due(true, now.Add(restoreDelay)), qt.IsTrue)
+	c.Check(r.due(false, now.Add(restoreDelay)), qt.IsFalse)
+	c.Check(r.due(true, now.Add(2*restoreDelay)), qt.IsFalse)
+}
--- a/logger/membership_events.go
+++ b/logger/membership_events.go
@@ -50,7 +50,7 @@
 		Number: 4008, Name: "store configuration older", Level: logrus.WarnLevel,
 		Fields:  []string{"Revision", "StoreRevision"},
 		Meaning: "The store answered with an older revision than the one in force; it was ignored.",
-		Action:  "A lagging replica does that for a moment. If it stays, the store lost writes.",
+		Action:  "A lagging replica does that for a moment. If it stays, the store lost writes and is restored (4011).",
 	}
 	EventProvisionalStop = Event{
 		Number: 4009, Name: "provisional stop in force", Level: logrus.WarnLevel,
@@ -64,9 +64,16 @@
 		Meaning: "A provisional stop became an accepted change, or was dropped for the cause given.",
 		Action:  "If it was dropped, look whether the stop is still wanted and give it again.",
 	}
+	EventConfigurationRestored = Event{
+		Number: 4011, Name: "store configuration restored", Level: logrus.WarnLevel,
+		Fields:  []string{"Revision", "StoreRevision"},
+		Meaning: "The store had lost accepted changes; the instances wrote back what they have in force.",
+		Action:  "Find out how the platform's service lost writes.",
+	}
 )
 
 var membershipEvents = []Event{
 	EventStoreDown, EventStoreBack, EventRegistered, EventMemberState, EventLeaseRelayed, EventConfigurationInForce,
 	EventConfigurationDivergent, EventConfigurationStale, EventProvisionalStop, EventProvisionalSettled,
+	EventConfigurationRestored,
 }
