--- a/registrar/state_test.go
+++ b/registrar/state_test.go
@@ -27,7 +27,7 @@
 }
 
 // noticed is the time within which a crash or a return must be known.
-const noticed = 1500 * time.Millisecond
+const noticed = 1250 * time.Millisecond
 
 func form(c *qt.C, seed uint64, count int) *simulation {
 	s := simulate(seed, count)
@@ -202,6 +202,18 @@
 	s.sound(c)
 }
 
+func TestInstanceWithoutConfigurationOnlyStarts(t *testing.T) {
+	c := qt.New(t)
+	s := simulate(13, 1)
+	n := s.nodes[0]
+	s.step(n, TickMsg{Starting: true}, nil)
+	c.Check(n.serving(), qt.HasLen, 0)
+	s.step(n, TickMsg{Revision: 1}, nil)
+	c.Check(n.serving(), qt.HasLen, 1)
+	s.step(n, TickMsg{Starting: true}, nil)
+	c.Check(n.serving(), qt.HasLen, 1)
+}
+
 func TestMembersOutOfServiceDoNotServe(t *testing.T) {
 	c := qt.New(t)
 	s := form(c, 12, 5)
@@ -254,7 +266,7 @@
 	case "crash":
 		n.crashed = len(s.live()) > 3
 	case "replace":
-		if n.crashed && len(s.nodes) < 10 {
+		if s.at(n.address) == nil && len(s.nodes) < 10 {
 			s.add("", n.address)
 		}
 	case "loss":
