dispatcher: a call waits for the new holder of its key's range

Change: a refused claim is asked for again, 20 ms apart and doubling, for up to 1 s or the contract's queue bound; nothing has run then. Conclusion: a planned stop refuses no keyed call as long as a new holder is there within the bound.

--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -14,6 +14,8 @@
 
 const (
 	claimRetryAfter    = time.Second
+	claimPatience      = time.Second // claimPatience bounds the wait for a holder.
+	claimPause         = 20 * time.Millisecond
 	claimFinishTimeout = 2 * time.Second
 )
 
@@ -31,10 +33,7 @@
 // serveClaimed asks the holder of the key's range, and runs the call only where
 // the holder lets it.
 func (c *call) serveClaimed(ctx context.Context) {
-	claim, err := c.dispatcher.Claimer.Begin(ctx, hemlocktally.ClaimRequest{
-		Call: c.record.Call, Caller: c.record.Caller, Contract: c.contract.Name, Key: c.key,
-		Digest: c.digest(), Deadline: c.deadline,
-	})
+	claim, err := c.begin(ctx)
 	if err != nil {
 		c.refuse(claimError(err))
 		return
@@ -55,6 +54,27 @@
 	}
 }
 
+// begin asks for the claim. While no instance holds the key's range, as in a
+// hand-over, it asks again for a while; nothing runs meanwhile.
+func (c *call) begin(ctx context.Context) (hemlocktally.Claim, error) {
+	request := hemlocktally.ClaimRequest{
+		Call: c.record.Call, Caller: c.record.Caller, Contract: c.contract.Name, Key: c.key,
+		Digest: c.digest(), Deadline: c.deadline,
+	}
+	until := time.Now().Add(min(claimPatience, c.contract.QueueBound()))
+	for pause := claimPause; ; pause *= 2 {
+		claim, err := c.dispatcher.Claimer.Begin(ctx, request)
+		if err != nil || claim.Verdict != hemlocktally.ClaimRefused || time.Now().Add(pause).After(until) {
+			return claim, err
+		}
+		select {
+		case <-time.After(pause):
+		case <-c.request.Context().Done():
+			return claim, nil
+		}
+	}
+}
+
 func claimError(err error) *hemlocktally.RefusedError {
 	var refused *hemlocktally.RefusedError
 	if errors.As(err, &refused) {
--- a/dispatcher/claim_test.go
+++ b/dispatcher/claim_test.go
@@ -22,6 +22,7 @@
 	begun   []hemlocktally.ClaimRequest
 	results []hemlocktally.ClaimResult
 	told    chan struct{}
+	after   int // after is the number of calls from which on the verdict is Run; zero means never.
 }
 
 func (f *fakeClaimer) Begin(_ context.Context, request hemlocktally.ClaimRequest) (hemlocktally.Claim, error) {
@@ -29,6 +30,9 @@
 	defer f.mu.Unlock()
 	f.begun = append(f.begun, request)
 	claim := f.verdict
+	if f.after > 0 && len(f.begun) > f.after {
+		claim.Verdict = hemlocktally.ClaimRun
+	}
 	claim.Request = request
 	return claim, f.err
 }
@@ -99,6 +103,18 @@
 	}
 }
 
+// While a key's range changes hands, the call waits for the new holder.
+func TestRefusedClaimIsAskedForAgain(t *testing.T) {
+	c := qt.New(t)
+	h, f, target := claimHarness(t, hemlocktally.Claim{Verdict: hemlocktally.ClaimRefused}, always(okAnswer))
+	f.after = 2
+	got := h.send("POST", "/pay", "body", "Idempotency-Key", "k1")
+	c.Check(got.status, qt.Equals, 200)
+	c.Check(f.begun, qt.HasLen, 3)
+	c.Check(f.finished(t).Outcome, qt.Equals, hemlocktally.OutcomeDone)
+	c.Check(target.runs.Load(), qt.Equals, int64(1))
+}
+
 func TestClaimIsFinishedWithTheOutcome(t *testing.T) {
 	run := hemlocktally.Claim{Verdict: hemlocktally.ClaimRun}
 	large := "HTTP/1.1 200 OK\r\nContent-Length: 8000\r\n\r\n" + string(make([]byte, 8000))
