dispatcher: a target that is out gets nothing, whatever its grant says

Cause: a grant that was made before operators took a target or its zone out could still be used after the change was in force at the entry. Conclusion: TestTargetThatIsOutGetsNoWork fails without the check and passes.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -14,6 +14,10 @@
 // errLost ends an attempt whose call has its answer or no longer wants one.
 var errLost = errors.New("another attempt answered or the caller is gone")
 
+// errOutOfService ends an attempt whose turn is on a target that operators took
+// out meanwhile.
+var errOutOfService = errors.New("operators have it out of service")
+
 // attempt is the task of one try of a call on one target. It sends the call
 // messages, holds its turn and its link, and gives both back itself.
 type attempt struct {
@@ -91,8 +95,10 @@
 	if !a.acquire(ctx) {
 		return
 	}
-	result := hemlocktally.GrantResult{Grant: a.grant, Contract: a.call.contract.Name}
-	failed := a.takeLink(ctx, &result)
+	result := hemlocktally.GrantResult{
+		Grant: a.grant, Contract: a.call.contract.Name, Outcome: hemlocktally.AttemptUnused,
+	}
+	failed := a.takeLink(ctx)
 	if failed == nil {
 		failed = a.forward(ctx, &result)
 	}
@@ -145,13 +151,15 @@
 }
 
 // takeLink gets a link to the target. Nothing is sent before it returns nil.
-func (a *attempt) takeLink(ctx context.Context, result *hemlocktally.GrantResult) *FailedMsg {
+func (a *attempt) takeLink(ctx context.Context) *FailedMsg {
 	c := a.call
+	if a.outOfService() {
+		return a.fail(ctx, errOutOfService, false)
+	}
 	startBy := a.startBy()
 	link, err := c.dispatcher.Links.Take(ctx, hemlocktally.LinkRequest{
 		Target: a.grant.Target, Proven: c.contract.NonIdempotent, StartBy: startBy, Fence: c.fence,
 	})
-	result.Outcome = hemlocktally.AttemptUnused
 	if err != nil {
 		return a.fail(ctx, err, false)
 	}
@@ -164,6 +172,22 @@
 	return nil
 }
 
+// outOfService reports whether the configuration in force here, if it is no
+// older than the grant's, has the target out of service or no longer has it.
+func (a *attempt) outOfService() bool {
+	config := a.call.dispatcher.Configuration.Current()
+	if config.Revision < a.grant.Revision {
+		return false
+	}
+	service, _ := config.Service(a.grant.Service)
+	for _, target := range service.Targets {
+		if target.Name == a.grant.Target.Name && target.Address == a.grant.Target.Address {
+			return config.TargetOut(target)
+		}
+	}
+	return true
+}
+
 // startBy is when the turn lapses unused.
 func (a *attempt) startBy() time.Time {
 	startBy := a.call.deadline
--- a/dispatcher/once_test.go
+++ b/dispatcher/once_test.go
@@ -95,3 +95,14 @@
 	c.Check(got.header.Get(hemlocktally.HeaderOutcome), qt.Equals, "NotRun")
 	c.Check(target.runs.Load(), qt.Equals, int64(0))
 }
+
+func TestTargetThatIsOutGetsNoWork(t *testing.T) {
+	c := qt.New(t)
+	out := serveRaw(t, always(okAnswer))
+	in := serveRaw(t, always(okAnswer))
+	h := newHarness(t, hemlocktally.Contract{NonIdempotent: true}, out, in)
+	h.config.config.Services[0].Targets[0].Out = true // The granter has not seen it yet.
+	c.Check(h.send("POST", "/pay", "body").body, qt.Equals, "ok")
+	c.Check(out.runs.Load(), qt.Equals, int64(0))
+	c.Check(in.runs.Load(), qt.Equals, int64(1))
+}
