--- a/allocator/client.go
+++ b/allocator/client.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"net/http"
-	"sync"
+	"errors"
+	"slices"
 	"time"
 
 	"hemlocktally"
@@ -14,53 +14,92 @@
 // implements hemlocktally.Granter.
 type Client struct {
 	Self          hemlocktally.InstanceID
+	Incarnation   string
 	Zone          hemlocktally.ZoneName
 	Configuration hemlocktally.Configurer
 	Members       hemlocktally.Viewer
-	Server        *Server              // Server is asked directly where this instance is the owner.
-	HTTP          *http.Client         // HTTP reaches the peers.
+	Server        *Server // Server is asked directly where this instance is the owner.
+	Peers         *Peers
+	Ledger        *Ledger
 	Alone         hemlocktally.Granter // Alone decides while no owner answers.
-
-	mu    sync.Mutex
-	peers map[string]messenger.Allocation
 }
 
-// ownerAnswerBound is how long an owner may take beyond the queue limit.
-const ownerAnswerBound = 250 * time.Millisecond
+// unusableGrants bounds how often a grant that came too late is asked for anew.
+const unusableGrants = 3
 
-// Acquire asks the owner, and goes on alone where it does not answer.
+// Acquire asks the owner, and goes on alone where it does not answer. A grant
+// that the configuration in force or the end of its lease forbids is given back.
 func (c *Client) Acquire(ctx context.Context, request hemlocktally.GrantRequest) (hemlocktally.Grant, error) {
-	owner, ok := OwnerOf(request.Service, c.Members.View().Serving())
+	for range unusableGrants {
+		grant, err := c.acquire(ctx, request)
+		if err != nil {
+			return grant, err
+		}
+		now := time.Now()
+		c.Ledger.begin(grant, now)
+		if c.usable(grant, now) {
+			return grant, nil
+		}
+		c.Release(hemlocktally.GrantResult{Grant: grant, Contract: request.Contract, Outcome: hemlocktally.AttemptUnused})
+		request.Exclude = append(slices.Clone(request.Exclude), grant.Target.Name)
+	}
+	return hemlocktally.Grant{}, refusal(hemlocktally.ReasonNoTarget, "each target that the owner chose has been taken out", time.Second)
+}
+
+// usable reports whether a grant may be used now: its target is in service, and
+// a cold one is still the owner's alone.
+func (c *Client) usable(grant hemlocktally.Grant, now time.Time) bool {
+	if !grant.LeaseEnd.IsZero() && !now.Before(grant.LeaseEnd) {
+		return false
+	}
+	config := c.Configuration.Current()
+	service, ok := config.Service(grant.Service)
 	if !ok {
-		return c.Alone.Acquire(ctx, request)
+		return false
 	}
-	if owner.ID == c.Self {
-		return c.Server.AcquireHere(ctx, c.Self, request)
+	i := slices.IndexFunc(service.Targets, func(t hemlocktally.Target) bool { return t.Name == grant.Target.Name })
+	if i < 0 {
+		// A target that only the owner knows yet is new; one that it still knows has left.
+		return grant.Revision > config.Revision
 	}
-	grant, err := c.ask(ctx, owner, request)
-	if err == nil || isRefusal(err) || ctx.Err() != nil {
-		return grant, err
+	return !config.TargetOut(service.Targets[i])
+}
+
+func (c *Client) acquire(ctx context.Context, request hemlocktally.GrantRequest) (hemlocktally.Grant, error) {
+	for _, owner := range OwnersOf(request.Service, c.Members.View().Serving()) {
+		if owner.ID == c.Self {
+			return c.Server.AcquireHere(ctx, c.Self, request)
+		}
+		if c.Peers.avoided(owner, time.Now()) {
+			continue
+		}
+		grant, err := c.ask(ctx, owner, request)
+		var silent *silentError
+		if !errors.As(err, &silent) || ctx.Err() != nil {
+			return grant, err
+		}
+		break
 	}
 	return c.Alone.Acquire(ctx, request)
 }
 
 func (c *Client) ask(ctx context.Context, owner hemlocktally.Instance, request hemlocktally.GrantRequest) (hemlocktally.Grant, error) {
-	ctx, cancel := context.WithTimeout(ctx, request.QueueLimit+ownerAnswerBound)
-	defer cancel()
-	out, err := c.peer(owner).Acquire(ctx, wireRequest(c.Self, c.Zone, request))
+	asked := time.Now()
+	out, err := c.Peers.acquire(ctx, owner, c.wireRequest(request))
 	if err != nil {
 		return hemlocktally.Grant{}, err
 	}
+	if out.Refused == string(hemlocktally.ReasonLeaving) {
+		return hemlocktally.Grant{}, &silentError{owner.ID}
+	}
 	if out.Refused != "" {
-		return hemlocktally.Grant{}, &hemlocktally.RefusedError{
-			Outcome: hemlocktally.OutcomeNotRun, Reason: hemlocktally.Reason(out.Refused), Detail: out.Detail,
-			RetryAfter: time.Duration(out.RetryAfterMicroseconds) * time.Microsecond,
-		}
+		after := time.Duration(out.RetryAfterMicroseconds) * time.Microsecond
+		return hemlocktally.Grant{}, refusal(hemlocktally.Reason(out.Refused), out.Detail, after)
 	}
-	return c.grantOf(out, request), nil
+	return c.grantOf(out, request, asked), nil
 }
 
-func (c *Client) grantOf(out *messenger.AcquireResponse, request hemlocktally.GrantRequest) hemlocktally.Grant {
+func (c *Client) grantOf(out *messenger.AcquireResponse, request hemlocktally.GrantRequest, asked time.Time) hemlocktally.Grant {
 	target := hemlocktally.Target{Name: hemlocktally.TargetName(out.Target), Address: out.Address}
 	service, _ := c.Configuration.Current().Service(request.Service)
 	for _, t := range service.Targets {
@@ -68,49 +107,44 @@
 			target = t
 		}
 	}
-	return hemlocktally.Grant{
+	grant := hemlocktally.Grant{
 		ID: hemlocktally.GrantID(out.Grant), Service: request.Service, Target: target,
 		Owner: hemlocktally.InstanceID(out.Owner), Revision: hemlocktally.Revision(out.Revision),
 		Deadline: request.Deadline, Waited: time.Duration(out.WaitedMicroseconds) * time.Microsecond, Cold: out.Cold,
 	}
+	if out.Cold {
+		// The lease counts from the request's arrival there, which came after it was sent here.
+		grant.LeaseEnd = asked.Add(time.Duration(out.LeaseMicroseconds) * time.Microsecond)
+	}
+	return grant
 }
 
-// Release gives a turn back to the owner that granted it.
+// Release gives a turn back to the owner that granted it, and lets the present
+// owner know where that is another.
 func (c *Client) Release(result hemlocktally.GrantResult) {
-	switch {
-	case result.Grant.Alone:
+	c.Ledger.end(result.Grant.ID)
+	if result.SaidCold || result.SaidDraining {
+		c.Ledger.chill(result.Grant.Service, result.Grant.Target.Name)
+	}
+	if result.Grant.Alone {
 		c.Alone.Release(result)
-	case result.Grant.Owner == c.Self:
-		c.Server.ReleaseHere(result.Grant.Service, resultMsg(result))
-	default:
-		owner, ok := c.Members.View().Find(result.Grant.Owner)
-		if ok {
-			go c.report(owner, result)
-		}
+	}
+	view := c.Members.View()
+	present, _ := OwnerOf(result.Grant.Service, view.Serving())
+	c.tell(present, result)
+	if granter, ok := view.Find(result.Grant.Owner); ok && granter.ID != present.ID {
+		c.tell(granter, result)
 	}
 }
 
-func (c *Client) report(owner hemlocktally.Instance, result hemlocktally.GrantResult) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	_, _ = c.peer(owner).Report(ctx, &messenger.ReportRequest{
-		Instance: string(c.Self), Service: string(result.Grant.Service),
-		Results: []*messenger.Result{wireResult(result)},
-	})
-}
-
-func (c *Client) peer(owner hemlocktally.Instance) messenger.Allocation {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if p, ok := c.peers[owner.PeerAddress]; ok {
-		return p
-	}
-	p := messenger.NewAllocationProtobufClient("http://"+owner.PeerAddress, c.HTTP)
-	if c.peers == nil {
-		c.peers = map[string]messenger.Allocation{}
-	}
-	c.peers[owner.PeerAddress] = p
-	return p
+func (c *Client) tell(owner hemlocktally.Instance, result hemlocktally.GrantResult) {
+	switch owner.ID {
+	case "":
+	case c.Self:
+		c.Server.ReleaseHere(result.Grant.Service, resultMsg(result))
+	default:
+		c.Peers.report(owner, wireResult(result))
+	}
 }
 
 func resultMsg(r hemlocktally.GrantResult) ResultMsg {
@@ -122,16 +156,16 @@
 
 func wireResult(r hemlocktally.GrantResult) *messenger.Result {
 	return &messenger.Result{
-		Grant: string(r.Grant.ID), Target: string(r.Grant.Target.Name), Outcome: int32(r.Outcome),
-		LatencyMicroseconds: r.Latency.Microseconds(), SaidCold: r.SaidCold, SaidDraining: r.SaidDraining,
-		Contract: string(r.Contract),
+		Grant: string(r.Grant.ID), Service: string(r.Grant.Service), Target: string(r.Grant.Target.Name),
+		Outcome: int32(r.Outcome), LatencyMicroseconds: r.Latency.Microseconds(), SaidCold: r.SaidCold,
+		SaidDraining: r.SaidDraining, Contract: string(r.Contract),
 	}
 }
 
-func wireRequest(self hemlocktally.InstanceID, zone hemlocktally.ZoneName, r hemlocktally.GrantRequest) *messenger.AcquireRequest {
+func (c *Client) wireRequest(r hemlocktally.GrantRequest) *messenger.AcquireRequest {
 	out := &messenger.AcquireRequest{
-		Call: string(r.Call), Service: string(r.Service), Zone: string(zone), Contract: string(r.Contract),
-		Priority: int32(r.Priority), Kind: int32(r.Kind), Instance: string(self),
+		Call: string(r.Call), Service: string(r.Service), Zone: string(c.Zone), Contract: string(r.Contract),
+		Priority: int32(r.Priority), Kind: int32(r.Kind), Instance: string(c.Self), Incarnation: c.Incarnation,
 		DeadlineMicroseconds:   time.Until(r.Deadline).Microseconds(),
 		QueueLimitMicroseconds: r.QueueLimit.Microseconds(),
 	}
@@ -140,8 +174,3 @@
 	}
 	return out
 }
-
-func isRefusal(err error) bool {
-	_, ok := err.(*hemlocktally.RefusedError) //nolint:errorlint // The client returns refusals unwrapped.
-	return ok
-}
--- /dev/null
+++ b/allocator/harness_test.go
@@ -0,0 +1,116 @@
+package allocator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hemlocktally"
+)
+
+// desk drives a State by hand on a clock of its own.
+type desk struct {
+	c     *qt.C
+	state *State
+	now   time.Time
+	last  uint64
+}
+
+func newDesk(t *testing.T, targets int) *desk {
+	t.Helper()
+	d := &desk{c: qt.New(t), state: &State{Owner: "one", Epoch: "E"}, now: time.Unix(1000, 0)}
+	d.configure(targets, nil)
+	d.update(StandingMsg{Until: d.now.Add(time.Hour), Owner: true})
+	return d
+}
+
+func (d *desk) configure(targets int, out map[hemlocktally.TargetName]bool) []Command {
+	service := hemlocktally.Service{Name: "reads"}
+	for i := range targets {
+		service.Targets = append(service.Targets, hemlocktally.Target{
+			Name: target(i), Address: fmt.Sprintf("127.0.0.1:%d", 9000+i), Zone: "a",
+		})
+	}
+	return d.update(ConfigurationMsg{
+		Service: service, Out: out, Contracts: []hemlocktally.Contract{{Name: "Reads", RetryBudget: 0.1, HedgeBudget: 0.05}},
+	})
+}
+
+func target(i int) hemlocktally.TargetName {
+	return hemlocktally.TargetName(fmt.Sprintf("t%d", i))
+}
+
+// update runs a step and fails the test where an invariant broke.
+func (d *desk) update(msg any) []Command {
+	d.c.Helper()
+	commands := d.state.Update(msg, d.now)
+	for _, command := range commands {
+		broken, ok := command.(BrokenCmd)
+		d.c.Assert(ok, qt.IsFalse, qt.Commentf("%s: %s", broken.Invariant, broken.Detail))
+	}
+	return commands
+}
+
+func (d *desk) request(priority hemlocktally.Priority) hemlocktally.GrantRequest {
+	return hemlocktally.GrantRequest{
+		Service: "reads", Contract: "Reads", Priority: priority, Deadline: d.now.Add(time.Second), QueueLimit: 500 * time.Millisecond,
+	}
+}
+
+func (d *desk) acquire(request hemlocktally.GrantRequest) []Command {
+	d.last++
+	return d.update(AcquireMsg{Ticket: d.last, Request: request, From: "entry"})
+}
+
+func (d *desk) end(grant hemlocktally.Grant, outcome hemlocktally.AttemptOutcome, latency time.Duration) []Command {
+	return d.update(ResultMsg{Grant: grant.ID, Target: grant.Target.Name, Outcome: outcome, Latency: latency})
+}
+
+func grants(commands []Command) []hemlocktally.Grant {
+	var list []hemlocktally.Grant
+	for _, command := range commands {
+		if g, ok := command.(GrantCmd); ok {
+			list = append(list, g.Grant)
+		}
+	}
+	return list
+}
+
+func refusals(commands []Command) []*hemlocktally.RefusedError {
+	var list []*hemlocktally.RefusedError
+	for _, command := range commands {
+		if r, ok := command.(RefuseCmd); ok {
+			list = append(list, r.Error)
+		}
+	}
+	return list
+}
+
+// warm makes every target warm by quick answers, and the window known.
+func (d *desk) warm() {
+	d.c.Helper()
+	for range 200 {
+		for _, g := range grants(d.acquire(d.request(hemlocktally.PriorityNormal))) {
+			d.now = d.now.Add(10 * time.Millisecond)
+			d.end(g, hemlocktally.AttemptDone, 10*time.Millisecond)
+		}
+	}
+	for _, t := range d.state.targets {
+		d.c.Assert(t.state(), qt.Equals, hemlocktally.TargetWarm)
+	}
+}
+
+// fill takes every turn that is free and returns the grants.
+func (d *desk) fill(priority hemlocktally.Priority) []hemlocktally.Grant {
+	var taken []hemlocktally.Grant
+	for {
+		got := grants(d.acquire(d.request(priority)))
+		if len(got) == 0 {
+			d.update(CancelMsg{Ticket: d.last})
+			return taken
+		}
+		taken = append(taken, got...)
+	}
+}
--- a/allocator/owner.go
+++ b/allocator/owner.go
@@ -2,15 +2,40 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"hemlocktally"
+	"hemlocktally/logger"
 )
 
 // Owner is the task that holds the State of one service.
 type Owner struct {
-	inbox chan any
-	done  chan struct{}
+	Started time.Time
+
+	inbox    chan any
+	done     chan struct{}
+	cancel   context.CancelFunc
+	effects  *effects
+	standing atomic.Pointer[StandingMsg]
+	board    atomic.Pointer[board]
+}
+
+// board is what an owner shows to its instance without being asked.
+type board struct {
+	version  uint64
+	warm     []hemlocktally.TargetName
+	needs    bool // needs is set while a target is cold, so that the standing counts.
+	inFlight int
+	askedAt  time.Time // askedAt is the time of the last request.
+}
+
+// effects is what the commands of all owners of an instance act on.
+type effects struct {
+	log      logger.Logger
+	measurer hemlocktally.Measurer
+	broken   atomic.Uint64
+	changed  chan struct{} // changed wakes the server after a change of a target's state.
 }
 
 type answer struct {
@@ -25,15 +50,25 @@
 	ticket  chan uint64
 }
 
-const (
-	ownerInbox = 1024
-	ownerTick  = 5 * time.Millisecond
-)
+type statusCall struct {
+	answer chan ownerStatus
+}
 
-// StartOwner starts the task; it ends with the context.
-func StartOwner(ctx context.Context, self hemlocktally.InstanceID) *Owner {
-	o := &Owner{inbox: make(chan any, ownerInbox), done: make(chan struct{})}
-	go o.run(ctx, &State{Owner: self})
+type ownerStatus struct {
+	targets []hemlocktally.TargetStatus
+	budget  hemlocktally.BudgetStatus
+}
+
+const ownerInbox = 1024
+
+// startOwner starts the task; it ends with the context.
+func startOwner(ctx context.Context, state *State, effects *effects) *Owner {
+	ctx, cancel := context.WithCancel(ctx)
+	o := &Owner{
+		Started: time.Now(), inbox: make(chan any, ownerInbox), done: make(chan struct{}), cancel: cancel, effects: effects,
+	}
+	o.board.Store(&board{askedAt: o.Started})
+	go o.run(ctx, state)
 	return o
 }
 
@@ -71,62 +106,164 @@
 	background := context.WithoutCancel(ctx)
 	select {
 	case ticket := <-call.ticket:
-		o.Send(background, CancelMsg{Ticket: ticket})
+		o.Send(background, withdrawal{ticket: ticket, answer: call.answer})
 	case <-o.done:
 	}
-	select {
-	case a := <-call.answer:
-		if a.err == nil {
-			o.Send(background, ResultMsg{Grant: a.grant.ID, Target: a.grant.Target.Name, Outcome: hemlocktally.AttemptUnused})
-		}
-	default:
-	}
 	return hemlocktally.Grant{}, ctx.Err()
 }
 
+// withdrawal cancels a ticket, or gives back the turn that it got.
+type withdrawal struct {
+	ticket uint64
+	answer chan answer
+}
+
 func leaving() error {
 	return &hemlocktally.RefusedError{
 		Outcome: hemlocktally.OutcomeNotRun, Reason: hemlocktally.ReasonLeaving, Detail: "the owner is stopping",
 	}
 }
 
+// ownerRun is the state of the task itself.
+type ownerRun struct {
+	*Owner
+	state   *State
+	waiting map[uint64]chan answer
+	last    uint64
+	stands  StandingMsg
+	askedAt time.Time
+	version uint64
+}
+
 func (o *Owner) run(ctx context.Context, state *State) {
 	defer close(o.done)
-	ticker := time.NewTicker(ownerTick)
-	defer ticker.Stop()
-	waiting := map[uint64]chan answer{}
-	last := uint64(0)
+	r := &ownerRun{Owner: o, state: state, waiting: map[uint64]chan answer{}, askedAt: o.Started}
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
 	for {
 		var msg any
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 			msg = TickMsg{}
 		case msg = <-o.inbox:
 		}
-		if call, ok := msg.(acquireCall); ok {
-			last++
-			waiting[last] = call.answer
-			call.ticket <- last
-			msg = AcquireMsg{Ticket: last, Request: call.request, From: call.from}
+		r.step(ctx, msg, time.Now())
+		wake := time.Hour
+		if at := state.wake(); !at.IsZero() {
+			wake = max(0, time.Until(at))
 		}
-		if cancel, ok := msg.(CancelMsg); ok {
-			delete(waiting, cancel.Ticket)
+		timer.Reset(wake)
+	}
+}
+
+func (r *ownerRun) step(ctx context.Context, msg any, now time.Time) {
+	switch call := msg.(type) {
+	case acquireCall:
+		r.last++
+		r.askedAt = now
+		r.waiting[r.last] = call.answer
+		call.ticket <- r.last
+		msg = AcquireMsg{Ticket: r.last, Request: call.request, From: call.from}
+	case withdrawal:
+		delete(r.waiting, call.ticket)
+		msg = call.message()
+	case statusCall:
+		call.answer <- ownerStatus{targets: r.state.statuses(now), budget: r.state.budgetStatuses()}
+		return
+	}
+	if standing := r.standing.Load(); standing != nil && *standing != r.stands {
+		r.stands = *standing
+		r.act(ctx, r.state.Update(r.stands, now))
+	}
+	r.act(ctx, r.state.Update(msg, now))
+	r.show()
+}
+
+func (w withdrawal) message() any {
+	select {
+	case a := <-w.answer:
+		if a.err == nil {
+			return ResultMsg{Grant: a.grant.ID, Target: a.grant.Target.Name, Outcome: hemlocktally.AttemptUnused}
 		}
-		for _, command := range state.Update(msg, time.Now()) {
-			deliver(waiting, command)
+	default:
+	}
+	return CancelMsg{Ticket: w.ticket}
+}
+
+// show renews the board where something on it changed.
+func (r *ownerRun) show() {
+	present := r.board.Load()
+	needs := r.state.needsStanding()
+	if present.version == r.version && present.needs == needs && r.askedAt.Sub(present.askedAt) < time.Second {
+		return
+	}
+	inFlight := 0
+	for _, t := range r.state.targets {
+		inFlight += len(t.inFlight)
+	}
+	r.board.Store(&board{version: r.version, warm: r.state.warmTargets(), needs: needs, inFlight: inFlight, askedAt: r.askedAt})
+	select {
+	case r.effects.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (r *ownerRun) act(ctx context.Context, commands []Command) {
+	for _, command := range commands {
+		switch command := command.(type) {
+		case GrantCmd:
+			r.deliver(command.Ticket, answer{grant: command.Grant})
+		case RefuseCmd:
+			r.deliver(command.Ticket, answer{err: command.Error})
+		case ProbeCmd:
+			go r.probe(ctx, command)
+		case StateCmd:
+			r.version++
+			r.effects.log.Log(logger.EventTargetState, logger.Fields{
+				"Service": r.state.Service, "Target": command.Target, "State": command.State, "Reason": command.Reason,
+			})
+		case BrokenCmd:
+			r.effects.broken.Add(1)
+			r.effects.log.Log(logger.EventInvariantBroken, logger.Fields{
+				"Service": r.state.Service, "Invariant": command.Invariant, "Detail": command.Detail,
+			})
 		}
 	}
 }
 
-func deliver(waiting map[uint64]chan answer, command Command) {
-	switch command := command.(type) {
-	case GrantCmd:
-		waiting[command.Ticket] <- answer{grant: command.Grant}
-		delete(waiting, command.Ticket)
-	case RefuseCmd:
-		waiting[command.Ticket] <- answer{err: command.Error}
-		delete(waiting, command.Ticket)
+func (r *ownerRun) deliver(ticket uint64, a answer) {
+	if waiting, ok := r.waiting[ticket]; ok {
+		waiting <- a
+		delete(r.waiting, ticket)
+	}
+}
+
+// probe measures a target beside the task; its number is bounded by the budget.
+func (o *Owner) probe(ctx context.Context, command ProbeCmd) {
+	m := hemlocktally.Measurement{Failed: true}
+	if o.effects.measurer != nil {
+		m = o.effects.measurer.Measure(ctx, command.Target, command.Path)
+	}
+	o.Send(ctx, ProbeMsg{
+		Target: command.Target.Name, Latency: m.Latency, Failed: m.Failed, State: m.State,
+		InFlight: m.InFlight, Reported: m.Reported,
+	})
+}
+
+// status asks the task for what it knows.
+func (o *Owner) status(ctx context.Context) ownerStatus {
+	call := statusCall{answer: make(chan ownerStatus, 1)}
+	if !o.Send(ctx, call) {
+		return ownerStatus{}
+	}
+	select {
+	case s := <-call.answer:
+		return s
+	case <-o.done:
+		return ownerStatus{}
+	case <-ctx.Done():
+		return ownerStatus{}
 	}
 }
--- /dev/null
+++ b/allocator/random_test.go
@@ -0,0 +1,159 @@
+package allocator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"hemlocktally"
+)
+
+// fleetModel runs two owners of one service that may both believe to be it,
+// over random orders of messages, losses, duplicates and pauses. Whoever has
+// the standing is drawn such that at most one has it at a time.
+type fleetModel struct {
+	owners [2]*State
+	now    time.Time
+	tick   uint64
+	held   []heldGrant
+	stands int // stands is the owner with the standing, or none.
+	until  time.Time
+}
+
+type heldGrant struct {
+	grant hemlocktally.Grant
+	owner int
+	begun bool
+}
+
+const modelTargets = 3
+
+func newFleetModel() *fleetModel {
+	m := &fleetModel{now: time.Unix(1000, 0), stands: -1}
+	for i := range m.owners {
+		m.owners[i] = &State{Owner: hemlocktally.InstanceID(fmt.Sprintf("owner%d", i)), Epoch: "E"}
+	}
+	return m
+}
+
+func (m *fleetModel) update(t *rapid.T, owner int, msg any) {
+	for _, command := range m.owners[owner].Update(msg, m.now) {
+		switch command := command.(type) {
+		case BrokenCmd:
+			t.Fatalf("%s: %s", command.Invariant, command.Detail)
+		case GrantCmd:
+			m.held = append(m.held, heldGrant{grant: command.Grant, owner: owner})
+		}
+	}
+}
+
+func (m *fleetModel) configure(t *rapid.T) {
+	service := hemlocktally.Service{Name: "reads", ProbePath: "/probe"}
+	out := map[hemlocktally.TargetName]bool{}
+	for i := range modelTargets {
+		name := target(i)
+		out[name] = rapid.IntRange(0, 5).Draw(t, "out") == 0
+		service.Targets = append(service.Targets, hemlocktally.Target{Name: name, Address: "x", Zone: "a"})
+	}
+	for i := range m.owners {
+		m.update(t, i, ConfigurationMsg{Service: service, Out: out})
+	}
+}
+
+func (m *fleetModel) acquire(t *rapid.T) {
+	m.tick++
+	request := hemlocktally.GrantRequest{
+		Priority: hemlocktally.Priority(rapid.IntRange(0, 1).Draw(t, "priority")),
+		Deadline: m.now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "deadline")) * time.Millisecond), QueueLimit: 100 * time.Millisecond,
+	}
+	if rapid.Bool().Draw(t, "excludes") {
+		request.Exclude = []hemlocktally.TargetName{target(rapid.IntRange(0, modelTargets-1).Draw(t, "exclude"))}
+	}
+	m.update(t, m.draw(t), AcquireMsg{Ticket: m.tick, From: "entry", Request: request})
+}
+
+func (m *fleetModel) draw(t *rapid.T) int { return rapid.IntRange(0, 1).Draw(t, "owner") }
+
+// finish ends a held grant; its result may be lost, or told twice.
+func (m *fleetModel) finish(t *rapid.T) {
+	if len(m.held) == 0 {
+		t.Skip("nothing is held")
+	}
+	i := rapid.IntRange(0, len(m.held)-1).Draw(t, "held")
+	h := m.held[i]
+	m.held = append(m.held[:i:i], m.held[i+1:]...)
+	msg := ResultMsg{
+		Grant: h.grant.ID, Target: h.grant.Target.Name,
+		Outcome:  hemlocktally.AttemptOutcome(rapid.IntRange(0, 5).Draw(t, "outcome")),
+		Latency:  time.Duration(rapid.IntRange(1, 100).Draw(t, "latency")) * time.Millisecond,
+		SaidCold: rapid.IntRange(0, 9).Draw(t, "cold") == 0, SaidDraining: rapid.IntRange(0, 19).Draw(t, "draining") == 0,
+	}
+	for range rapid.IntRange(0, 2).Draw(t, "copies") {
+		m.update(t, h.owner, msg)
+	}
+}
+
+// pass lets time pass, at times for long, as a pause of the process does.
+func (m *fleetModel) pass(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.SampledFrom([]int{1, 5, 20, 100, 3000}).Draw(t, "pause")) * time.Millisecond)
+	m.update(t, m.draw(t), TickMsg{})
+}
+
+// stand moves the standing: the next owner gets it only when the last one's is
+// over and it has recalled what the entry holds.
+func (m *fleetModel) stand(t *rapid.T) {
+	if m.now.Before(m.until) {
+		t.Skip("another owner stands")
+	}
+	m.stands = m.draw(t)
+	m.until = m.now.Add(promiseTime)
+	m.recall(t, m.stands)
+	m.update(t, m.stands, StandingMsg{Until: m.until, Owner: true})
+}
+
+func (m *fleetModel) recall(t *rapid.T, owner int) {
+	msg := RecallMsg{From: "entry", Asked: m.now}
+	for _, h := range m.held {
+		msg.Turns = append(msg.Turns, Turn{
+			Grant: h.grant.ID, Target: h.grant.Target.Name, Started: m.now.Add(-time.Millisecond), Deadline: h.grant.Deadline,
+		})
+	}
+	m.update(t, owner, msg)
+}
+
+// check counts over both owners what the entry holds on targets that were
+// granted as cold: no more than one call each, as a new target bears.
+func (m *fleetModel) check(t *rapid.T) {
+	cold := map[hemlocktally.TargetName]int{}
+	for _, h := range m.held {
+		if h.grant.Cold && m.now.Before(h.grant.Deadline.Add(time.Second)) {
+			cold[h.grant.Target.Name]++
+		}
+	}
+	for name, n := range cold {
+		if n > 1 {
+			t.Fatalf("%d cold turns on %s over the whole fleet", n, name)
+		}
+	}
+}
+
+func TestInvariantsHoldUnderRandomMessagesAndTwoOwners(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newFleetModel()
+		m.configure(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"acquire":   m.acquire,
+			"finish":    m.finish,
+			"pass":      m.pass,
+			"stand":     m.stand,
+			"configure": m.configure,
+			"recall":    func(t *rapid.T) { m.recall(t, m.draw(t)) },
+			"cancel": func(t *rapid.T) {
+				m.update(t, m.draw(t), CancelMsg{Ticket: uint64(rapid.IntRange(0, int(m.tick)).Draw(t, "ticket"))})
+			},
+			"": m.check,
+		})
+	})
+}
--- /dev/null
+++ b/allocator/recaller.go
@@ -0,0 +1,299 @@
+package allocator
+
+import (
+	"context"
+	"time"
+
+	"hemlocktally"
+	"hemlocktally/logger"
+	"hemlocktally/messenger"
+)
+
+// The times between recalls. While a target is cold, the members' promises have
+// to be renewed.
+const (
+	recallIdle    = time.Second
+	recallHot     = 150 * time.Millisecond
+	recallHotHold = 3 * time.Second
+	recallTimeout = 400 * time.Millisecond
+	freshTime     = 300 * time.Millisecond // freshTime is how long a new owner has no word on its targets.
+	ownerIdleTime = 30 * time.Second       // ownerIdleTime is how long an owner without work is kept.
+)
+
+// recaller asks the members of the view for their turns and their promises.
+// Its fields are guarded by the server's lock.
+type recaller struct {
+	standing Standing
+	asked    time.Time
+	hotUntil time.Time
+	stands   bool
+	told     map[hemlocktally.InstanceID]map[hemlocktally.ServiceName]uint64 // told holds the board versions that members confirmed.
+	busy     map[hemlocktally.InstanceID]bool
+}
+
+// recall asks each member where it is time to, and gives the owners their
+// standing.
+func (s *Server) recall(ctx context.Context, now time.Time) {
+	view := s.view()
+	owners := s.ownerList()
+	hot, fresh := wants(owners, now)
+	s.mu.Lock()
+	r := &s.recaller
+	changed := HashView(view) != r.standing.View()
+	r.standing.SetView(view, now)
+	if hot {
+		r.hotUntil = now.Add(recallHotHold)
+	}
+	pause := recallIdle
+	if now.Before(r.hotUntil) {
+		pause = recallHot
+	}
+	due := len(owners) > 0 && (changed || fresh || now.Sub(r.asked) >= pause)
+	if due {
+		r.asked = now
+	}
+	s.mu.Unlock()
+	if due {
+		s.askMembers(ctx, view, owners, now)
+	}
+	s.grantStanding(view, owners, now)
+	s.dropIdle(view, owners, now)
+}
+
+// wants reports whether any owner needs its standing, and whether one has just
+// started.
+func wants(owners map[hemlocktally.ServiceName]*Owner, now time.Time) (hot, fresh bool) {
+	for _, o := range owners {
+		hot = hot || o.board.Load().needs
+		fresh = fresh || now.Sub(o.Started) < recallHot
+	}
+	return hot, fresh
+}
+
+func (s *Server) askMembers(ctx context.Context, view hemlocktally.View, owners map[hemlocktally.ServiceName]*Owner, now time.Time) {
+	for _, member := range view.Members {
+		if member.ID == s.Self {
+			s.tellRecalled(ctx, owners, s.Self, now, s.Ledger.turnsOf(s.Self, everyService), nil)
+			continue
+		}
+		if member.State == hemlocktally.InstanceGone || s.Peers == nil || !s.begin(member.ID) {
+			continue
+		}
+		go s.askMember(ctx, member, view, owners)
+	}
+	members := map[hemlocktally.InstanceID]bool{}
+	for _, member := range view.Members {
+		members[member.ID] = true
+	}
+	for _, o := range owners {
+		o.Send(ctx, MembersMsg{Members: members})
+	}
+}
+
+func everyService(hemlocktally.ServiceName) bool { return true }
+
+// begin marks a member as being asked; it returns false where it already is.
+func (s *Server) begin(member hemlocktally.InstanceID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.recaller.busy == nil {
+		s.recaller.busy = map[hemlocktally.InstanceID]bool{}
+	}
+	if s.recaller.busy[member] {
+		return false
+	}
+	s.recaller.busy[member] = true
+	return true
+}
+
+func (s *Server) askMember(ctx context.Context, member hemlocktally.Instance, view hemlocktally.View, owners map[hemlocktally.ServiceName]*Owner) {
+	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
+	sent := time.Now()
+	request, versions := s.recallRequest(member.ID, view, owners, sent)
+	out, err := s.Peers.client(member).Recall(ctx, request)
+	now := time.Now()
+	s.mu.Lock()
+	delete(s.recaller.busy, member.ID)
+	if err != nil {
+		s.mu.Unlock()
+		return
+	}
+	s.recaller.standing.Confirm(member.ID, out.View, out.Promised, sent, now)
+	s.noteTold(member.ID, versions)
+	s.mu.Unlock()
+	turns := make([]Turn, 0, len(out.InFlight))
+	for _, used := range out.InFlight {
+		turns = append(turns, Turn{
+			Grant: hemlocktally.GrantID(used.Grant), Service: hemlocktally.ServiceName(used.Service),
+			Target:  hemlocktally.TargetName(used.Target),
+			Started: sent.Add(-time.Duration(used.AgeMicroseconds) * time.Microsecond),
+			// The time left counts from when the answer was sent, before now.
+			Deadline: now.Add(time.Duration(used.LeftMicroseconds) * time.Microsecond),
+		})
+	}
+	s.tellRecalled(ctx, owners, member.ID, sent, turns, out.Services)
+}
+
+// noteTold keeps what a member has been told. The caller holds the lock.
+func (s *Server) noteTold(member hemlocktally.InstanceID, versions map[hemlocktally.ServiceName]uint64) {
+	if s.recaller.told == nil {
+		s.recaller.told = map[hemlocktally.InstanceID]map[hemlocktally.ServiceName]uint64{}
+	}
+	told := s.recaller.told[member]
+	if told == nil {
+		told = map[hemlocktally.ServiceName]uint64{}
+		s.recaller.told[member] = told
+	}
+	for name, version := range versions {
+		told[name] = version
+	}
+}
+
+// tellRecalled gives each owner the turns of one member.
+func (s *Server) tellRecalled(ctx context.Context, owners map[hemlocktally.ServiceName]*Owner, from hemlocktally.InstanceID, asked time.Time, turns []Turn, states []*messenger.ServiceStates) {
+	byService := map[hemlocktally.ServiceName]*RecallMsg{}
+	for name := range owners {
+		byService[name] = &RecallMsg{From: from, Asked: asked}
+	}
+	for _, used := range turns {
+		if msg := byService[used.Service]; msg != nil {
+			msg.Turns = append(msg.Turns, used)
+		}
+	}
+	for _, state := range states {
+		if msg := byService[hemlocktally.ServiceName(state.Service)]; msg != nil {
+			for _, name := range state.Warm {
+				msg.Warm = append(msg.Warm, hemlocktally.TargetName(name))
+			}
+		}
+	}
+	for name, o := range owners {
+		o.Send(ctx, *byService[name])
+	}
+}
+
+// recallRequest names the services whose targets changed since the member was
+// last told, and those that this instance serves in another's place.
+func (s *Server) recallRequest(member hemlocktally.InstanceID, view hemlocktally.View, owners map[hemlocktally.ServiceName]*Owner, now time.Time) (*messenger.RecallRequest, map[hemlocktally.ServiceName]uint64) {
+	request := &messenger.RecallRequest{Instance: string(s.Self), Incarnation: s.Incarnation, View: HashView(view)}
+	versions := map[hemlocktally.ServiceName]uint64{}
+	serving := view.Serving()
+	for name, o := range owners {
+		shown := o.board.Load()
+		s.mu.Lock()
+		told, known := s.recaller.told[member][name]
+		s.mu.Unlock()
+		owner, _ := OwnerOf(name, serving)
+		fresh := now.Sub(o.Started) < freshTime
+		if !fresh && known && told == shown.version && owner.ID == s.Self {
+			continue
+		}
+		states := &messenger.ServiceStates{Service: string(name)}
+		if fresh {
+			states.AgeMicroseconds = -1
+		} else {
+			versions[name] = shown.version
+		}
+		for _, target := range shown.warm {
+			states.Warm = append(states.Warm, string(target))
+		}
+		request.Services = append(request.Services, states)
+	}
+	return request, versions
+}
+
+// grantStanding tells the owners until when they are the only ones.
+func (s *Server) grantStanding(view hemlocktally.View, owners map[hemlocktally.ServiceName]*Owner, now time.Time) {
+	s.mu.Lock()
+	until := s.recaller.standing.Until(now)
+	missing := s.recaller.standing.Missing(now)
+	before := s.recaller.stands
+	s.recaller.stands = !until.IsZero()
+	hot := now.Before(s.recaller.hotUntil)
+	s.mu.Unlock()
+	serving := view.Serving()
+	for name, o := range owners {
+		mine := StandingMsg{}
+		if owner, _ := OwnerOf(name, serving); owner.ID == s.Self {
+			mine = StandingMsg{Until: until, Owner: true}
+		}
+		o.standing.Store(&mine)
+		if !before && !mine.Until.IsZero() {
+			o.Send(context.Background(), TickMsg{})
+		}
+	}
+	switch {
+	case !before && !until.IsZero():
+		s.Log.Log(logger.EventStandingGained, logger.Fields{"Instance": s.Self})
+	case before && until.IsZero() && hot:
+		s.Log.Log(logger.EventStandingLost, logger.Fields{"Instance": s.Self, "Detail": "no confirmation of " + string(missing)})
+	}
+}
+
+// dropIdle ends the owners of services that belong to another instance and have
+// had no work for a while.
+func (s *Server) dropIdle(view hemlocktally.View, owners map[hemlocktally.ServiceName]*Owner, now time.Time) {
+	serving := view.Serving()
+	for name, o := range owners {
+		shown := o.board.Load()
+		owner, _ := OwnerOf(name, serving)
+		if owner.ID == s.Self || now.Sub(shown.askedAt) < ownerIdleTime {
+			continue
+		}
+		s.mu.Lock()
+		delete(s.owners, name)
+		s.mu.Unlock()
+		o.cancel()
+	}
+}
+
+// Recall answers another owner.
+func (s *Server) Recall(_ context.Context, in *messenger.RecallRequest) (*messenger.RecallResponse, error) {
+	now := time.Now()
+	asker := hemlocktally.InstanceID(in.Instance)
+	view := s.view()
+	s.mu.Lock()
+	s.recaller.standing.SetView(view, now)
+	hash, promised := s.recaller.standing.Answer(asker, in.View, now)
+	s.mu.Unlock()
+	out := &messenger.RecallResponse{Instance: string(s.Self), Incarnation: s.Incarnation, View: hash, Promised: promised}
+	named := map[hemlocktally.ServiceName]bool{}
+	for _, states := range in.Services {
+		name := hemlocktally.ServiceName(states.Service)
+		named[name] = true
+		out.Services = append(out.Services, s.exchange(asker, states, now))
+	}
+	s.Ledger.hear(asker, now)
+	serving := view.Serving()
+	turns := s.Ledger.turnsOf(asker, func(name hemlocktally.ServiceName) bool {
+		owner, _ := OwnerOf(name, serving)
+		return named[name] || owner.ID == asker
+	})
+	for _, used := range turns {
+		out.InFlight = append(out.InFlight, &messenger.InFlight{
+			Grant: string(used.Grant), Service: string(used.Service), Target: string(used.Target),
+			AgeMicroseconds: now.Sub(used.Started).Microseconds(), LeftMicroseconds: used.Deadline.Sub(now).Microseconds(),
+		})
+	}
+	return out, nil
+}
+
+// exchange takes in an owner's word on its targets, and returns what was known
+// before it to an owner that has no word yet.
+func (s *Server) exchange(asker hemlocktally.InstanceID, states *messenger.ServiceStates, now time.Time) *messenger.ServiceStates {
+	name := hemlocktally.ServiceName(states.Service)
+	out := &messenger.ServiceStates{Service: states.Service}
+	if states.AgeMicroseconds < 0 {
+		for _, target := range s.Ledger.warm(name, now) {
+			out.Warm = append(out.Warm, string(target))
+		}
+		return out
+	}
+	warm := make([]hemlocktally.TargetName, 0, len(states.Warm))
+	for _, target := range states.Warm {
+		warm = append(warm, hemlocktally.TargetName(target))
+	}
+	s.Ledger.learn(asker, name, warm)
+	return out
+}
--- a/allocator/rendezvous.go
+++ b/allocator/rendezvous.go
@@ -9,13 +9,37 @@
 // OwnerOf returns the member that owns the service: the one with the highest
 // hash of member and service. It returns false where there is no member.
 func OwnerOf(service hemlocktally.ServiceName, members []hemlocktally.Instance) (hemlocktally.Instance, bool) {
-	var best hemlocktally.Instance
-	var bestScore uint64
-	for _, m := range members {
-		score := xxhash.Sum64String(string(m.ID) + "/" + string(service))
-		if best.ID == "" || score > bestScore {
-			best, bestScore = m, score
+	owners := OwnersOf(service, members)
+	if len(owners) == 0 {
+		return hemlocktally.Instance{}, false
+	}
+	return owners[0], true
+}
+
+// OwnersOf returns the owner of the service, and the member that stands in
+// while the owner does not answer.
+func OwnersOf(service hemlocktally.ServiceName, members []hemlocktally.Instance) []hemlocktally.Instance {
+	first, second := -1, -1
+	var firstScore, secondScore uint64
+	for i := range members {
+		score := score(members[i].ID, service)
+		switch {
+		case first < 0 || score > firstScore:
+			second, secondScore = first, firstScore
+			first, firstScore = i, score
+		case second < 0 || score > secondScore:
+			second, secondScore = i, score
 		}
 	}
-	return best, best.ID != ""
+	var owners []hemlocktally.Instance
+	for _, i := range []int{first, second} {
+		if i >= 0 {
+			owners = append(owners, members[i])
+		}
+	}
+	return owners
+}
+
+func score(member hemlocktally.InstanceID, service hemlocktally.ServiceName) uint64 {
+	return xxhash.Sum64String(string(member) + "/" + string(service))
 }
--- a/allocator/server.go
+++ b/allocator/server.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/twitchtv/twirp"
 
 	"hemlocktally"
+	"hemlocktally/logger"
 	"hemlocktally/messenger"
 )
 
@@ -16,41 +18,93 @@
 // messenger.Allocation.
 type Server struct {
 	Self          hemlocktally.InstanceID
+	Incarnation   string
 	Configuration hemlocktally.Configurer
+	Members       hemlocktally.Viewer // Members may be nil: then the instance is the only one.
+	Measurer      hemlocktally.Measurer
+	Peers         *Peers // Peers may be nil: then no other instance is asked.
+	Ledger        *Ledger
+	Log           logger.Logger
 
 	mu       sync.Mutex
 	ctx      context.Context //nolint:containedctx // The owners end with the server's run, not with one request.
 	owners   map[hemlocktally.ServiceName]*Owner
 	revision hemlocktally.Revision
+	owned    uint64 // owned is the view that the owners were last started for.
+	effects  *effects
+	recaller recaller
 }
 
-// Run keeps the owners at the configuration in force until the context ends.
+// Run keeps the owners at the configuration and the view in force until the
+// context ends.
 func (s *Server) Run(ctx context.Context) error {
 	s.mu.Lock()
 	s.ctx = ctx
+	s.effects = &effects{log: s.Log, measurer: s.Measurer, changed: make(chan struct{}, 1)}
+	s.recaller.standing = Standing{Self: s.Self, Started: time.Now()}
 	s.mu.Unlock()
 	const refresh = 50 * time.Millisecond
 	ticker := time.NewTicker(refresh)
 	defer ticker.Stop()
 	for {
 		s.refresh(ctx)
+		s.recall(ctx, time.Now())
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-s.effects.changed:
 		case <-ticker.C:
 		}
 	}
 }
 
+// BrokenInvariants returns how many invariants the owners found broken.
+func (s *Server) BrokenInvariants() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.effects == nil {
+		return 0
+	}
+	return s.effects.broken.Load()
+}
+
+func (s *Server) view() hemlocktally.View {
+	if s.Members == nil {
+		return hemlocktally.View{Members: []hemlocktally.Instance{{ID: s.Self, State: hemlocktally.InstanceServing}}}
+	}
+	return s.Members.View()
+}
+
 func (s *Server) refresh(ctx context.Context) {
 	config := s.Configuration.Current()
+	view := s.view()
+	hash := HashView(view)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if config.Revision == s.revision {
+	if config.Revision == s.revision && hash == s.owned {
 		return
 	}
-	s.revision = config.Revision
+	if config.Revision != s.revision {
+		s.configure(ctx, config)
+	}
+	s.revision, s.owned = config.Revision, hash
+	serving := view.Serving()
+	for i := range config.Services {
+		name := config.Services[i].Name
+		if owner, _ := OwnerOf(name, serving); owner.ID == s.Self {
+			s.start(config, name)
+		}
+	}
+}
+
+// configure gives the owners a new configuration. The caller holds the lock.
+func (s *Server) configure(ctx context.Context, config *hemlocktally.Configuration) {
 	for name, owner := range s.owners {
+		if _, ok := config.Service(name); !ok {
+			owner.cancel()
+			delete(s.owners, name)
+			continue
+		}
 		owner.Send(ctx, configurationMsg(config, name))
 	}
 }
@@ -62,6 +116,11 @@
 	for _, t := range service.Targets {
 		msg.Out[t.Name] = config.TargetOut(t)
 	}
+	for _, contract := range config.Contracts {
+		if contract.Service == name {
+			msg.Contracts = append(msg.Contracts, contract)
+		}
+	}
 	return msg
 }
 
@@ -70,24 +129,52 @@
 	config := s.Configuration.Current()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if o, ok := s.owners[name]; ok {
-		return o, nil
-	}
 	if s.ctx == nil || s.ctx.Err() != nil {
 		return nil, leaving()
 	}
 	if _, ok := config.Service(name); !ok {
-		return nil, &hemlocktally.RefusedError{
-			Outcome: hemlocktally.OutcomeNotRun, Reason: hemlocktally.ReasonNoTarget, Detail: "no service " + string(name),
-		}
+		return nil, refusal(hemlocktally.ReasonNoTarget, "no service "+string(name), 0)
 	}
-	o := StartOwner(s.ctx, s.Self)
+	return s.start(config, name), nil
+}
+
+// start returns the task for a service of the configuration, starting it where
+// there is none. The caller holds the lock.
+func (s *Server) start(config *hemlocktally.Configuration, name hemlocktally.ServiceName) *Owner {
+	if o, ok := s.owners[name]; ok {
+		return o
+	}
+	o := startOwner(s.ctx, &State{Owner: s.Self, Epoch: s.Incarnation}, s.effects)
 	o.Send(s.ctx, configurationMsg(config, name))
 	if s.owners == nil {
 		s.owners = map[hemlocktally.ServiceName]*Owner{}
 	}
 	s.owners[name] = o
-	return o, nil
+	return o
+}
+
+// Ready reports whether the owners of this instance can give turns: it is the
+// only one, or no target of theirs is cold.
+func (s *Server) Ready() bool {
+	s.mu.Lock()
+	stands := s.recaller.stands
+	s.mu.Unlock()
+	for _, o := range s.ownerList() {
+		if o.board.Load().needs && !stands {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Server) ownerList() map[hemlocktally.ServiceName]*Owner {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make(map[hemlocktally.ServiceName]*Owner, len(s.owners))
+	for name, o := range s.owners {
+		list[name] = o
+	}
+	return list
 }
 
 // AcquireHere asks the owner task of this instance.
@@ -101,16 +188,18 @@
 
 // ReleaseHere gives a turn back to the owner task of this instance.
 func (s *Server) ReleaseHere(service hemlocktally.ServiceName, msg ResultMsg) {
-	o, err := s.owner(service)
-	if err != nil {
-		return
+	s.mu.Lock()
+	o := s.owners[service]
+	s.mu.Unlock()
+	if o != nil {
+		o.Send(context.Background(), msg)
 	}
-	o.Send(context.Background(), msg)
 }
 
 // Acquire answers a peer.
 func (s *Server) Acquire(ctx context.Context, in *messenger.AcquireRequest) (*messenger.AcquireResponse, error) {
-	grant, err := s.AcquireHere(ctx, hemlocktally.InstanceID(in.Instance), requestOf(in, time.Now()))
+	arrived := time.Now()
+	grant, err := s.AcquireHere(ctx, hemlocktally.InstanceID(in.Instance), requestOf(in, arrived))
 	var refused *hemlocktally.RefusedError
 	if errors.As(err, &refused) {
 		return &messenger.AcquireResponse{
@@ -121,11 +210,15 @@
 	if err != nil {
 		return nil, twirp.WrapError(twirp.NewError(twirp.Canceled, "the wait was given up"), err)
 	}
-	return &messenger.AcquireResponse{
+	out := &messenger.AcquireResponse{
 		Grant: string(grant.ID), Target: string(grant.Target.Name), Address: grant.Target.Address,
 		Revision: uint64(grant.Revision), Owner: string(grant.Owner), WaitedMicroseconds: grant.Waited.Microseconds(),
 		Cold: grant.Cold,
-	}, nil
+	}
+	if grant.Cold {
+		out.LeaseMicroseconds = grant.LeaseEnd.Sub(arrived).Microseconds()
+	}
+	return out, nil
 }
 
 func requestOf(in *messenger.AcquireRequest, now time.Time) hemlocktally.GrantRequest {
@@ -147,7 +240,7 @@
 // Report takes back the turns of a peer.
 func (s *Server) Report(_ context.Context, in *messenger.ReportRequest) (*messenger.ReportResponse, error) {
 	for _, r := range in.Results {
-		s.ReleaseHere(hemlocktally.ServiceName(in.Service), ResultMsg{
+		s.ReleaseHere(hemlocktally.ServiceName(r.Service), ResultMsg{
 			Grant:        hemlocktally.GrantID(r.Grant),
 			Target:       hemlocktally.TargetName(r.Target),
 			Outcome:      hemlocktally.AttemptOutcome(r.Outcome),
@@ -159,5 +252,36 @@
 	return &messenger.ReportResponse{Owner: string(s.Self)}, nil
 }
 
-// BrokenInvariants returns how many invariants the owners found broken.
-func (s *Server) BrokenInvariants() uint64 { return 0 }
+// Statuses returns what the owners of this instance know of their targets.
+func (s *Server) Statuses() []hemlocktally.TargetStatus {
+	var list []hemlocktally.TargetStatus
+	for _, status := range s.ownerStatuses() {
+		list = append(list, status.targets...)
+	}
+	return list
+}
+
+// Budgets returns what the owners of this instance have spent.
+func (s *Server) Budgets() []hemlocktally.BudgetStatus {
+	var list []hemlocktally.BudgetStatus
+	for _, status := range s.ownerStatuses() {
+		list = append(list, status.budget)
+	}
+	return list
+}
+
+func (s *Server) ownerStatuses() []ownerStatus {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	owners := s.ownerList()
+	names := make([]hemlocktally.ServiceName, 0, len(owners))
+	for name := range owners {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	list := make([]ownerStatus, 0, len(names))
+	for _, name := range names {
+		list = append(list, owners[name].status(ctx))
+	}
+	return list
+}
--- a/allocator/state.go
+++ b/allocator/state.go
@@ -2,161 +2,204 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"hemlocktally"
 )
 
-// State is the tally of one service. Its zero value has no targets.
+// State is the tally of one service. Its zero value has no targets. It is
+// changed by Update alone and holds no lock and no clock.
 type State struct {
 	Owner    hemlocktally.InstanceID
+	Epoch    string // Epoch tells the grants of this owner from those of its earlier lives.
 	Service  hemlocktally.ServiceName
 	Revision hemlocktally.Revision
 
-	targets []*targetTally
-	waiting []waiter // waiting is ordered by priority, then by arrival.
-	granted uint64
+	config   hemlocktally.Service
+	targets  []*tally
+	byName   map[hemlocktally.TargetName]*tally
+	queue    queue
+	budgets  map[hemlocktally.ContractName]*contractBudget
+	probes   probeBudget
+	latency  window
+	standing StandingMsg // standing is until when cold targets and probes are this owner's alone.
+	granted  uint64
+	idle     average // idle is the time in seconds that a turn takes beyond its call.
+	states   map[hemlocktally.TargetName]hemlocktally.TargetState
+	asOf     time.Time
 }
 
-type targetTally struct {
-	target   hemlocktally.Target
-	out      bool
-	draining bool
-	inFlight map[hemlocktally.GrantID]time.Time
-}
-
-type waiter struct {
-	msg     AcquireMsg
-	arrived time.Time
-}
-
-// maxWaiting bounds the queue of one service.
-const maxWaiting = 4096
-
 // Update takes one message at the given time and returns what is to be done.
 func (s *State) Update(msg any, now time.Time) []Command {
+	s.asOf = now
+	var commands []Command
 	switch msg := msg.(type) {
 	case ConfigurationMsg:
 		s.configure(msg)
 	case AcquireMsg:
-		if refused := s.enqueue(msg, now); refused != nil {
-			return []Command{RefuseCmd{Ticket: msg.Ticket, Error: refused}}
-		}
+		commands = s.enqueue(msg, now)
 	case CancelMsg:
-		s.waiting = slices.DeleteFunc(s.waiting, func(w waiter) bool { return w.msg.Ticket == msg.Ticket })
+		s.queue.remove(msg.Ticket)
 	case ResultMsg:
-		s.finish(msg)
+		s.finish(msg, now)
+	case StandingMsg:
+		s.standing = msg
+	case MembersMsg:
+		s.forget(msg, now)
+	case RecallMsg:
+		s.recall(msg, now)
+	case ProbeMsg:
+		s.measured(msg, now)
 	}
-	return append(s.expire(now), s.grant(now)...)
+	s.lapse(now)
+	commands = append(commands, s.expire(now)...)
+	commands = append(commands, s.grant(now)...)
+	commands = append(commands, s.probe(now)...)
+	commands = append(commands, s.changes()...)
+	return append(commands, s.check(commands, now)...)
 }
 
-// InFlight returns the number of turns in use on a target.
-func (s *State) InFlight(name hemlocktally.TargetName) int {
-	for _, t := range s.targets {
-		if t.target.Name == name {
-			return len(t.inFlight)
+func (s *State) configure(msg ConfigurationMsg) {
+	s.Service, s.Revision, s.config = msg.Service.Name, msg.Revision, msg.Service
+	s.probes.perSec = msg.Service.ProbeBudget()
+	present := s.byName
+	s.byName = make(map[hemlocktally.TargetName]*tally, len(msg.Service.Targets))
+	s.targets = s.targets[:0:0]
+	for _, target := range msg.Service.Targets {
+		t := present[target.Name]
+		if t == nil || t.target.Address != target.Address {
+			t = newTally()
+		}
+		if t.out && !msg.Out[target.Name] {
+			t.fire(eventChill, "it came back")
 		}
+		t.target, t.out = target, msg.Out[target.Name]
+		s.byName[target.Name] = t
+		s.targets = append(s.targets, t)
 	}
-	return 0
+	s.configureBudgets(msg.Contracts)
 }
 
-func (s *State) configure(msg ConfigurationMsg) {
-	s.Service = msg.Service.Name
-	s.Revision = msg.Revision
-	next := make([]*targetTally, 0, len(msg.Service.Targets))
-	for _, target := range msg.Service.Targets {
-		t := s.find(target.Name)
-		if t == nil {
-			t = &targetTally{inFlight: map[hemlocktally.GrantID]time.Time{}}
+func (s *State) configureBudgets(contracts []hemlocktally.Contract) {
+	present := s.budgets
+	s.budgets = make(map[hemlocktally.ContractName]*contractBudget, len(contracts))
+	for _, contract := range contracts {
+		b := present[contract.Name]
+		if b == nil {
+			b = newContractBudget(contract)
 		}
-		t.target = target
-		t.out = msg.Out[target.Name]
-		next = append(next, t)
+		b.contract = contract
+		s.budgets[contract.Name] = b
 	}
-	s.targets = next
 }
 
-func (s *State) find(name hemlocktally.TargetName) *targetTally {
-	for _, t := range s.targets {
-		if t.target.Name == name {
-			return t
-		}
+// finish takes a turn back. A result that is told twice counts once.
+func (s *State) finish(msg ResultMsg, now time.Time) {
+	t := s.byName[msg.Target]
+	if t == nil {
+		return
+	}
+	held, ok := t.inFlight[msg.Grant]
+	if !ok {
+		return
+	}
+	delete(t.inFlight, msg.Grant)
+	t.learn(msg, &s.latency, now)
+	if !held.foreign && msg.Outcome == hemlocktally.AttemptDone {
+		const weight, longest = 0.02, 0.02
+		s.idle.add(min(longest, max(0, (now.Sub(held.started)-msg.Latency).Seconds())), weight)
 	}
-	return nil
 }
 
-func (s *State) enqueue(msg AcquireMsg, now time.Time) *hemlocktally.RefusedError {
-	if len(s.waiting) >= maxWaiting {
-		return &hemlocktally.RefusedError{
-			Outcome: hemlocktally.OutcomeNotRun, Reason: hemlocktally.ReasonQueueFull,
-			Detail: fmt.Sprintf("%d calls wait for %s", len(s.waiting), s.Service),
+// recall makes the tally equal to what one entry says that it has in use.
+func (s *State) recall(msg RecallMsg, now time.Time) {
+	// A turn granted this shortly before may not have reached its entry yet.
+	const onTheWay = time.Second
+	listed := make(map[hemlocktally.GrantID]bool, len(msg.Turns))
+	for _, used := range msg.Turns {
+		listed[used.Grant] = true
+		t := s.byName[used.Target]
+		if t == nil {
+			continue
+		}
+		if _, ok := t.inFlight[used.Grant]; !ok && used.Started.Before(msg.Asked) {
+			t.inFlight[used.Grant] = turn{from: msg.From, started: used.Started, deadline: used.Deadline, foreign: true}
 		}
 	}
-	at := len(s.waiting)
-	for at > 0 && s.waiting[at-1].msg.Request.Priority < msg.Request.Priority {
-		at--
+	for _, t := range s.targets {
+		for id, held := range t.inFlight {
+			gone := held.foreign || held.started.Before(msg.Asked.Add(-onTheWay))
+			if held.from == msg.From && !listed[id] && gone {
+				delete(t.inFlight, id)
+			}
+		}
+	}
+	for _, name := range msg.Warm {
+		if t := s.byName[name]; t != nil && t.cold() && t.heardAt.IsZero() {
+			t.fire(eventWarm, "an earlier owner knew it to be warm")
+		}
 	}
-	s.waiting = slices.Insert(s.waiting, at, waiter{msg: msg, arrived: now})
-	return nil
 }
 
-func (s *State) finish(msg ResultMsg) {
-	t := s.find(msg.Target)
-	if t == nil {
-		return
+// forget frees the turns of entries that have left the fleet. Those on cold
+// targets are kept until their deadlines, because the entry may only be paused.
+func (s *State) forget(msg MembersMsg, _ time.Time) {
+	for _, t := range s.targets {
+		for id, held := range t.inFlight {
+			if !msg.Members[held.from] && t.warm() {
+				delete(t.inFlight, id)
+			}
+		}
 	}
-	delete(t.inFlight, msg.Grant)
-	t.draining = msg.SaidDraining
 }
 
-// expire refuses the requests that have waited for too long.
-func (s *State) expire(now time.Time) []Command {
-	var refused []Command
-	s.waiting = slices.DeleteFunc(s.waiting, func(w waiter) bool {
-		request := w.msg.Request
-		if now.Before(request.Deadline) && now.Sub(w.arrived) <= request.QueueLimit {
-			return false
+// lapse frees the turns whose deadline is long over.
+func (s *State) lapse(now time.Time) {
+	const grace = time.Second
+	for _, t := range s.targets {
+		for id, held := range t.inFlight {
+			if now.After(held.deadline.Add(grace)) {
+				delete(t.inFlight, id)
+			}
 		}
-		refused = append(refused, RefuseCmd{Ticket: w.msg.Ticket, Error: &hemlocktally.RefusedError{
-			Outcome: hemlocktally.OutcomeNotRun, Reason: hemlocktally.ReasonShed,
-			Detail: fmt.Sprintf("no target of %s was free within %s", s.Service, request.QueueLimit),
-		}})
-		return true
-	})
-	return refused
+	}
 }
 
-// grant gives free turns to the waiting requests in their order.
-func (s *State) grant(now time.Time) []Command {
-	var granted []Command
-	s.waiting = slices.DeleteFunc(s.waiting, func(w waiter) bool {
-		t := s.choose(w.msg.Request.Exclude)
-		if t == nil {
-			return false
+// changes tells which targets changed their state since the last step.
+func (s *State) changes() []Command {
+	var commands []Command
+	if s.states == nil {
+		s.states = map[hemlocktally.TargetName]hemlocktally.TargetState{}
+	}
+	for _, t := range s.targets {
+		if state := t.state(); s.states[t.target.Name] != state {
+			s.states[t.target.Name] = state
+			commands = append(commands, StateCmd{Target: t.target.Name, State: state, Reason: t.reason})
 		}
-		s.granted++
-		id := hemlocktally.GrantID(fmt.Sprintf("%s/%s/%d", s.Owner, s.Service, s.granted))
-		t.inFlight[id] = now
-		granted = append(granted, GrantCmd{Ticket: w.msg.Ticket, Grant: hemlocktally.Grant{
-			ID: id, Service: s.Service, Target: t.target, Owner: s.Owner, Revision: s.Revision,
-			Deadline: w.msg.Request.Deadline, Waited: now.Sub(w.arrived),
-		}})
-		return true
-	})
-	return granted
+	}
+	return commands
+}
+
+// InFlight returns the number of turns in use on a target.
+func (s *State) InFlight(name hemlocktally.TargetName) int {
+	if t := s.byName[name]; t != nil {
+		return len(t.inFlight)
+	}
+	return 0
 }
 
-// choose returns the target with the most free slots, or nil.
-func (s *State) choose(exclude []hemlocktally.TargetName) *targetTally {
-	var best *targetTally
-	bestFree := 0
+func (s *State) nextID() hemlocktally.GrantID {
+	s.granted++
+	return hemlocktally.GrantID(fmt.Sprintf("%s/%s/%s/%d", s.Owner, s.Epoch, s.Service, s.granted))
+}
+
+// needsStanding reports whether a target waits for this owner to be the only
+// one.
+func (s *State) needsStanding() bool {
 	for _, t := range s.targets {
-		free := t.target.SlotCount() - len(t.inFlight)
-		if t.out || t.draining || free <= bestFree || slices.Contains(exclude, t.target.Name) {
-			continue
+		if !t.out && !t.warm() {
+			return true
 		}
-		best, bestFree = t, free
 	}
-	return best
+	return false
 }
--- /dev/null
+++ b/allocator/status.go
@@ -0,0 +1,55 @@
+package allocator
+
+import (
+	"time"
+
+	"hemlocktally"
+)
+
+// statuses returns what the owner knows of each target.
+func (s *State) statuses(now time.Time) []hemlocktally.TargetStatus {
+	list := make([]hemlocktally.TargetStatus, 0, len(s.targets))
+	for _, t := range s.targets {
+		reason := t.reason
+		switch {
+		case t.out:
+			reason = "operators took it or its zone out"
+		case now.Before(t.holdOff):
+			reason = "held off after failures: " + reason
+		case t.cold() && !now.Before(s.standing.Until):
+			reason = "waits until this owner is the only one: " + reason
+		}
+		list = append(list, hemlocktally.TargetStatus{
+			Service: s.Service, Target: t.target.Name, Zone: t.target.Zone, Owner: s.Owner, State: t.state(),
+			Reason: reason, InFlight: len(t.inFlight), Cap: t.limit(now, s.standing),
+			Latency: time.Duration(t.latency.value), Served: t.served,
+		})
+	}
+	return list
+}
+
+// budgetStatuses returns the budgets and what was used of them.
+func (s *State) budgetStatuses() hemlocktally.BudgetStatus {
+	status := hemlocktally.BudgetStatus{
+		Service: s.Service, Owner: s.Owner, ProbesPerSecond: s.probes.perSec,
+		Probes: s.probes.spent, ProbesRefused: s.probes.refused,
+	}
+	for _, contract := range s.budgets {
+		status.Contracts = append(status.Contracts, hemlocktally.ContractBudgetStatus{
+			Contract: contract.contract.Name, Calls: contract.calls, Retries: contract.retried, Hedges: contract.hedged,
+			Refused: contract.refused,
+		})
+	}
+	return status
+}
+
+// warmTargets names the targets that take their full load.
+func (s *State) warmTargets() []hemlocktally.TargetName {
+	var names []hemlocktally.TargetName
+	for _, t := range s.targets {
+		if t.warm() && !t.out {
+			names = append(names, t.target.Name)
+		}
+	}
+	return names
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -72,6 +72,7 @@
 	configurator *configurator.Configurator
 	recorder     *recorder.Recorder
 	tally        *allocator.Server
+	peers        *allocator.Peers
 	granter      hemlocktally.Granter
 	peerHTTP     *http.Client
 	links        *http.Transport
@@ -118,7 +119,7 @@
 	var group run.Group
 	group.Add(func() error { return d.serveCallers(ctx) }, func(error) {})
 	for _, task := range []func(context.Context) error{
-		d.configurator.Run, d.registrar.Run, d.tally.Run, d.servePeers, d.serveOperators,
+		d.configurator.Run, d.registrar.Run, d.peers.Run, d.tally.Run, d.servePeers, d.serveOperators,
 	} {
 		group.Add(func() error { return task(inner) }, func(error) { cancel() })
 	}
@@ -163,10 +164,10 @@
 	d.peerHTTP.CloseIdleConnections()
 }
 
-// Ready reports whether the instance has a configuration and knows of at least
-// the given number of members.
+// Ready reports whether the instance has a configuration, knows of at least the
+// given number of members, and can give turns on the services that it owns.
 func (d *Daemon) Ready(members int) bool {
-	return d.configurator.Current().Revision > 0 && len(d.registrar.View().Members) >= members
+	return d.configurator.Current().Revision > 0 && len(d.registrar.View().Members) >= members && d.tally.Ready()
 }
 
 // Change offers a change to the store.
--- a/runner/tally.go
+++ b/runner/tally.go
@@ -10,6 +10,7 @@
 	"hemlocktally/allocator"
 	"hemlocktally/chooser"
 	"hemlocktally/loader"
+	"hemlocktally/prober"
 )
 
 // assembleTally makes the owners' server and the granter that the settings name.
@@ -17,18 +18,26 @@
 	d.peerHTTP = &http.Client{Transport: &keyTransport{key: d.Settings.Keys.Peer, delay: &d.peerDelay, next: &http.Transport{
 		MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute, DialContext: d.sockets.dial,
 	}}}
-	d.tally = &allocator.Server{Self: d.self.ID, Configuration: d.configurator}
-	alone := &chooser.Chooser{
-		Configuration: d.configurator, Policy: policyOf(d.Settings.Routing.Policy),
-		Seed: xxhash.Sum64String(string(d.self.ID)),
+	peers := &allocator.Peers{Self: d.self.ID, HTTP: d.peerHTTP, Log: d.Log}
+	ledger := &allocator.Ledger{}
+	d.peers = peers
+	d.tally = &allocator.Server{
+		Self: d.self.ID, Incarnation: d.self.Incarnation, Configuration: d.configurator, Members: d.registrar,
+		Measurer: &prober.Prober{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}},
+		Peers:    peers, Ledger: ledger, Log: d.Log,
 	}
+	seed := xxhash.Sum64String(string(d.self.ID))
 	if d.Settings.Routing.Policy != loader.PolicyOwner {
-		d.granter = alone
+		d.granter = &chooser.Chooser{Configuration: d.configurator, Policy: policyOf(d.Settings.Routing.Policy), Seed: seed}
 		return
 	}
 	d.granter = &allocator.Client{
-		Self: d.self.ID, Zone: d.self.Zone, Configuration: d.configurator, Members: d.registrar,
-		Server: d.tally, HTTP: d.peerHTTP, Alone: alone,
+		Self: d.self.ID, Incarnation: d.self.Incarnation, Zone: d.self.Zone, Configuration: d.configurator,
+		Members: d.registrar, Server: d.tally, Peers: peers, Ledger: ledger,
+		Alone: &chooser.Alone{
+			Self: d.self.ID, Incarnation: d.self.Incarnation, Configuration: d.configurator, Members: d.registrar,
+			Warmth: ledger, Seed: seed,
+		},
 	}
 }
 
--- a/target.go
+++ b/target.go
@@ -1,6 +1,9 @@
 package hemlocktally
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // TargetName names a target within its service.
 type TargetName string
@@ -61,3 +64,36 @@
 	Latency  time.Duration // Latency is its moving median.
 	Served   uint64        // Served counts the grants that ended at this owner.
 }
+
+// BudgetStatus is what an owner has spent on one service, for operators.
+type BudgetStatus struct {
+	Service         ServiceName
+	Owner           InstanceID
+	ProbesPerSecond float64 // ProbesPerSecond is the measuring budget of the whole fleet.
+	Probes          uint64
+	ProbesRefused   uint64 // ProbesRefused counts measurements that the budget did not allow.
+	Contracts       []ContractBudgetStatus
+}
+
+// ContractBudgetStatus counts the attempts of one contract at its owner.
+type ContractBudgetStatus struct {
+	Contract ContractName
+	Calls    uint64
+	Retries  uint64
+	Hedges   uint64
+	Refused  uint64 // Refused counts retries and hedges that the budget did not allow.
+}
+
+// Measurement is what a probe of a target found.
+type Measurement struct {
+	Latency  time.Duration
+	Failed   bool
+	State    TargetState // State is the target's own word; it may be empty.
+	InFlight int         // InFlight is what the target reports of its load.
+	Reported bool        // Reported is set where the answer was a load report.
+}
+
+// Measurer probes targets.
+type Measurer interface {
+	Measure(ctx context.Context, target Target, path string) Measurement
+}
