--- a/allocator/probing.go
+++ b/allocator/probing.go
@@ -84,7 +84,7 @@
 	t.probing = false
 	t.heardAt = now
 	if msg.Failed {
-		t.fail(ResultMsg{Outcome: hemlocktally.AttemptFailed}, now)
+		t.fail(now)
 		return
 	}
 	if t.state() == hemlocktally.TargetDraining && msg.State != hemlocktally.TargetDraining {
--- a/allocator/queue.go
+++ b/allocator/queue.go
@@ -82,15 +82,14 @@
 	heap.Push(&q.lines[lineOf(w.msg.Request.Priority)], w)
 }
 
-// remove takes a waiter out; it returns false where it is not waiting.
-func (q *queue) remove(ticket uint64) bool {
+// remove takes a waiter out; one that does not wait is no error.
+func (q *queue) remove(ticket uint64) {
 	w, ok := q.tickets[ticket]
 	if !ok {
-		return false
+		return
 	}
 	delete(q.tickets, ticket)
 	heap.Remove(&q.lines[lineOf(w.msg.Request.Priority)], w.index)
-	return true
 }
 
 // ahead returns how many waiters go before a new one of the priority.
--- a/allocator/random_test.go
+++ b/allocator/random_test.go
@@ -25,7 +25,6 @@
 type heldGrant struct {
 	grant hemlocktally.Grant
 	owner int
-	begun bool
 }
 
 const modelTargets = 3
--- a/allocator/state.go
+++ b/allocator/state.go
@@ -45,9 +45,9 @@
 	case StandingMsg:
 		s.standing = msg
 	case MembersMsg:
-		s.forget(msg, now)
+		s.forget(msg)
 	case RecallMsg:
-		s.recall(msg, now)
+		s.recall(msg)
 	case ProbeMsg:
 		s.measured(msg, now)
 	}
@@ -112,7 +112,7 @@
 }
 
 // recall makes the tally equal to what one entry says that it has in use.
-func (s *State) recall(msg RecallMsg, now time.Time) {
+func (s *State) recall(msg RecallMsg) {
 	// A turn granted this shortly before may not have reached its entry yet.
 	const onTheWay = time.Second
 	listed := make(map[hemlocktally.GrantID]bool, len(msg.Turns))
@@ -143,7 +143,7 @@
 
 // forget frees the turns of entries that have left the fleet. Those on cold
 // targets are kept until their deadlines, because the entry may only be paused.
-func (s *State) forget(msg MembersMsg, _ time.Time) {
+func (s *State) forget(msg MembersMsg) {
 	for _, t := range s.targets {
 		for id, held := range t.inFlight {
 			if !msg.Members[held.from] && t.warm() {
--- a/allocator/tally.go
+++ b/allocator/tally.go
@@ -138,7 +138,7 @@
 		return
 	}
 	if msg.Outcome != hemlocktally.AttemptDone {
-		t.fail(msg, now)
+		t.fail(now)
 		return
 	}
 	t.failures = 0
@@ -184,7 +184,7 @@
 
 // fail holds the target off for a time that doubles with each failure, so that
 // a target that fails fast draws no work for being quick.
-func (t *tally) fail(msg ResultMsg, now time.Time) {
+func (t *tally) fail(now time.Time) {
 	t.failures++
 	wait := firstHoldOff << min(t.failures-1, maxFailureDouble)
 	t.holdOff = now.Add(min(wait, longestHoldOff))
--- a/runner/platform.go
+++ b/runner/platform.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"math/rand/v2"
 	"net/http"
 
 	"hemlocktally/configurator"
@@ -8,12 +9,18 @@
 	"hemlocktally/storer"
 )
 
-// assemblePlatform makes the parts that speak to the platform.
+// assemblePlatform makes the parts that speak to the platform, and to peers
+// about membership and configuration.
 func (d *Daemon) assemblePlatform() {
 	d.store = &storer.Client{
 		Base: d.Settings.Platform.Store, Key: d.Settings.Platform.Key, Timeout: d.Settings.Platform.Timeout,
-		HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DialContext: d.sockets.dial}},
+		HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DialContext: d.storeTraffic.through(d.sockets.dial)}}, Log: d.Log,
 	}
-	d.registrar = &registrar.Registrar{Store: d.store, Self: d.self}
-	d.configurator = &configurator.Configurator{Store: d.store}
+	d.controlHTTP = d.peerClient(controlLinks)
+	d.configurator = &configurator.Configurator{Store: d.store, Self: d.self.ID, HTTP: d.controlHTTP, Log: d.Log}
+	d.registrar = &registrar.Registrar{
+		Store: d.store, Self: d.self, Configuration: d.configurator, Acting: d.configurator.Acting, HTTP: d.controlHTTP,
+		InstanceList: d.Settings.Platform.InstanceList, Seed: rand.Uint64(), Sized: d.store.SetMembers, Log: d.Log,
+	}
+	d.configurator.Members = d.registrar
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -16,7 +16,11 @@
 
 	"hemlocktally"
 	"hemlocktally/allocator"
+	"hemlocktally/claimer"
+	"hemlocktally/commander"
 	"hemlocktally/configurator"
+	"hemlocktally/dialer"
+	"hemlocktally/inspector"
 	"hemlocktally/loader"
 	"hemlocktally/logger"
 	"hemlocktally/recorder"
@@ -75,8 +79,18 @@
 	peers        *allocator.Peers
 	granter      hemlocktally.Granter
 	peerHTTP     *http.Client
-	links        *http.Transport
+	links        *dialer.Dialer
+	claimHolder  *claimer.Server
+	claims       *claimer.Client
+	controlHTTP  *http.Client // controlHTTP keeps heartbeats apart from calls for turns.
 	leaving      atomic.Bool
+	inspector    *inspector.Inspector
+	commander    *commander.Commander
+	offers       chan struct{} // offers holds one item for each command that is being followed.
+	certificate  *certificate
+	peerTraffic  trafficCounter
+	storeTraffic trafficCounter
+	started      time.Time
 	sockets      sockets
 	peerDelay    atomic.Pointer[PeerDelay]
 }
@@ -93,10 +107,14 @@
 		OperatorAddress: listeners.Operators.Addr().String(),
 		State:           hemlocktally.InstanceServing,
 	}
+	d.started = time.Now()
+	d.certificate = &certificate{keys: d.Settings.Keys, log: log}
 	d.keepListeners()
 	d.assemblePlatform()
 	d.assembleTally()
+	d.assembleClaims()
 	d.assembleEntry()
+	d.assembleInspection()
 	return d
 }
 
@@ -117,9 +135,9 @@
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var group run.Group
-	group.Add(func() error { return d.serveCallers(ctx) }, func(error) {})
+	group.Add(func() error { return d.serveCallersAndLeave(ctx) }, func(error) {})
 	for _, task := range []func(context.Context) error{
-		d.configurator.Run, d.registrar.Run, d.peers.Run, d.tally.Run, d.servePeers, d.serveOperators,
+		d.links.Run, d.configurator.Run, d.registrar.Run, d.peers.Run, d.tally.Run, d.claimHolder.Run, d.servePeers, d.serveOperators,
 	} {
 		group.Add(func() error { return task(inner) }, func(error) { cancel() })
 	}
@@ -140,6 +158,11 @@
 
 // serveUntil serves until the context ends, then shuts down within the limit.
 func serveUntil(ctx context.Context, server *http.Server, listener net.Listener, limit time.Duration) error {
+	return serveUntilWithin(ctx, server, listener, func() time.Duration { return limit })
+}
+
+// serveUntilWithin is serveUntil with a limit that is known only at the end.
+func serveUntilWithin(ctx context.Context, server *http.Server, listener net.Listener, limit func() time.Duration) error {
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	select {
@@ -147,7 +170,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit())
 	defer cancel()
 	err := server.Shutdown(stop)
 	if err != nil {
@@ -160,14 +183,16 @@
 }
 
 func (d *Daemon) closeIdle() {
-	d.links.CloseIdleConnections()
+	d.links.CloseIdle()
 	d.peerHTTP.CloseIdleConnections()
+	d.controlHTTP.CloseIdleConnections()
+	d.store.HTTP.CloseIdleConnections()
 }
 
 // Ready reports whether the instance has a configuration, knows of at least the
 // given number of members, and can give turns on the services that it owns.
 func (d *Daemon) Ready(members int) bool {
-	return d.configurator.Current().Revision > 0 && len(d.registrar.View().Members) >= members && d.tally.Ready()
+	return d.claimHolder.Ready() && d.configurator.Current().Revision > 0 && len(d.registrar.View().Members) >= members && d.tally.Ready()
 }
 
 // Change offers a change to the store.
--- a/runner/tally.go
+++ b/runner/tally.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -15,9 +14,7 @@
 
 // assembleTally makes the owners' server and the granter that the settings name.
 func (d *Daemon) assembleTally() {
-	d.peerHTTP = &http.Client{Transport: &keyTransport{key: d.Settings.Keys.Peer, delay: &d.peerDelay, next: &http.Transport{
-		MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute, DialContext: d.sockets.dial,
-	}}}
+	d.peerHTTP = d.peerClient(tallyLinks)
 	peers := &allocator.Peers{Self: d.self.ID, HTTP: d.peerHTTP, Log: d.Log}
 	ledger := &allocator.Ledger{}
 	d.peers = peers
