Allocator: an owner stands no longer than its own lease lasts

Change: the standing ends with the instance's own lease of the store, and a new lease asks for all confirmations anew. A member leaves a view only after its lease has run out, so one of two that dropped each other has none.

--- /dev/null
+++ b/allocator/client_test.go
@@ -0,0 +1,174 @@
+package allocator
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"hemlocktally"
+	"hemlocktally/messenger"
+)
+
+// configured is a configuration that a test can replace.
+type configured struct {
+	atomic.Pointer[hemlocktally.Configuration]
+}
+
+// Current returns the configuration.
+func (c *configured) Current() *hemlocktally.Configuration { return c.Load() }
+
+// members is a fixed view.
+type members struct {
+	view hemlocktally.View
+}
+
+// View returns the view.
+func (m members) View() hemlocktally.View { return m.view }
+
+// aloneStub counts how often the entry decides alone.
+type aloneStub struct {
+	acquired, released atomic.Int32
+}
+
+// Acquire grants a turn that is marked.
+func (a *aloneStub) Acquire(_ context.Context, r hemlocktally.GrantRequest) (hemlocktally.Grant, error) {
+	a.acquired.Add(1)
+	return hemlocktally.Grant{ID: "alone", Service: r.Service, Target: hemlocktally.Target{Name: "t0"}, Alone: true, Deadline: r.Deadline}, nil
+}
+
+// Release counts.
+func (a *aloneStub) Release(hemlocktally.GrantResult) { a.released.Add(1) }
+
+// pair is an entry whose service is owned by a peer behind a handler.
+type pair struct {
+	client *Client
+	config *configured
+	alone  *aloneStub
+	ledger *Ledger
+}
+
+func newPair(t *testing.T, handler http.Handler) *pair {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &pair{config: &configured{}, alone: &aloneStub{}, ledger: &Ledger{}}
+	p.config.Store(&hemlocktally.Configuration{Revision: 1, Services: []hemlocktally.Service{{
+		Name: "reads", Targets: []hemlocktally.Target{{Name: "t0", Address: "x", Zone: "a"}, {Name: "t1", Address: "y", Zone: "b"}},
+	}}})
+	view := hemlocktally.View{Members: []hemlocktally.Instance{{
+		ID: "owner", State: hemlocktally.InstanceServing, PeerAddress: strings.TrimPrefix(server.URL, "http://"),
+	}}}
+	transport := &http.Transport{}
+	peers := &Peers{Self: "entry", HTTP: &http.Client{Transport: transport}}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = peers.Run(ctx)
+	}()
+	p.client = &Client{
+		Self: "entry", Configuration: p.config, Members: members{view}, Peers: peers, Ledger: p.ledger, Alone: p.alone,
+	}
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		transport.CloseIdleConnections()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return p
+}
+
+func (p *pair) acquire() (hemlocktally.Grant, error) {
+	return p.client.Acquire(context.Background(), hemlocktally.GrantRequest{
+		Service: "reads", Deadline: time.Now().Add(5 * time.Second), QueueLimit: 3 * time.Second,
+	})
+}
+
+// ownerStub answers with fixed grants, in turn.
+type ownerStub struct {
+	messenger.Allocation
+	answers  chan *messenger.AcquireResponse
+	reported chan *messenger.Result
+}
+
+// Acquire returns the next answer.
+func (o *ownerStub) Acquire(context.Context, *messenger.AcquireRequest) (*messenger.AcquireResponse, error) {
+	return <-o.answers, nil
+}
+
+// Report keeps the results.
+func (o *ownerStub) Report(_ context.Context, in *messenger.ReportRequest) (*messenger.ReportResponse, error) {
+	for _, r := range in.Results {
+		o.reported <- r
+	}
+	return &messenger.ReportResponse{}, nil
+}
+
+func newOwnerStub(answers ...*messenger.AcquireResponse) *ownerStub {
+	o := &ownerStub{answers: make(chan *messenger.AcquireResponse, len(answers)), reported: make(chan *messenger.Result, 16)}
+	for _, a := range answers {
+		o.answers <- a
+	}
+	return o
+}
+
+func TestSilentOwnerIsGivenUpAndAvoided(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	t.Run("silent", func(t *testing.T) {
+		c := qt.New(t)
+		hang := make(chan struct{})
+		asked := atomic.Int32{}
+		p := newPair(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			asked.Add(1)
+			<-hang
+		}))
+		defer close(hang)
+		grant, err := p.acquire()
+		c.Assert(err, qt.IsNil)
+		c.Check(grant.Alone, qt.IsTrue)
+		before := asked.Load()
+		_, err = p.acquire()
+		c.Assert(err, qt.IsNil)
+		c.Check(asked.Load(), qt.Equals, before, qt.Commentf("an owner that was silent is not asked at once again"))
+		p.client.Release(hemlocktally.GrantResult{Grant: grant})
+		c.Check(p.alone.released.Load(), qt.Equals, int32(1))
+	})
+}
+
+func TestGrantOnATargetThatIsOutIsGivenBack(t *testing.T) {
+	c := qt.New(t)
+	owner := newOwnerStub(
+		&messenger.AcquireResponse{Grant: "g1", Target: "t0", Address: "x", Owner: "owner", Revision: 1},
+		&messenger.AcquireResponse{Grant: "g2", Target: "t1", Address: "y", Owner: "owner", Revision: 1},
+	)
+	p := newPair(t, messenger.NewAllocationServer(owner))
+	next := *p.config.Load()
+	next.Revision = 2
+	next.Zones = []hemlocktally.AvailabilityZone{{Name: "a", Out: true}}
+	p.config.Store(&next)
+	grant, err := p.acquire()
+	c.Assert(err, qt.IsNil)
+	c.Check(grant.ID, qt.Equals, hemlocktally.GrantID("g2"))
+	back := <-owner.reported
+	c.Check(back.Grant, qt.Equals, "g1")
+	c.Check(hemlocktally.AttemptOutcome(back.Outcome), qt.Equals, hemlocktally.AttemptUnused)
+	c.Check(p.ledger.turnsOf("owner", everyService), qt.HasLen, 1)
+}
+
+func TestColdGrantIsNotUsedAfterItsLease(t *testing.T) {
+	c := qt.New(t)
+	late := &messenger.AcquireResponse{Grant: "g1", Target: "t0", Address: "x", Owner: "owner", Revision: 1, Cold: true, LeaseMicroseconds: -1}
+	p := newPair(t, messenger.NewAllocationServer(newOwnerStub(late, late, late)))
+	_, err := p.acquire()
+	var refused *hemlocktally.RefusedError
+	c.Assert(errors.As(err, &refused), qt.IsTrue)
+	c.Check(refused.Outcome, qt.Equals, hemlocktally.OutcomeNotRun)
+}
--- a/allocator/recaller.go
+++ b/allocator/recaller.go
@@ -37,10 +37,12 @@
 	view := s.view()
 	owners := s.ownerList()
 	hot, fresh := wants(owners, now)
+	lease, leaseEnd := s.ownLease()
 	s.mu.Lock()
 	r := &s.recaller
 	changed := HashView(view) != r.standing.View()
 	r.standing.SetView(view, now)
+	r.standing.SetLease(lease, leaseEnd, now)
 	if hot {
 		r.hotUntil = now.Add(recallHotHold)
 	}
@@ -60,6 +62,18 @@
 	s.dropIdle(view, owners, now)
 }
 
+// ownLease returns the instance's lease, or zero values where none holds.
+func (s *Server) ownLease() (string, time.Time) {
+	if s.Leaser == nil {
+		return "", time.Time{}
+	}
+	id, end, ok := s.Leaser.Lease()
+	if !ok {
+		return "", time.Time{}
+	}
+	return id, end
+}
+
 // wants reports whether any owner needs its standing, and whether one has just
 // started.
 func wants(owners map[hemlocktally.ServiceName]*Owner, now time.Time) (hot, fresh bool) {
--- a/allocator/server.go
+++ b/allocator/server.go
@@ -21,6 +21,7 @@
 	Incarnation   string
 	Configuration hemlocktally.Configurer
 	Members       hemlocktally.Viewer // Members may be nil: then the instance is the only one.
+	Leaser        hemlocktally.Leaser // Leaser may be nil: then cold targets get no work.
 	Measurer      hemlocktally.Measurer
 	Peers         *Peers // Peers may be nil: then no other instance is asked.
 	Ledger        *Ledger
--- a/allocator/standing.go
+++ b/allocator/standing.go
@@ -19,6 +19,8 @@
 	Self    hemlocktally.InstanceID
 	Started time.Time // Started is when this process began; earlier promises are forgotten.
 
+	lease     string
+	leaseEnd  time.Time
 	view      uint64
 	changed   time.Time // changed is when the view last changed.
 	members   map[hemlocktally.InstanceID]bool
@@ -59,6 +61,16 @@
 	}
 }
 
+// SetLease takes in the instance's own lease of the store. With a new lease all
+// confirmations are asked for anew.
+func (s *Standing) SetLease(id string, end, now time.Time) {
+	if id != s.lease {
+		s.lease, s.changed, s.agreed = id, now, time.Time{}
+		clear(s.confirmed)
+	}
+	s.leaseEnd = end
+}
+
 // View returns the number of the present view.
 func (s *Standing) View() uint64 { return s.view }
 
@@ -113,6 +125,12 @@
 // one is missing or over.
 func (s *Standing) earliest(now time.Time) time.Time {
 	end := now.Add(promiseTime - promiseMargin)
+	if s.leaseEnd.Before(end) {
+		end = s.leaseEnd
+	}
+	if !now.Before(end) {
+		return time.Time{}
+	}
 	for member := range s.members {
 		if member == s.Self {
 			continue
--- /dev/null
+++ b/chooser/alone_test.go
@@ -0,0 +1,110 @@
+package chooser_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hemlocktally"
+	"hemlocktally/chooser"
+)
+
+// world is a fixed configuration, view and knowledge.
+type world struct {
+	config hemlocktally.Configuration
+	warm   map[hemlocktally.TargetName]bool
+}
+
+// Current returns the configuration.
+func (w *world) Current() *hemlocktally.Configuration { return &w.config }
+
+// View returns four serving members.
+func (w *world) View() hemlocktally.View {
+	var view hemlocktally.View
+	for _, id := range []hemlocktally.InstanceID{"a", "b", "c", "d"} {
+		view.Members = append(view.Members, hemlocktally.Instance{ID: id, State: hemlocktally.InstanceServing})
+	}
+	return view
+}
+
+// Warm reports what the last owner said.
+func (w *world) Warm(_ hemlocktally.ServiceName, target hemlocktally.TargetName) bool {
+	return w.warm[target]
+}
+
+func newAlone() (*chooser.Alone, *world) {
+	w := &world{warm: map[hemlocktally.TargetName]bool{"t1": true, "t2": true, "t3": true}}
+	service := hemlocktally.Service{Name: "reads"}
+	for _, name := range []hemlocktally.TargetName{"t0", "t1", "t2", "t3"} {
+		service.Targets = append(service.Targets, hemlocktally.Target{Name: name, Address: string(name), Zone: "a"})
+	}
+	w.config = hemlocktally.Configuration{
+		Services:  []hemlocktally.Service{service},
+		Contracts: []hemlocktally.Contract{{Name: "Reads", Service: "reads", RetryBudget: 0.25}},
+	}
+	return &chooser.Alone{Self: "a", Configuration: w, Members: w, Warmth: w}, w
+}
+
+func acquire(a *chooser.Alone, kind hemlocktally.AttemptKind) (hemlocktally.Grant, error) {
+	return a.Acquire(context.Background(), hemlocktally.GrantRequest{
+		Service: "reads", Contract: "Reads", Kind: kind, Deadline: time.Now().Add(time.Second),
+	})
+}
+
+func TestAloneUsesItsShareOfWarmTargetsAndNoColdOne(t *testing.T) {
+	c := qt.New(t)
+	a, _ := newAlone()
+	var held []hemlocktally.Grant
+	for {
+		grant, err := acquire(a, hemlocktally.AttemptFirst)
+		if err != nil {
+			var refused *hemlocktally.RefusedError
+			c.Assert(errors.As(err, &refused), qt.IsTrue)
+			c.Check(refused.Outcome, qt.Equals, hemlocktally.OutcomeNotRun)
+			c.Check(refused.RetryAfter > 0, qt.IsTrue)
+			break
+		}
+		c.Check(grant.Target.Name, qt.Not(qt.Equals), hemlocktally.TargetName("t0"))
+		held = append(held, grant)
+	}
+	// Twice its share of the six warm slots over four members.
+	c.Check(held, qt.HasLen, 3)
+	for _, grant := range held {
+		a.Release(hemlocktally.GrantResult{Grant: grant})
+	}
+	_, err := acquire(a, hemlocktally.AttemptFirst)
+	c.Check(err, qt.IsNil)
+}
+
+func TestAloneLeavesATargetThatSaysThatItIsCold(t *testing.T) {
+	c := qt.New(t)
+	a, w := newAlone()
+	w.warm = map[hemlocktally.TargetName]bool{"t1": true}
+	grant, err := acquire(a, hemlocktally.AttemptFirst)
+	c.Assert(err, qt.IsNil)
+	a.Release(hemlocktally.GrantResult{Grant: grant, SaidCold: true})
+	_, err = acquire(a, hemlocktally.AttemptFirst)
+	c.Check(err, qt.Not(qt.IsNil))
+}
+
+func TestAloneRetriesAreAShareOfItsOwnCalls(t *testing.T) {
+	c := qt.New(t)
+	a, _ := newAlone()
+	retried := 0
+	for range 40 {
+		for _, kind := range []hemlocktally.AttemptKind{hemlocktally.AttemptFirst, hemlocktally.AttemptRetry} {
+			grant, err := acquire(a, kind)
+			if err != nil {
+				continue
+			}
+			if kind == hemlocktally.AttemptRetry {
+				retried++
+			}
+			a.Release(hemlocktally.GrantResult{Grant: grant})
+		}
+	}
+	c.Check(retried, qt.Equals, 10)
+}
--- a/runner/tally.go
+++ b/runner/tally.go
@@ -20,8 +20,8 @@
 	d.peers = peers
 	d.tally = &allocator.Server{
 		Self: d.self.ID, Incarnation: d.self.Incarnation, Configuration: d.configurator, Members: d.registrar,
-		Measurer: &prober.Prober{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}},
-		Peers:    peers, Ledger: ledger, Log: d.Log,
+		Leaser: d.registrar, Measurer: &prober.Prober{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}},
+		Peers: peers, Ledger: ledger, Log: d.Log,
 	}
 	seed := xxhash.Sum64String(string(d.self.ID))
 	if d.Settings.Routing.Policy != loader.PolicyOwner {
