--- a/allocator/recaller.go
+++ b/allocator/recaller.go
@@ -36,7 +36,7 @@
 func (s *Server) recall(ctx context.Context, now time.Time) {
 	view := s.view()
 	owners := s.ownerList()
-	hot, fresh := wants(owners, now)
+	hot, fresh := s.wants(view, owners, now)
 	lease, leaseEnd := s.ownLease()
 	s.mu.Lock()
 	r := &s.recaller
@@ -74,11 +74,14 @@
 	return id, end
 }
 
-// wants reports whether any owner needs its standing, and whether one has just
-// started.
-func wants(owners map[hemlocktally.ServiceName]*Owner, now time.Time) (hot, fresh bool) {
-	for _, o := range owners {
-		hot = hot || o.board.Load().needs
+// wants reports whether any owner of a service that is this instance's own
+// needs its standing, and whether one has just started.
+func (s *Server) wants(view hemlocktally.View, owners map[hemlocktally.ServiceName]*Owner, now time.Time) (hot, fresh bool) {
+	serving := view.Serving()
+	for name, o := range owners {
+		if owner, _ := OwnerOf(name, serving); owner.ID == s.Self {
+			hot = hot || o.board.Load().needs
+		}
 		fresh = fresh || now.Sub(o.Started) < recallHot
 	}
 	return hot, fresh
@@ -252,7 +255,11 @@
 	for name, o := range owners {
 		shown := o.board.Load()
 		owner, _ := OwnerOf(name, serving)
-		if owner.ID == s.Self || now.Sub(shown.askedAt) < ownerIdleTime {
+		idle := ownerIdleTime
+		if shown.askedAt.Equal(o.Started) {
+			idle = recallIdle
+		}
+		if owner.ID == s.Self || now.Sub(shown.askedAt) < idle {
 			continue
 		}
 		s.mu.Lock()
