--- a/runner/runner.go
+++ b/runner/runner.go
@@ -76,6 +76,7 @@
 	configurator *configurator.Configurator
 	recorder     *recorder.Recorder
 	tally        *allocator.Server
+	peers        *allocator.Peers
 	granter      hemlocktally.Granter
 	peerHTTP     *http.Client
 	links        *dialer.Dialer
@@ -136,7 +137,7 @@
 	var group run.Group
 	group.Add(func() error { return d.serveCallersAndLeave(ctx) }, func(error) {})
 	for _, task := range []func(context.Context) error{
-		d.links.Run, d.configurator.Run, d.registrar.Run, d.tally.Run, d.claimHolder.Run, d.servePeers, d.serveOperators,
+		d.links.Run, d.configurator.Run, d.registrar.Run, d.peers.Run, d.tally.Run, d.claimHolder.Run, d.servePeers, d.serveOperators,
 	} {
 		group.Add(func() error { return task(inner) }, func(error) { cancel() })
 	}
@@ -188,10 +189,10 @@
 	d.store.HTTP.CloseIdleConnections()
 }
 
-// Ready reports whether the instance has a configuration and knows of at least
-// the given number of members.
+// Ready reports whether the instance has a configuration, knows of at least the
+// given number of members, and can give turns on the services that it owns.
 func (d *Daemon) Ready(members int) bool {
-	return d.claimHolder.Ready() && d.configurator.Current().Revision > 0 && len(d.registrar.View().Members) >= members
+	return d.claimHolder.Ready() && d.configurator.Current().Revision > 0 && len(d.registrar.View().Members) >= members && d.tally.Ready()
 }
 
 // Change offers a change to the store.
--- a/runner/tally.go
+++ b/runner/tally.go
@@ -1,29 +1,40 @@
 package runner
 
 import (
+	"net/http"
+
 	"github.com/cespare/xxhash/v2"
 
 	"hemlocktally"
 	"hemlocktally/allocator"
 	"hemlocktally/chooser"
 	"hemlocktally/loader"
+	"hemlocktally/prober"
 )
 
 // assembleTally makes the owners' server and the granter that the settings name.
 func (d *Daemon) assembleTally() {
 	d.peerHTTP = d.peerClient(tallyLinks)
-	d.tally = &allocator.Server{Self: d.self.ID, Configuration: d.configurator}
-	alone := &chooser.Chooser{
-		Configuration: d.configurator, Policy: policyOf(d.Settings.Routing.Policy),
-		Seed: xxhash.Sum64String(string(d.self.ID)),
+	peers := &allocator.Peers{Self: d.self.ID, HTTP: d.peerHTTP, Log: d.Log}
+	ledger := &allocator.Ledger{}
+	d.peers = peers
+	d.tally = &allocator.Server{
+		Self: d.self.ID, Incarnation: d.self.Incarnation, Configuration: d.configurator, Members: d.registrar,
+		Leaser: d.registrar, Measurer: &prober.Prober{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}},
+		Peers: peers, Ledger: ledger, Log: d.Log,
 	}
+	seed := xxhash.Sum64String(string(d.self.ID))
 	if d.Settings.Routing.Policy != loader.PolicyOwner {
-		d.granter = alone
+		d.granter = &chooser.Chooser{Configuration: d.configurator, Policy: policyOf(d.Settings.Routing.Policy), Seed: seed}
 		return
 	}
 	d.granter = &allocator.Client{
-		Self: d.self.ID, Zone: d.self.Zone, Configuration: d.configurator, Members: d.registrar,
-		Server: d.tally, HTTP: d.peerHTTP, Alone: alone,
+		Self: d.self.ID, Incarnation: d.self.Incarnation, Zone: d.self.Zone, Configuration: d.configurator,
+		Members: d.registrar, Server: d.tally, Peers: peers, Ledger: ledger,
+		Alone: &chooser.Alone{
+			Self: d.self.ID, Incarnation: d.self.Incarnation, Configuration: d.configurator, Members: d.registrar,
+			Warmth: ledger, Seed: seed,
+		},
 	}
 }
 
