--- a/soaker/times.go
+++ b/soaker/times.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -78,10 +79,12 @@
 	time.Sleep(rebalance)
 	t.report.IdlePerSecond = t.storeCalls(func() { time.Sleep(storeSpan) })
 	t.report.BusyPerSecond = t.storeCalls(func() { t.compare(ctx) })
-	for round := range t.Rounds {
-		err = firstError(err, t.crash(ctx, round), t.stop(ctx))
+	for round := 0; round < t.Rounds && err == nil && ctx.Err() == nil; round++ {
+		if err = t.crash(ctx, round); err == nil {
+			err = t.stop(ctx)
+		}
 	}
-	return t.report, firstError(err, fleet.Stop())
+	return t.report, errors.Join(err, ctx.Err(), fleet.Stop())
 }
 
 func setDefault(field *int, value int) {
@@ -90,14 +93,7 @@
 	}
 }
 
-func firstError(list ...error) error {
-	for _, err := range list {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
+var errNoRange = errors.New("the newest instance holds no range")
 
 // storeCalls returns the store's calls a second during the function.
 func (t *ClaimTimes) storeCalls(during func()) float64 {
@@ -176,7 +172,7 @@
 func (t *ClaimTimes) crash(ctx context.Context, round int) error {
 	at, asker, held := t.last()
 	if len(held) == 0 {
-		return fmt.Errorf("round %d: the newest instance holds no range", round)
+		return errNoRange
 	}
 	t.fleet.Crash(at)
 	started := time.Now()
@@ -203,7 +199,7 @@
 		return err
 	}
 	for end := time.Now().Add(resumeLimit); time.Now().Before(end); time.Sleep(resumePause) {
-		if t.fleet.Daemons[i].Claims().Held() > 0 {
+		if _, _, held := t.last(); len(held) > 0 {
 			time.Sleep(time.Second)
 			return nil
 		}
@@ -214,6 +210,9 @@
 // stop ends the newest instance as planned, under keyed calls for its ranges.
 func (t *ClaimTimes) stop(ctx context.Context) error {
 	at, asker, held := t.last()
+	if len(held) == 0 {
+		return errNoRange
+	}
 	t.fleet.StopInstance(at)
 	started := time.Now()
 	handed := time.Duration(0)
