--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -52,8 +52,8 @@
 	ClockMargin = time.Second
 
 	maxKeyBytes        = 256
-	maxRecords         = 100_000
-	maxKeptBytes       = 32 << 20
+	maxRecords         = 50_000
+	maxKeptBytes       = 16 << 20
 	maxKeptAnswerBytes = 1 << 20
 	maxQueued          = 4096                   // maxQueued bounds the messages that wait for a range to move.
 	leastRun           = 500 * time.Millisecond // leastRun is the least rest of a lease that lets a call run.
--- a/claimer/state_test.go
+++ b/claimer/state_test.go
@@ -217,3 +217,35 @@
 	c.Check(verdict(s.Update(begin(3, "c3", "k", start), start), 3), qt.Equals, hemlocktally.ClaimDone)
 	c.Check(verdict(s.Update(begin(4, "c4", "new key", start), start), 4), qt.Equals, hemlocktally.ClaimRun)
 }
+
+func TestHolderThatGetsARangeBackAfterAnotherHadItTrustsNoRecord(t *testing.T) {
+	c := qt.New(t)
+	s := holder("a", "L1", 1)
+	first := begin(1, "c1", "k", start)
+	s.Update(first, start)
+	s.Update(finish(first, hemlocktally.OutcomeNotRun), start)
+	s.Update(LeaseMsg{}, start)
+	s.Update(LeaseMsg{ID: "L2", End: start.Add(time.Hour)}, start)
+	other := hemlocktally.Instance{ID: "b", Incarnation: "b"}
+	s.Update(AssignmentMsg{Table: tableOf(other, "LB", 2, 2, "")}, start)
+	moved := answers(s.Update(begin(2, "c2", "k", start), start))[2]
+	c.Assert(moved.Moved, qt.IsTrue)
+	s.Update(AssignmentMsg{Table: tableOf(s.Self, "L2", 3, 3, "")}, start)
+	c.Assert(verdict(s.Update(begin(3, "c3", "k", start), start), 3), qt.Equals, hemlocktally.ClaimUnknown)
+}
+
+func TestOlderTableChangesNothing(t *testing.T) {
+	c := qt.New(t)
+	s := holder("a", "L1", 5)
+	other := hemlocktally.Instance{ID: "b", Incarnation: "b"}
+	c.Assert(s.Update(AssignmentMsg{Table: tableOf(other, "LB", 2, 4, ""), Live: map[string]bool{}}, start), qt.HasLen, 0)
+	c.Assert(verdict(s.Update(begin(1, "c1", "k", start), start), 1), qt.Equals, hemlocktally.ClaimRun)
+}
+
+func TestPermissionIsNotUsedAfterItsFence(t *testing.T) {
+	c := qt.New(t)
+	claim := hemlocktally.Claim{Verdict: hemlocktally.ClaimRun, Fence: time.Now().Add(-time.Nanosecond)}
+	c.Assert((&Client{}).checked(claim).Verdict, qt.Equals, hemlocktally.ClaimRefused)
+	claim.Fence = time.Now().Add(time.Hour)
+	c.Assert((&Client{}).checked(claim).Verdict, qt.Equals, hemlocktally.ClaimRun)
+}
