Configurator: settle provisional stops before any other change

Change: Change settles the stops that the instance knows first; a command based on the revision before loses the race to the stop, visibly. Conclusion: the later command wins.

--- a/configurator/change.go
+++ b/configurator/change.go
@@ -27,7 +27,10 @@
 // *hemlocktally.ChangeError where a command can't be applied, a
 // *hemlocktally.StoreError where the store did not answer. Only after a
 // *hemlocktally.UnknownChangeError it may have been accepted nevertheless.
+// Provisional stops that are known here are settled first, so that a later
+// command to bring back is not undone by them.
 func (c *Configurator) Change(ctx context.Context, change hemlocktally.Change) (hemlocktally.Accepted, error) {
+	c.settleStops(ctx)
 	return c.commit(ctx, change, false)
 }
 
--- a/configurator/peers_test.go
+++ b/configurator/peers_test.go
@@ -138,6 +138,26 @@
 	c.Check(stopped.Accepted, qt.IsNotNil)
 }
 
+func TestBringingBackComesAfterTheStop(t *testing.T) {
+	c := qt.New(t)
+	store := newStore(1)
+	instance := &configurator.Configurator{Store: store, Self: "a"}
+	_, err := instance.Change(background, change("one", 0, service("log", 2)))
+	c.Assert(err, qt.IsNil)
+	store.down = true
+	_, err = instance.Stop(background, change("out", 1, zone(hemlocktally.CommandZoneOut)))
+	c.Assert(err, qt.IsNil)
+	store.down = false
+	var race *hemlocktally.RaceError
+	_, err = instance.Change(background, change("back", 1, zone(hemlocktally.CommandZoneBack)))
+	c.Assert(errors.As(err, &race), qt.IsTrue)
+	c.Check(race.Winner.Change.ID, qt.Equals, "out")
+	_, err = instance.Change(background, change("back", 2, zone(hemlocktally.CommandZoneBack)))
+	c.Assert(err, qt.IsNil)
+	c.Check(instance.Current().ZoneOut("north"), qt.IsFalse)
+	c.Check(instance.Current().Provisional, qt.HasLen, 0)
+}
+
 func TestStopThatCannotBeAppliedIsDropped(t *testing.T) {
 	c := qt.New(t)
 	f := newFleet(c)
