--- a/cmd/hemlocktally/fleet.go
+++ b/cmd/hemlocktally/fleet.go
@@ -9,7 +9,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"hemlocktally/surveyor"
+	"hemlocktally/measurer"
 )
 
 func benchFleetCommand() *cli.Command {
@@ -34,11 +34,11 @@
 }
 
 func benchFleet(ctx context.Context, c *cli.Command) error {
-	base := surveyor.Survey{
+	base := measurer.Survey{
 		Instances: c.Int("base-instances"), Services: c.Int("base-services"), Changes: c.Int("changes"),
 		Crashes: c.Int("crashes"), Idle: c.Duration("idle"), Seed: uint64(c.Int("seed")),
 	}
-	var surveys []surveyor.Survey
+	var surveys []measurer.Survey
 	for _, instances := range c.IntSlice("instances") {
 		survey := base
 		survey.Instances = instances
@@ -49,8 +49,8 @@
 		survey.Services = services
 		surveys = append(surveys, survey)
 	}
-	surveys = slices.DeleteFunc(surveys, func(s surveyor.Survey) bool { return s.Instances <= 0 || s.Services <= 0 })
-	var rows []surveyor.Row
+	surveys = slices.DeleteFunc(surveys, func(s measurer.Survey) bool { return s.Instances <= 0 || s.Services <= 0 })
+	var rows []measurer.Row
 	for n, survey := range surveys {
 		_, _ = fmt.Fprintf(os.Stderr, "%d of %d: %d instances, %d services\n", n+1, len(surveys), survey.Instances, survey.Services)
 		row, err := survey.Run(ctx)
@@ -59,5 +59,5 @@
 		}
 		rows = append(rows, row)
 	}
-	return surveyor.WriteCSV(c.Root().Writer, rows)
+	return measurer.WriteCSV(c.Root().Writer, rows)
 }
--- a/surveyor/csv.go
+++ b/measurer/csv.go
@@ -1,4 +1,4 @@
-package surveyor
+package measurer
 
 import (
 	"encoding/csv"
--- a/surveyor/fleet.go
+++ b/measurer/fleet.go
@@ -1,7 +1,7 @@
-// Package surveyor measures the control of a fleet by itself: membership,
+// Package measurer measures the control of a fleet by itself: membership,
 // configuration and the calls of the store, on real sockets of loopback between
 // instances that serve no calls.
-package surveyor
+package measurer
 
 import (
 	"context"
@@ -25,7 +25,7 @@
 )
 
 // Error is the class of this package's errors.
-var Error = errs.Class("surveyor")
+var Error = errs.Class("measurer")
 
 // Fleet is some instances that only take part in control, around a stand-in
 // platform.
--- a/surveyor/replace_test.go
+++ b/measurer/replace_test.go
@@ -1,4 +1,4 @@
-package surveyor_test
+package measurer_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 
 	"hemlocktally"
 	"hemlocktally/imitator"
-	"hemlocktally/surveyor"
+	"hemlocktally/measurer"
 )
 
 const limit = 30 * time.Second
@@ -24,7 +24,7 @@
 }
 
 // stop ends the oldest instance as a planned stop does.
-func stop(fleet *surveyor.Fleet) {
+func stop(fleet *measurer.Fleet) {
 	oldest := fleet.Instances[0]
 	fleet.Instances = fleet.Instances[1:]
 	oldest.Registrar.Leave()
@@ -34,7 +34,7 @@
 func TestFleetReplacedOneByOneInAnOutageKeepsTheConfiguration(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
-	fleet, err := surveyor.Start(ctx, 3, 1)
+	fleet, err := measurer.Start(ctx, 3, 1)
 	c.Assert(err, qt.IsNil)
 	defer fleet.Stop()
 	accepted, err := fleet.Instances[0].Configurator.Change(ctx, zoneOut(0, "a"))
@@ -44,7 +44,7 @@
 	for range 3 {
 		next, err := fleet.Add()
 		c.Assert(err, qt.IsNil)
-		c.Assert(surveyor.Await(ctx, limit, func() bool { return next.Configurator.Current().Hash == accepted.Hash }), qt.IsNil)
+		c.Assert(measurer.Await(ctx, limit, func() bool { return next.Configurator.Current().Hash == accepted.Hash }), qt.IsNil)
 		stop(fleet)
 	}
 	for _, i := range fleet.Instances {
@@ -55,7 +55,7 @@
 func TestFleetReplacedAtOnceTakesTheConfigurationFromTheStore(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
-	fleet, err := surveyor.Start(ctx, 3, 1)
+	fleet, err := measurer.Start(ctx, 3, 1)
 	c.Assert(err, qt.IsNil)
 	defer fleet.Stop()
 	accepted, err := fleet.Instances[0].Configurator.Change(ctx, zoneOut(0, "a"))
@@ -65,7 +65,7 @@
 	}
 	next, err := fleet.Add()
 	c.Assert(err, qt.IsNil)
-	c.Assert(surveyor.Await(ctx, limit, func() bool { return next.Configurator.Current().Hash == accepted.Hash }), qt.IsNil)
+	c.Assert(measurer.Await(ctx, limit, func() bool { return next.Configurator.Current().Hash == accepted.Hash }), qt.IsNil)
 }
 
 // TestLaggingReplicaAndLostAnswersRevertNothing changes the configuration again
@@ -73,20 +73,20 @@
 func TestLaggingReplicaAndLostAnswersRevertNothing(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
-	fleet, err := surveyor.Start(ctx, 3, 4)
+	fleet, err := measurer.Start(ctx, 3, 4)
 	c.Assert(err, qt.IsNil)
 	defer fleet.Stop()
 	fleet.Platform.SetFaults(imitator.PlatformFaults{StaleReads: 0.3, ReplicaLag: 50 * time.Millisecond, LoseWriteAnswers: 0.3})
 	for n := range 10 {
 		i := fleet.Instances[n%3]
 		base := hemlocktally.Revision(n)
-		c.Assert(surveyor.Await(ctx, limit, func() bool { return i.Configurator.Current().Revision >= base }), qt.IsNil)
+		c.Assert(measurer.Await(ctx, limit, func() bool { return i.Configurator.Current().Revision >= base }), qt.IsNil)
 		accepted, err := i.Configurator.Change(ctx, zoneOut(base, string(rune('a'+n))))
 		c.Assert(err, qt.IsNil)
 		c.Check(accepted.Revision, qt.Equals, base+1)
 	}
 	for _, i := range fleet.Instances {
-		c.Assert(surveyor.Await(ctx, limit, func() bool { return i.Configurator.Current().Revision == 10 }), qt.IsNil)
+		c.Assert(measurer.Await(ctx, limit, func() bool { return i.Configurator.Current().Revision == 10 }), qt.IsNil)
 		c.Check(i.Configurator.Divergences(), qt.Equals, uint64(0))
 	}
 }
--- a/surveyor/survey.go
+++ b/measurer/survey.go
@@ -1,4 +1,4 @@
-package surveyor
+package measurer
 
 import (
 	"context"
@@ -79,7 +79,7 @@
 
 // declare puts services with their targets in force everywhere.
 func (f *Fleet) declare(ctx context.Context, services int) error {
-	change := hemlocktally.Change{ID: "services", Author: "surveyor"}
+	change := hemlocktally.Change{ID: "services", Author: "measurer"}
 	for i := range services {
 		service := declared(i, "/probe")
 		change.Commands = append(change.Commands, hemlocktally.Command{Kind: hemlocktally.CommandPutService, Service: &service})
@@ -165,7 +165,7 @@
 		service := declared(n%max(1, row.Services), fmt.Sprint("/probe/", n))
 		base := i.Configurator.Current().Revision
 		change := hemlocktally.Change{
-			ID: fmt.Sprint("change-", n), Author: "surveyor", Base: base,
+			ID: fmt.Sprint("change-", n), Author: "measurer", Base: base,
 			Commands: []hemlocktally.Command{{Kind: hemlocktally.CommandPutService, Service: &service}},
 		}
 		start := time.Now()
--- a/surveyor/survey_test.go
+++ b/measurer/survey_test.go
@@ -1,4 +1,4 @@
-package surveyor_test
+package measurer_test
 
 import (
 	"bytes"
@@ -10,13 +10,13 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
 
-	"hemlocktally/surveyor"
+	"hemlocktally/measurer"
 )
 
 func TestSurveyMeasuresWhatHappened(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	c := qt.New(t)
-	survey := surveyor.Survey{Instances: 3, Services: 2, Changes: 2, Crashes: 1, Idle: 500 * time.Millisecond, Seed: 1}
+	survey := measurer.Survey{Instances: 3, Services: 2, Changes: 2, Crashes: 1, Idle: 500 * time.Millisecond, Seed: 1}
 	row, err := survey.Run(context.Background())
 	c.Assert(err, qt.IsNil)
 	c.Check(row.Targets, qt.Equals, 16)
@@ -26,7 +26,7 @@
 	c.Check(row.CrashMedian > 0, qt.IsTrue)
 
 	var out bytes.Buffer
-	c.Assert(surveyor.WriteCSV(&out, []surveyor.Row{row}), qt.IsNil)
+	c.Assert(measurer.WriteCSV(&out, []measurer.Row{row}), qt.IsNil)
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
 	c.Assert(lines, qt.HasLen, 2)
 	c.Check(strings.Count(lines[0], ","), qt.Equals, strings.Count(lines[1], ","))
