--- a/commander/fault.go
+++ b/commander/fault.go
@@ -44,7 +44,7 @@
 	var bad *hemlocktally.ChangeError
 	var race *hemlocktally.RaceError
 	var store *hemlocktally.StoreError
-	var late *NotInForceError
+	var late *hemlocktally.LaggingError
 	var unknown *hemlocktally.UnknownChangeError
 	switch {
 	case errors.As(err, &syntax):
