Registrar: keep the digest and the order of members

Cause: each heartbeat hashed and sorted all members; at 1,024 that took 13 ms of each second. Change: the digest is kept up with each report, the order until a member comes or goes. BenchmarkSecond measures the decisions of one second at rest.

--- a/registrar/beat.go
+++ b/registrar/beat.go
@@ -60,7 +60,7 @@
 	if other := s.elsewhere(live); len(other) > 0 {
 		chosen = append(chosen, other[s.random.IntN(len(other))])
 	}
-	if suspects := slices.DeleteFunc(all, func(m *member) bool { return !m.silent() }); len(suspects) > 0 && s.round%suspectRounds == 0 {
+	if suspects := slices.DeleteFunc(slices.Clone(all), func(m *member) bool { return !m.silent() }); len(suspects) > 0 && s.round%suspectRounds == 0 {
 		chosen = append(chosen, suspects[s.random.IntN(len(suspects))])
 	}
 	slices.SortFunc(chosen, compareID)
@@ -172,13 +172,8 @@
 	return list
 }
 
-func (s *State) digest() uint64 {
-	sum := s.own().digest()
-	for _, m := range s.members {
-		sum ^= m.digest()
-	}
-	return sum
-}
+// digest sums up all that is known, the own report included.
+func (s *State) digest() uint64 { return s.sum ^ s.own().digest() }
 
 // hear takes over a heartbeat. Its sender is alive.
 func (s *State) hear(beat *messenger.BeatMessage, now time.Time) []Cmd {
--- a/registrar/member.go
+++ b/registrar/member.go
@@ -48,13 +48,17 @@
 		cmds = s.bury(m, "replaced by a newer incarnation", now)
 		m = nil
 	}
-	if m == nil {
+	switch {
+	case m == nil:
 		m = &member{life: newLife(), heardAt: now}
-		s.members[id] = m
-	} else if r.version <= m.version {
+		s.members[id], s.list = m, nil
+	case r.version <= m.version:
 		return cmds
+	default:
+		s.sum ^= m.digest()
 	}
 	m.report = r
+	s.sum ^= r.digest()
 	m.votes = nil
 	m.failures = 0
 	m.news = s.spread()
@@ -117,6 +121,8 @@
 	last.instance.State = hemlocktally.InstanceGone
 	s.graves[grave{m.instance.ID, m.instance.Incarnation}] = &burial{last: last, until: now.Add(graveTime), news: s.spread()}
 	delete(s.members, m.instance.ID)
+	s.list = nil
+	s.sum ^= m.digest()
 	s.changed = true
 	return []Cmd{ChangedCmd{Member: last.instance, From: from, To: hemlocktally.InstanceGone, Cause: cause}}
 }
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -22,6 +23,8 @@
 	version uint64 // version of the instance's own report.
 	news    int    // news counts the beats that still carry the own report.
 	members map[hemlocktally.InstanceID]*member
+	list    []*member // list holds the members by ID; it is nil after one came or went.
+	sum     uint64    // sum combines the digests of the members' reports.
 	graves  map[grave]*burial
 
 	round         uint64
@@ -183,14 +186,12 @@
 // own returns the instance's report of itself.
 func (s *State) own() report { return report{instance: s.Self, version: s.version} }
 
-// ordered returns the members by ID.
+// ordered returns the members by ID. Callers leave the list as it is.
 func (s *State) ordered() []*member {
-	list := make([]*member, 0, len(s.members))
-	for _, m := range s.members {
-		list = append(list, m)
+	if s.list == nil {
+		s.list = slices.SortedFunc(maps.Values(s.members), compareID)
 	}
-	slices.SortFunc(list, compareID)
-	return list
+	return s.list
 }
 
 // View returns the view after the last step, and whether it differs from the
