--- a/measurer/fleet.go
+++ b/measurer/fleet.go
@@ -25,7 +25,7 @@
 )
 
 // Error is the class of this package's errors.
-var Error = errs.Class("surveyor")
+var Error = errs.Class("measurer")
 
 // Fleet is some instances that only take part in control, around a stand-in
 // platform.
