--- a/runner/operators_test.go
+++ b/runner/operators_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -55,11 +57,32 @@
 		{"commandIsFollowedUntilInForceEverywhere", commandIsFollowedUntilInForceEverywhere},
 		{"lostRaceShowsTheWinner", lostRaceShowsTheWinner},
 		{"faultsOfOperatorsAreTyped", faultsOfOperatorsAreTyped},
+		{"metricsOfThePageAreExposed", metricsOfThePageAreExposed},
 	} {
 		t.Run(test.name, func(t *testing.T) { test.run(qt.New(t), fleet) })
 	}
 }
 
+// metricsOfThePageAreExposed holds docs/operators/alarms.md true.
+func metricsOfThePageAreExposed(c *qt.C, fleet *experimenter.Fleet) {
+	page, err := os.ReadFile("../docs/operators/alarms.md")
+	c.Assert(err, qt.IsNil)
+	request, err := http.NewRequest(http.MethodGet, "http://"+fleet.Daemons[0].Self().OperatorAddress+"/metrics", http.NoBody)
+	c.Assert(err, qt.IsNil)
+	request.Header.Set("Authorization", "Bearer "+experimenter.OperatorKey)
+	response, err := http.DefaultClient.Do(request)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	exposed, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	names := regexp.MustCompile(`hemlocktally_[a-z_]+`).FindAllString(string(page), -1)
+	c.Assert(len(names) > 5, qt.IsTrue)
+	for _, name := range names {
+		name = strings.TrimSuffix(name, "_bucket")
+		c.Check(string(exposed), qt.Contains, "# HELP "+name+" ")
+	}
+}
+
 func anyInstanceAnswersForTheFleet(c *qt.C, fleet *experimenter.Fleet) {
 	for _, daemon := range fleet.Daemons {
 		response, err := http.Get("http://" + daemon.Self().CallerAddress + "/nothing")
