--- a/inspector/explainer.go
+++ b/inspector/explainer.go
@@ -36,7 +36,8 @@
 	}
 	if explained.Call == nil {
 		explained.Lines = []string{fmt.Sprintf(
-			"No instance that answered keeps call %s: only recent, slow and refused calls are kept, and a replaced instance forgets its own.", call)}
+			"No instance that answered keeps call %s: only recent, slow and refused calls are kept, and a replaced instance forgets its own.", call,
+		)}
 	}
 	return explained
 }
