--- a/interpreter/grammar.go
+++ b/interpreter/grammar.go
@@ -1,6 +1,8 @@
 package interpreter
 
 import (
+	"sync"
+
 	"github.com/alecthomas/participle/v2"
 	"github.com/alecthomas/participle/v2/lexer"
 )
@@ -80,12 +82,15 @@
 	{Name: "Other", Pattern: `.`},
 })
 
-var grammar = participle.MustBuild[statementTree](
-	participle.Lexer(tokens),
-	participle.Elide("Space"),
-	participle.Unquote("String"),
-	participle.CaseInsensitive("Word"),
-)
+// grammar is built at the first use: an instance that nobody asks needs none.
+var grammar = sync.OnceValue(func() *participle.Parser[statementTree] {
+	return participle.MustBuild[statementTree](
+		participle.Lexer(tokens),
+		participle.Elide("Space"),
+		participle.Unquote("String"),
+		participle.CaseInsensitive("Word"),
+	)
+})
 
 // Grammar returns the language's grammar in EBNF.
-func Grammar() string { return grammar.String() }
+func Grammar() string { return grammar().String() }
--- a/interpreter/parser.go
+++ b/interpreter/parser.go
@@ -33,7 +33,7 @@
 // parseTree parses and checks names. Where something is wrong it returns the
 // offset of the first wrong word.
 func parseTree(source string) (tree *statementTree, at int, ok bool) {
-	tree, err := grammar.ParseString("", source)
+	tree, err := grammar().ParseString("", source)
 	at = len(source)
 	var syntax participle.Error
 	if errors.As(err, &syntax) {
