Keys: the peers' key is rotated without parting the fleet

Cause: instances with different peers' keys did not hear each other, so that a rotation parted the fleet. Conclusion: a rotation needs no second fleet.

--- a/inspector/explainer.go
+++ b/inspector/explainer.go
@@ -90,7 +90,7 @@
 	if a.Alone {
 		b.WriteString(", chosen without an owner")
 	} else {
-		fmt.Fprintf(&b, ", granted by owner %s", orNobody(string(a.Owner)))
+		fmt.Fprintf(&b, ", grant %s of owner %s", orNobody(string(a.Grant)), orNobody(string(a.Owner)))
 	}
 	fmt.Fprintf(&b, " after %s: started at %s, took %s, %s", a.Waited, a.Started, a.Took, attemptOutcomes[a.Outcome])
 	link := ", on an open link"
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -156,6 +156,7 @@
 // ApplyEnvironment overrides the keys for secrets from environment variables.
 func ApplyEnvironment(s *Settings) {
 	override(&s.Keys.Peer, "HEMLOCKTALLY_PEER_KEY")
+	override(&s.Keys.PeerAlso, "HEMLOCKTALLY_PEER_KEY_ALSO")
 	override(&s.Keys.Operator, "HEMLOCKTALLY_OPERATOR_KEY")
 	override(&s.Platform.Key, "HEMLOCKTALLY_PLATFORM_KEY")
 }
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -48,7 +48,8 @@
 
 // KeySettings hold the secrets between instances and of operators.
 type KeySettings struct {
-	Peer            string
+	Peer            string // Peer is shown to the other instances and asked of them.
+	PeerAlso        string // PeerAlso is let in too, while the peers' key is rotated.
 	Operator        string // Operator is the key of the operator named "operator".
 	CertificateFile string // CertificateFile turns on TLS for peers and operators.
 	PrivateKeyFile  string
@@ -177,6 +178,7 @@
 	const allowed = "a secret of 16 characters or more"
 	checks := []settingCheck{
 		{"Keys", "Peer", hide(s.Keys.Peer), allowed, len(s.Keys.Peer) >= minKeyLength},
+		{"Keys", "PeerAlso", hide(s.Keys.PeerAlso), allowed + ", or nothing", s.Keys.PeerAlso == "" || len(s.Keys.PeerAlso) >= minKeyLength},
 		{"Keys", "Operator", "", "a secret here or under OperatorKeys", len(s.Operators()) > 0},
 	}
 	operators := s.Operators()
--- a/runner/peers.go
+++ b/runner/peers.go
@@ -23,7 +23,7 @@
 	mux.Handle(messenger.ClaimsPathPrefix, messenger.NewClaimsServer(d.claimHolder))
 	mux.Handle(messenger.MembershipPathPrefix, messenger.NewMembershipServer(d.registrar))
 	mux.Handle(messenger.ConfigurationPathPrefix, messenger.NewConfigurationServer(d.configurator))
-	server := d.server(requireKey(d.Settings.Keys.Peer, mux))
+	server := d.server(requireKey([]string{d.Settings.Keys.Peer, d.Settings.Keys.PeerAlso}, mux))
 	return d.serveSecure(ctx, server, &countedListener{d.Listeners.Peers, &d.peerTraffic})
 }
 
@@ -77,13 +77,19 @@
 // CloseIdleConnections closes the links that no request uses.
 func (t *keyTransport) CloseIdleConnections() { t.next.CloseIdleConnections() }
 
-// requireKey turns away requests without the key, comparing in constant time.
-func requireKey(key string, next http.Handler) http.Handler {
-	want := sha256.Sum256([]byte(key))
+// requireKey turns away requests without one of the keys, comparing each in
+// constant time. An empty key lets nobody in.
+func requireKey(keys []string, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		shown := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
-		got := sha256.Sum256([]byte(shown))
-		if key == "" || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+		got := sha256.Sum256([]byte(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")))
+		known := false
+		for _, key := range keys {
+			want := sha256.Sum256([]byte(key))
+			if key != "" && subtle.ConstantTimeCompare(got[:], want[:]) == 1 {
+				known = true
+			}
+		}
+		if !known {
 			http.Error(w, "the key is missing or wrong", http.StatusUnauthorized)
 			return
 		}
--- a/runner/secure_test.go
+++ b/runner/secure_test.go
@@ -12,6 +12,7 @@
 	"math/big"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -131,3 +132,23 @@
 	}
 	t.Fatalf("the peer was not reached by TLS: %s", ask())
 }
+
+func TestBothPeerKeysAreLetInDuringARotation(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		keys  []string
+		shown string
+		want  int
+	}{
+		{[]string{"new-key", "old-key"}, "new-key", http.StatusOK},
+		{[]string{"new-key", "old-key"}, "old-key", http.StatusOK},
+		{[]string{"new-key", ""}, "old-key", http.StatusUnauthorized},
+		{[]string{"new-key", ""}, "", http.StatusUnauthorized},
+	} {
+		answer := httptest.NewRecorder()
+		request := httptest.NewRequest(http.MethodGet, "/", http.NoBody)
+		request.Header.Set("Authorization", "Bearer "+test.shown)
+		requireKey(test.keys, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})).ServeHTTP(answer, request)
+		c.Check(answer.Code, qt.Equals, test.want, qt.Commentf("%v, shown %q", test.keys, test.shown))
+	}
+}
