--- a/cmd/hemlocktally/slopes.go
+++ b/cmd/hemlocktally/slopes.go
@@ -36,6 +36,11 @@
 		return err
 	}
 	series = append(series, surveyor.Turns([]int{8, 64, 256, 512}, runs), surveyor.Owners([]int{4, 16, 64, 256, 1024}, runs))
+	listing, err := surveyor.Listing([]int{4, 16, 64, 256, 1024})
+	if err != nil {
+		return err
+	}
+	series = append(series, listing)
 	var sizes []int
 	for _, n := range []int{4, 8, 16, 32, 64} {
 		if n <= c.Int("most") {
--- a/surveyor/records.go
+++ b/surveyor/records.go
@@ -6,6 +6,8 @@
 	"runtime"
 	"time"
 
+	"github.com/oklog/ulid/v2"
+
 	"hemlocktally"
 	"hemlocktally/allocator"
 )
@@ -170,3 +172,28 @@
 	}
 	return series
 }
+
+// Listing measures one reading of all members' records, as the store sends them.
+func Listing(instances []int) (Series, error) {
+	series := Series{Role: "watcher", Cost: "one reading of all members' records, KB", Axis: AxisInstances}
+	for _, n := range instances {
+		var entries []hemlocktally.Entry
+		for i := range n {
+			id := hemlocktally.InstanceID(fmt.Sprintf("entry-%04d", i))
+			value, err := json.Marshal(hemlocktally.Instance{
+				ID: id, Incarnation: ulid.Make().String(), Zone: "zone-01", CallerAddress: "10.0.0.1:8080", PeerAddress: "10.0.0.1:8081",
+				OperatorAddress: "10.0.0.1:8082", State: hemlocktally.InstanceServing, Revision: 12345, HeardAt: time.Now(),
+			})
+			if err != nil {
+				return series, Error.Wrap(err)
+			}
+			entries = append(entries, hemlocktally.Entry{Key: "Instances/" + string(id), Value: value, Version: 3, Lease: ulid.Make().String()})
+		}
+		text, err := json.Marshal(entries)
+		if err != nil {
+			return series, Error.Wrap(err)
+		}
+		series.Points = append(series.Points, Point{float64(n), float64(len(text)) / 1000})
+	}
+	return series, nil
+}
--- a/surveyor/surveyor_test.go
+++ b/surveyor/surveyor_test.go
@@ -45,5 +45,8 @@
 		c.Check(s.Points, qt.HasLen, 2, qt.Commentf("%s", s.Cost))
 	}
 	c.Check(surveyor.Turns([]int{2, 4}, 1).Points, qt.HasLen, 2)
+	listing, err := surveyor.Listing([]int{2, 4})
+	c.Assert(err, qt.IsNil)
+	c.Check(listing.Points[1].Y > 1.9*listing.Points[0].Y, qt.IsTrue)
 	c.Check(surveyor.Owners([]int{2}, 1).Points, qt.HasLen, 1)
 }
