--- a/cmd/hemlocktally/client.go
+++ b/cmd/hemlocktally/client.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -96,7 +97,7 @@
 	request.Header.Set("Authorization", "Bearer "+o.key)
 	response, err := o.http.Do(request)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("no answer from %s, name another instance by --at: %w", o.base, errors.Unwrap(err))
 	}
 	if response.StatusCode == http.StatusOK {
 		return response.Body, nil
