Lost races tell what the winner did, and why

Cause: the loser of a race saw the winner's name only. Change: the fault lists the winner's commands and reason. Conclusion: an operator can decide without another question.

--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -120,3 +120,16 @@
 	c.Check(fault.Kind, qt.Equals, commander.FaultLate)
 	c.Check(fault.Detail, qt.Contains, "entry-9")
 }
+
+func TestLostRaceTellsWhatTheWinnerDid(t *testing.T) {
+	c := qt.New(t)
+	f := newChanger()
+	f.err = &hemlocktally.RaceError{Base: 11, Winner: hemlocktally.Accepted{Revision: 12, Change: hemlocktally.Change{
+		ID: "change-12", Author: "basil", Because: "noisy neighbour",
+		Commands: []hemlocktally.Command{{Kind: hemlocktally.CommandTargetOut, Name: "holds", Target: "holds-1"}},
+	}}}
+	_, err := tell(c, f, "bring back AvailabilityZone kingston-a")
+	fault := commander.FaultOf(err)
+	c.Check(fault.Kind, qt.Equals, commander.FaultRace)
+	c.Check(fault.Detail, qt.Contains, `revision 12 by basil (change change-12) is in force; it did TargetOut holds/holds-1, because "noisy neighbour"`)
+}
--- a/commander/fault.go
+++ b/commander/fault.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"strings"
 
 	"hemlocktally"
 	"hemlocktally/interpreter"
@@ -55,6 +57,7 @@
 		fault.Kind = FaultPlan
 	case errors.As(err, &race):
 		fault.Kind, fault.Winner = FaultRace, &race.Winner
+		fault.Detail += deedsOf(race.Winner.Change) + "; look at it, then repeat the command if it is still wanted"
 	case errors.As(err, &late):
 		fault.Kind = FaultLate
 	case errors.As(err, &unknown):
@@ -64,3 +67,34 @@
 	}
 	return fault
 }
+
+// deedsOf says what a change did, and why.
+func deedsOf(change hemlocktally.Change) string {
+	var deeds []string
+	for _, command := range change.Commands {
+		deeds = append(deeds, strings.TrimSpace(string(command.Kind)+" "+subjectOf(command)))
+	}
+	text := ""
+	if len(deeds) > 0 {
+		text = "; it did " + strings.Join(deeds, ", ")
+	}
+	if change.Because != "" {
+		text += fmt.Sprintf(", because %q", change.Because)
+	}
+	return text
+}
+
+func subjectOf(command hemlocktally.Command) string {
+	switch {
+	case command.Service != nil:
+		return string(command.Service.Name)
+	case command.Contract != nil:
+		return string(command.Contract.Name)
+	case command.Caller != nil:
+		return string(command.Caller.Name)
+	case command.Target != "":
+		return command.Name + "/" + string(command.Target)
+	default:
+		return command.Name
+	}
+}
