--- a/configurator/inforce.go
+++ b/configurator/inforce.go
@@ -49,25 +49,18 @@
 // ask offers the revision to all that have not confirmed it, a few at a time.
 // It returns those that still have not, and the number of members.
 func (c *Configurator) ask(ctx context.Context, revision hemlocktally.Revision, confirmed map[hemlocktally.InstanceID]string) ([]hemlocktally.InstanceID, int) {
-	var missing []hemlocktally.InstanceID
-	var mu sync.Mutex
-	var calls sync.WaitGroup
-	slots := make(chan struct{}, concurrency)
 	members := []hemlocktally.Instance{{ID: c.Self}}
 	if c.Members != nil {
 		members = c.Members.View().Members
 	}
-	for _, m := range members {
-		if m.ID == c.Self {
-			if c.Acting() < revision {
-				missing = append(missing, m.ID)
-			}
-			continue
-		}
-		incarnation, known := confirmed[m.ID]
-		if known && incarnation == m.Incarnation || m.Revision >= revision {
-			continue
-		}
+	var missing []hemlocktally.InstanceID
+	if c.Acting() < revision {
+		missing = append(missing, c.Self)
+	}
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	slots := make(chan struct{}, concurrency)
+	for _, m := range c.unconfirmed(members, revision, confirmed) {
 		slots <- struct{}{}
 		calls.Go(func() {
 			defer func() { <-slots }()
@@ -84,3 +77,15 @@
 	calls.Wait()
 	return missing, len(members)
 }
+
+// unconfirmed returns the other members that have not shown the revision.
+func (c *Configurator) unconfirmed(members []hemlocktally.Instance, revision hemlocktally.Revision, confirmed map[hemlocktally.InstanceID]string) []hemlocktally.Instance {
+	var rest []hemlocktally.Instance
+	for _, m := range members {
+		incarnation, known := confirmed[m.ID]
+		if m.ID != c.Self && m.Revision < revision && (!known || incarnation != m.Incarnation) {
+			rest = append(rest, m)
+		}
+	}
+	return rest
+}
