--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -88,12 +88,14 @@
 }
 
 // run makes attempts through any instance, with the same key, until the work is
-// done, as a patient caller does.
+// done, as a patient caller does. While every answer was that nothing ran, it
+// takes a new key each time: a false NotRun then shows as doubled work.
 func (c *caller) run(ctx context.Context) {
 	tries := maxTries
 	if c.work.key == "" && !c.work.read {
 		tries = 1
 	}
+	onlyNotRun := !c.work.pairs && !c.work.read
 	for n := 1; n <= tries; n++ {
 		if n == 1 && c.work.pairs {
 			var other sync.WaitGroup
@@ -101,9 +103,15 @@
 			other.Go(func() { c.attempt(ctx, instance, attempt) })
 			defer other.Wait()
 		}
-		if c.attempt(ctx, c.pick(), c.soak.ledger.next(c.work)) == hemlocktally.OutcomeDone {
+		outcome := c.attempt(ctx, c.pick(), c.soak.ledger.next(c.work))
+		if outcome == hemlocktally.OutcomeDone {
 			return
 		}
+		onlyNotRun = onlyNotRun && outcome == hemlocktally.OutcomeNotRun
+		if onlyNotRun {
+			c.work.key = ulid.Make().String()
+			tries = maxTries
+		}
 		time.Sleep(retryPause + time.Duration(c.random.Int64N(int64(retryPause)*int64(n))))
 	}
 	c.soak.mu.Lock()
