Soak: a paused instance meets its planned stop when it goes on

Cause: the soak stopped paused instances at once; a process that is stopped by a signal sees the next one only when it goes on. Change: the stop of a paused instance begins when its pause ends. Its cut calls still break the run. Conclusion: calls that reach an instance while it is paused can still be cut by a planned stop right after; it is not mended.

--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -122,12 +122,19 @@
 		defer s.mu.Unlock()
 		s.disturb--
 		if x.paused--; x.paused == 0 {
-			s.daemon(x).Resume()
+			s.resume(x)
 		}
 	}
 }
 
-func (s *Soak) resume(x *slot) { s.daemon(x).Resume() }
+// resume lets an instance go on. Only then does it see the signal of a planned
+// stop that came while it was paused.
+func (s *Soak) resume(x *slot) {
+	s.daemon(x).Resume()
+	if x.stopping {
+		s.fleet.StopInstance(x.index)
+	}
+}
 
 // replace ends an instance, by a crash or as planned, and starts another one.
 func (s *Soak) replace(ctx context.Context, f Fault) {
@@ -140,7 +147,9 @@
 		s.fleet.Crash(x.index)
 	} else {
 		x.stopping, x.halted = true, x.paused > 0
-		s.fleet.StopInstance(x.index)
+		if !x.halted {
+			s.fleet.StopInstance(x.index)
+		}
 	}
 	if i, err := s.fleet.Add(ctx); err == nil {
 		s.slots = append(s.slots, &slot{index: i})
