Tally: owners take provisional stops, and confirm a revision before it counts as in force

While looking, a second fault: the owners compared revisions only, so a provisional stop, which has none of its own, never reached them. Ruled out: the entry, which checks stops itself before it uses a grant. Change: the server compares configurations, not revisions; Server.Applied is what the configurator reports as acted upon.

--- a/allocator/server.go
+++ b/allocator/server.go
@@ -30,8 +30,8 @@
 	mu       sync.Mutex
 	ctx      context.Context //nolint:containedctx // The owners end with the server's run, not with one request.
 	owners   map[hemlocktally.ServiceName]*Owner
-	revision hemlocktally.Revision
-	owned    uint64 // owned is the view that the owners were last started for.
+	config   *hemlocktally.Configuration // config is what the owners were last told.
+	owned    uint64                      // owned is the view that the owners were last started for.
 	effects  *effects
 	recaller recaller
 }
@@ -76,19 +76,30 @@
 	return s.Members.View()
 }
 
+// Applied returns the revision that the owners of this instance act on.
+func (s *Server) Applied() hemlocktally.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.config == nil {
+		return 0
+	}
+	return s.config.Revision
+}
+
 func (s *Server) refresh(ctx context.Context) {
 	config := s.Configuration.Current()
 	view := s.view()
 	hash := HashView(view)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if config.Revision == s.revision && hash == s.owned {
+	// A provisional stop is a new configuration without a new revision.
+	if config == s.config && hash == s.owned {
 		return
 	}
-	if config.Revision != s.revision {
+	if config != s.config {
 		s.configure(ctx, config)
 	}
-	s.revision, s.owned = config.Revision, hash
+	s.config, s.owned = config, hash
 	serving := view.Serving()
 	for i := range config.Services {
 		name := config.Services[i].Name
--- /dev/null
+++ b/allocator/server_test.go
@@ -0,0 +1,49 @@
+package allocator
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hemlocktally"
+)
+
+// A provisional stop is part of the configuration, but has no revision of its
+// own; it must reach the owner all the same.
+func TestOwnerTakesAStopWithoutARevision(t *testing.T) {
+	c := qt.New(t)
+	config := &configured{}
+	config.Store(&hemlocktally.Configuration{Revision: 1, Services: []hemlocktally.Service{{
+		Name: "reads", Targets: []hemlocktally.Target{{Name: "t0", Address: "x", Zone: "a"}},
+	}}})
+	server := &Server{Self: "owner", Configuration: config, Ledger: &Ledger{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { c.Check(server.Run(ctx), qt.IsNil) })
+	defer group.Wait()
+	defer cancel()
+	reason := func() string {
+		for _, status := range server.Statuses() {
+			return status.Reason
+		}
+		return ""
+	}
+	await := func(wanted bool) bool {
+		const stopped = "operators took it or its zone out"
+		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			if found := reason(); found != "" && (found == stopped) == wanted {
+				return true
+			}
+		}
+		return false
+	}
+	c.Assert(await(false), qt.IsTrue)
+	c.Check(server.Applied(), qt.Equals, hemlocktally.Revision(1))
+	stopped := *config.Current()
+	stopped.Zones = []hemlocktally.AvailabilityZone{{Name: "a", Out: true}}
+	config.Store(&stopped)
+	c.Check(await(true), qt.IsTrue)
+}
