--- a/inspector/merger.go
+++ b/inspector/merger.go
@@ -29,6 +29,7 @@
 	interpreter.TopicTargets:       {keys: []string{"Service", "Target"}, sums: []string{"InFlight", "Cap", "Served"}},
 	interpreter.TopicServices:      {keys: []string{"Service"}, sums: []string{"InFlight", "Served"}},
 	interpreter.TopicContracts:     {keys: []string{"Contract"}},
+	interpreter.TopicBudgets:       {keys: []string{"Service", "Contract", "Owner"}},
 	interpreter.TopicClaims:        {keys: []string{"Range", "Holder"}},
 	interpreter.TopicOwners:        {keys: []string{"Service", "AvailabilityZone", "Instance"}, sums: []string{"InFlight"}},
 	interpreter.TopicRefusals: {
--- a/interpreter/topics.go
+++ b/interpreter/topics.go
@@ -129,8 +129,9 @@
 		"what was refused, why, and since when",
 	},
 	{
-		TopicBudgets, join(text("Service", "Instance"), numbers("BudgetPerSecond", "UsedPerSecond", "Probes")),
-		"what measuring costs against its budget",
+		TopicBudgets, join(text("Service", "Contract", "Owner"), numbers("ProbesPerSecond", "Probes", "ProbesRefused",
+			"Calls", "Retries", "Hedges", "Refused")),
+		"what measuring, retries and hedges cost against their budgets",
 	},
 	{TopicClaims, join(numbers("Range"), text("Holder"), numbers("Epoch"), text("Lease")), "who holds which range of keys for claims"},
 	{
--- a/runner/inspection.go
+++ b/runner/inspection.go
@@ -73,6 +73,7 @@
 		{Name: "store_calls_total", Help: "Calls of the platform's key-value service.", Type: "counter", Value: float64(d.store.Calls())},
 		{Name: "claim_ranges_held", Help: "Ranges of keys that the instance holds.", Type: "gauge", Value: float64(d.claimHolder.Held())},
 		{Name: "claim_invariants_broken_total", Help: "Broken promises on claims; must stay 0.", Type: "counter", Value: float64(d.claimHolder.Broken())},
+		{Name: "owner_invariants_broken_total", Help: "Broken promises of owners; must stay 0.", Type: "counter", Value: float64(d.tally.BrokenInvariants())},
 		{Name: "configuration_divergences_total", Help: "Other content offered for a known revision; must stay 0.", Type: "counter", Value: float64(d.configurator.Divergences())},
 		{Name: "peer_bytes_in_total", Help: "Bytes read from other instances.", Type: "counter", Value: float64(peerIn)},
 		{Name: "peer_bytes_out_total", Help: "Bytes written to other instances.", Type: "counter", Value: float64(peerOut)},
--- a/runner/rows.go
+++ b/runner/rows.go
@@ -73,21 +73,9 @@
 	return rows
 }
 
-// statusReporter is an owner's server that tells what it knows of its targets.
-type statusReporter interface {
-	Statuses() []hemlocktally.TargetStatus
-}
-
-func (d *Daemon) statuses() []hemlocktally.TargetStatus {
-	if reporter, ok := any(d.tally).(statusReporter); ok {
-		return reporter.Statuses()
-	}
-	return nil
-}
-
 func (d *Daemon) targetRows() []interpreter.Row {
 	var rows []interpreter.Row
-	for _, s := range d.statuses() {
+	for _, s := range d.tally.Statuses() {
 		owner := s.Owner
 		if owner == "" {
 			owner = d.self.ID
@@ -123,7 +111,7 @@
 
 func (d *Daemon) zoneWorkRows() []interpreter.Row {
 	work := map[hemlocktally.ZoneName]int{}
-	for _, s := range d.statuses() {
+	for _, s := range d.tally.Statuses() {
 		work[s.Zone] += s.InFlight
 	}
 	var rows []interpreter.Row
@@ -153,7 +141,7 @@
 
 func (d *Daemon) serviceWorkRows() []interpreter.Row {
 	var rows []interpreter.Row
-	for _, s := range d.statuses() {
+	for _, s := range d.tally.Statuses() {
 		rows = append(rows, row(string(s.Service), "", "", count(s.InFlight), total(s.Served), ""))
 	}
 	return rows
@@ -198,7 +186,7 @@
 
 func (d *Daemon) ownerWorkRows() []interpreter.Row {
 	var rows []interpreter.Row
-	for _, s := range d.statuses() {
+	for _, s := range d.tally.Statuses() {
 		owner := s.Owner
 		if owner == "" {
 			owner = d.self.ID
@@ -255,8 +243,26 @@
 		strconv.FormatBool(d.registrar.View().Frozen))}
 }
 
-// budgetRows stays empty until the owners tell what they spent.
-func (d *Daemon) budgetRows() []interpreter.Row { return nil }
+// budgetRows lists each owned service's measuring, then its contracts' retries
+// and hedges.
+func (d *Daemon) budgetRows() []interpreter.Row {
+	var rows []interpreter.Row
+	for _, b := range d.tally.Budgets() {
+		rows = append(rows, row(string(b.Service), "", string(b.Owner), decimal(b.ProbesPerSecond), total(b.Probes), total(b.ProbesRefused)))
+		for _, c := range b.Contracts {
+			rows = append(rows, row(string(b.Service), string(c.Contract), string(b.Owner), "", "", "",
+				total(c.Calls), total(c.Retries), total(c.Hedges), total(c.Refused)))
+		}
+	}
+	for i := range rows {
+		for len(rows[i].Values) < budgetColumns {
+			rows[i].Values = append(rows[i].Values, "")
+		}
+	}
+	return rows
+}
+
+const budgetColumns = 10
 
 // claimRows lists the ranges of keys that this instance holds by its own view.
 func (d *Daemon) claimRows() []interpreter.Row {
--- a/scripts/transcript.sh
+++ b/scripts/transcript.sh
@@ -61,12 +61,13 @@
     echo '## Take a zone out'
     tell 'take out AvailabilityZone kingston-a dry run'
     tell 'take out AvailabilityZone kingston-a wait because "rotation of kingston-a"'
+    told=$(served)
     sleep 2
     first=$(served)
     sleep 2
     second=$(served)
     echo "Work that targets of kingston-a had taken before the command: $before."
-    echo "Work that targets of kingston-a had taken 2 s after the command: $first; 2 s later: $second."
+    echo "At once after it: $told; 2 s after it: $first; 4 s after it: $second."
     [ "$first" = "$second" ] || { echo "work still goes to kingston-a: $first, then $second" >&2; exit 1; }
     ask 'show AvailabilityZones'
     ask 'show Targets where AvailabilityZone = kingston-a and Service = holds'
