--- a/inspector/explainer.go
+++ b/inspector/explainer.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"time"
 
 	"hemlocktally"
 	"hemlocktally/interpreter"
@@ -48,9 +49,9 @@
 		fmt.Sprintf("Call %s: %s %s by caller %s (tenant %s), taken at %s by instance %s under revision %d.",
 			r.Call, r.Method, r.Path, orNobody(string(r.Caller)), orNobody(r.Tenant), r.Started.UTC().Format("15:04:05.000"), instance, r.Revision),
 		fmt.Sprintf("Contract %s on service %s: outcome %s, status %d, in %s.",
-			orNobody(string(r.Contract)), orNobody(string(r.Service)), outcomeOf(r), r.Status, r.Total),
+			orNobody(string(r.Contract)), orNobody(string(r.Service)), outcomeOf(r), r.Status, short(r.Total)),
 		fmt.Sprintf("Waited %s for grants, of that %s in owners' queues; %s at the target; %s added by the balancer.",
-			r.Granting, r.Queue, r.Serving, r.Added()),
+			short(r.Granting), short(r.Queue), short(r.Serving), short(r.Added())),
 	}
 	for n, a := range r.Attempts {
 		lines = append(lines, attemptLine(n+1, a))
@@ -61,6 +62,9 @@
 	return lines
 }
 
+// short rounds a duration for people.
+func short(d time.Duration) time.Duration { return d.Round(10 * time.Microsecond) }
+
 func outcomeOf(r hemlocktally.CallRecord) string {
 	if r.Reason == "" {
 		return string(r.Outcome)
@@ -92,7 +96,7 @@
 	} else {
 		fmt.Fprintf(&b, ", grant %s of owner %s", orNobody(string(a.Grant)), orNobody(string(a.Owner)))
 	}
-	fmt.Fprintf(&b, " after %s: started at %s, took %s, %s", a.Waited, a.Started, a.Took, attemptOutcomes[a.Outcome])
+	fmt.Fprintf(&b, " after %s: started at %s, took %s, %s", short(a.Waited), short(a.Started), short(a.Took), attemptOutcomes[a.Outcome])
 	link := ", on an open link"
 	if a.NewLink {
 		link = ", on a new link"
--- a/runner/rows.go
+++ b/runner/rows.go
@@ -81,7 +81,7 @@
 			owner = d.self.ID
 		}
 		rows = append(rows, row(string(s.Service), string(s.Target), string(s.Zone), string(s.State), count(s.InFlight),
-			count(s.Cap), total(s.Served), "", s.Latency.String(), string(owner), s.Reason))
+			count(s.Cap), total(s.Served), "", s.Latency.Round(10*time.Microsecond).String(), string(owner), s.Reason))
 	}
 	return rows
 }
