--- a/surveyor/records.go
+++ b/surveyor/records.go
@@ -80,7 +80,7 @@
 
 func decodeCost(text []byte) (megabytes float64, spent time.Duration, err error) {
 	var before, after runtime.MemStats
-	runtime.GC()
+	collect()
 	runtime.ReadMemStats(&before)
 	started := time.Now()
 	config := &hemlocktally.Configuration{}
@@ -88,7 +88,7 @@
 		return 0, 0, Error.Wrap(err)
 	}
 	spent = time.Since(started)
-	runtime.GC()
+	collect()
 	runtime.ReadMemStats(&after)
 	megabytes = (float64(after.HeapAlloc) - float64(before.HeapAlloc)) / 1e6
 	runtime.KeepAlive(config)
@@ -96,6 +96,14 @@
 	return max(0, megabytes), spent, nil
 }
 
+// collect frees all garbage, pooled buffers included, which outlive two rounds.
+func collect() {
+	const rounds = 3
+	for range rounds {
+		runtime.GC()
+	}
+}
+
 const repeats = 50
 
 func applyCost(config *hemlocktally.Configuration) (time.Duration, error) {
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -74,10 +74,12 @@
 	Spread    float64 // Spread is the widest range of the runs at one place, as a share of their median.
 }
 
-// Fit returns the line through the points of the series.
+// Fit returns the line through the medians of the series, so that one run that
+// was disturbed shows in the spread and not in the line.
 func (s Series) Fit() Line {
-	xs, ys := make([]float64, len(s.Points)), make([]float64, len(s.Points))
-	for i, p := range s.Points {
+	medians := s.Medians()
+	xs, ys := make([]float64, len(medians)), make([]float64, len(medians))
+	for i, p := range medians {
 		xs[i], ys[i] = p.X, p.Y
 	}
 	intercept, slope := stat.LinearRegression(xs, ys, nil, false)
