--- a/allocator/server_test.go
+++ b/allocator/server_test.go
@@ -41,7 +41,7 @@
 		return false
 	}
 	c.Assert(await(false), qt.IsTrue)
-	c.Check(server.Applied(), qt.Equals, hemlocktally.Revision(1))
+	c.Check(server.Acting(), qt.Equals, hemlocktally.Revision(1))
 	stopped := *config.Current()
 	stopped.Zones = []hemlocktally.AvailabilityZone{{Name: "a", Out: true}}
 	config.Store(&stopped)
