dispatcher: targets that fail fast don't lower the hedging bound

Cause: server errors were counted into a class's p95, so that a target that fails fast made every call look slow and hedge. Change: only good answers count. first_path.sh also checks the header and body limits. Conclusion: by reading; no run measured the effect.

--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -150,7 +150,9 @@
 		c.attempts[msg.Attempt-1].answer = msg.answer
 		c.busy.end(time.Now())
 		c.record.Serving = c.served(msg.trace)
-		c.dispatcher.latencies.record(c.contract.Name, msg.trace.took, time.Now())
+		if msg.trace.outcome == hemlocktally.AttemptDone {
+			c.dispatcher.latencies.record(c.contract.Name, msg.trace.took, time.Now())
+		}
 	case failedMsg:
 		c.busy.end(time.Now())
 		c.noteEnd(msg.Attempt, msg.trace, msg.Error.Detail)
--- a/scripts/first_path.sh
+++ b/scripts/first_path.sh
@@ -124,6 +124,12 @@
   curl -s "http://127.0.0.1:$1/nowhere" | grep -q '"Outcome":"NotRun","Reason":"NoContract"'
 }
 
+status_is() { # status_is STATUS CURL-ARGUMENTS...
+  local want=$1
+  shift
+  [ "$(curl -s -o "$work/out" -w '%{http_code}' "$@")" = "$want" ]
+}
+
 broken_large() { # broken_large PORT: curl must see that the answer is not whole.
   ! curl -s -f "http://127.0.0.1:$1/log/large?Size=$LARGE_BYTES" >"$work/out"
 }
@@ -183,6 +189,10 @@
   check "entry-$number: a 50 MB body is passed on and comes back equal" same_upload "17${number}80"
   check "entry-$number: memory stays bounded" small_memory "${pids[$((number + 2))]}"
   check "entry-$number: a call without a contract is refused as not run" refused "17${number}80"
+  check "entry-$number: a header over the limit is refused" \
+    status_is 431 -H "X-Large: $(head -c 60000 /dev/zero | tr '\0' x)" "http://127.0.0.1:17${number}80/log/7"
+  check "entry-$number: a body over the limit is refused" \
+    status_is 413 -X POST -H "Content-Length: 99999999" -d x "http://127.0.0.1:17${number}80/log/7"
 done
 check "a keyed payment is answered once and replayed by the other entry" replayed
 faults '{"BreakAnswer": true}'
