dispatcher: each asking for a claim is a call of its own

Cause: found by reading. The claimer's client, when it gives up, tells the holder in the background that its call never ran. The dispatcher asked again under the same call's ID; if the late word came after the holder had let that call run, it freed the key while the call ran, and a retry of the caller could run it twice. Change: every asking after the first has a new ID, and the holder ignores words on other calls. Conclusion: TestRefusedClaimIsAskedForAgain now checks the IDs; it fails on the code before.

--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -55,7 +55,9 @@
 }
 
 // begin asks for the claim. While no instance holds the key's range, as in a
-// hand-over, it asks again for a while; nothing runs meanwhile.
+// hand-over, it asks again for a while; nothing runs meanwhile. Each asking is a
+// call of its own to the holder: the word that an earlier one was given up may
+// still be on its way, and must not free the key of one that was let run.
 func (c *call) begin(ctx context.Context) (hemlocktally.Claim, error) {
 	request := hemlocktally.ClaimRequest{
 		Call: c.record.Call, Caller: c.record.Caller, Contract: c.contract.Name, Key: c.key,
@@ -72,6 +74,7 @@
 		case <-c.request.Context().Done():
 			return claim, nil
 		}
+		request.Call = newCallID()
 	}
 }
 
--- a/dispatcher/claim_test.go
+++ b/dispatcher/claim_test.go
@@ -111,8 +111,16 @@
 	got := h.send("POST", "/pay", "body", "Idempotency-Key", "k1")
 	c.Check(got.status, qt.Equals, 200)
 	c.Check(f.begun, qt.HasLen, 3)
-	c.Check(f.finished(t).Outcome, qt.Equals, hemlocktally.OutcomeDone)
+	result := f.finished(t)
+	c.Check(result.Outcome, qt.Equals, hemlocktally.OutcomeDone)
 	c.Check(target.runs.Load(), qt.Equals, int64(1))
+	// A late word on an earlier asking must not be taken for one on this call.
+	calls := map[hemlocktally.CallID]bool{}
+	for _, request := range f.begun {
+		calls[request.Call] = true
+	}
+	c.Check(calls, qt.HasLen, 3)
+	c.Check(result.Claim.Request.Call, qt.Equals, f.begun[2].Call)
 }
 
 func TestClaimIsFinishedWithTheOutcome(t *testing.T) {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -69,12 +69,14 @@
 		control: http.NewResponseController(w),
 	}
 	c.record = hemlocktally.CallRecord{
-		Call: hemlocktally.CallID(ulid.Make().String()), Method: r.Method, Path: r.URL.Path,
+		Call: newCallID(), Method: r.Method, Path: r.URL.Path,
 		Started: c.started, Revision: config.Revision,
 	}
 	return c
 }
 
+func newCallID() hemlocktally.CallID { return hemlocktally.CallID(ulid.Make().String()) }
+
 func (d *Dispatcher) finish(c *call) {
 	c.record.Total = time.Since(c.started)
 	if d.Recorder != nil {
