--- a/commander/stop_test.go
+++ b/commander/stop_test.go
@@ -23,7 +23,7 @@
 }
 
 func (cutOff) WaitInForce(context.Context, hemlocktally.Revision, func(done, all int)) error {
-	return nil
+	return errors.New("nothing to wait for")
 }
 
 func (cutOff) Stop(_ context.Context, change hemlocktally.Change) (hemlocktally.Stopped, error) {
@@ -33,21 +33,19 @@
 func TestOperatorIsToldThatAStopIsProvisional(t *testing.T) {
 	c := qt.New(t)
 	follower := commander.Commander{Changer: cutOff{}}
-	offer := func(kinds ...hemlocktally.CommandKind) (steps []commander.StepKind, err error) {
-		change := hemlocktally.Change{ID: "a", Base: 3}
-		for _, kind := range kinds {
-			change.Commands = append(change.Commands, hemlocktally.Command{Kind: kind, Name: "north"})
-		}
-		err = follower.Offer(context.Background(), change, commander.Options{Wait: true}, func(step commander.StepMsg) {
+	offer := func(kind hemlocktally.CommandKind, stop bool) (steps []commander.StepKind, err error) {
+		change := hemlocktally.Change{ID: "a", Base: 3, Commands: []hemlocktally.Command{{Kind: kind, Name: "north"}}}
+		options := commander.Options{Wait: true, Stop: stop}
+		err = follower.Offer(context.Background(), change, options, func(step commander.StepMsg) {
 			steps = append(steps, step.Kind)
 		})
 		return steps, err
 	}
-	steps, err := offer(hemlocktally.CommandZoneOut)
+	steps, err := offer(hemlocktally.CommandZoneOut, true)
 	c.Assert(err, qt.IsNil)
 	c.Check(steps, qt.DeepEquals, []commander.StepKind{commander.StepProvisional})
 
-	steps, err = offer(hemlocktally.CommandZoneOut, hemlocktally.CommandZoneBack)
+	steps, err = offer(hemlocktally.CommandZoneBack, false)
 	var failed *hemlocktally.StoreError
 	c.Check(errors.As(err, &failed), qt.IsTrue)
 	c.Check(steps, qt.HasLen, 0)
