--- a/claim.go
+++ b/claim.go
@@ -57,7 +57,9 @@
 	Kept    *KeptAnswer
 }
 
-// Claimer makes non-idempotent calls with a caller's key run at most once.
+// Claimer makes non-idempotent calls with a caller's key run at most once. Begin
+// is called once for each CallID: where it refuses, the word that the call never
+// runs may still be on its way to the holder.
 type Claimer interface {
 	Begin(ctx context.Context, request ClaimRequest) (Claim, error)
 	Finish(ctx context.Context, result ClaimResult) error
