Allocator: a slow target gets work last before it is held to one call

Cause: holding a target to one call for a single overdue one costs capacity wherever the machine itself stalls; the exact tally bounds a straggler anyway, because its slots stay taken. Change: an overdue call puts a target last, two overdue answers hold it to one call.

--- a/allocator/choice.go
+++ b/allocator/choice.go
@@ -76,13 +76,32 @@
 	if best := s.freeWarm(r, now); best != nil {
 		return best
 	}
+	if !high || s.soundCount() == 0 {
+		if slow := s.freeSlow(r, now); slow != nil {
+			return slow
+		}
+	}
 	return s.ahead(r, now)
 }
 
-// freeWeak returns a cold or slow target that bears a call.
+// freeWeak returns a cold target that bears a call, or a slow one that is idle.
 func (s *State) freeWeak(r hemlocktally.GrantRequest, now time.Time) *tally {
 	for _, t := range s.targets {
-		if (t.cold() || t.slow) && !t.probing && !excluded(t, r) && len(t.inFlight) < t.limit(now, s.standing) {
+		free := t.limit(now, s.standing) - len(t.inFlight)
+		if free <= 0 || t.probing || excluded(t, r) {
+			continue
+		}
+		if t.cold() || (t.slow && len(t.inFlight) == 0) {
+			return t
+		}
+	}
+	return nil
+}
+
+// freeSlow returns a slow target with a free turn.
+func (s *State) freeSlow(r hemlocktally.GrantRequest, now time.Time) *tally {
+	for _, t := range s.targets {
+		if t.slow && !excluded(t, r) && len(t.inFlight) < t.limit(now, s.standing) {
 			return t
 		}
 	}
--- a/allocator/state_test.go
+++ b/allocator/state_test.go
@@ -131,6 +131,38 @@
 	d.c.Check(slow, qt.Equals, 1)
 }
 
+func TestSlowTargetIsHeldToOneCallAndComesBack(t *testing.T) {
+	d := newDesk(t, 5)
+	d.warm()
+	slow := d.state.byName["t0"]
+	slow.slow = true
+	for range outliersToLimit {
+		d.end(d.onSlow(), hemlocktally.AttemptDone, 300*time.Millisecond)
+	}
+	held := d.onSlow()
+	for _, g := range d.fill(hemlocktally.PriorityNormal) {
+		d.c.Check(g.Target.Name, qt.Not(qt.Equals), target(0))
+	}
+	d.end(held, hemlocktally.AttemptDone, 10*time.Millisecond)
+	d.end(d.onSlow(), hemlocktally.AttemptDone, 10*time.Millisecond)
+	d.c.Check(slow.slow, qt.IsFalse)
+}
+
+// onSlow takes turns until one is on the slow target t0.
+func (d *desk) onSlow() hemlocktally.Grant {
+	d.c.Helper()
+	for range 100 {
+		for _, g := range grants(d.acquire(d.request(hemlocktally.PriorityNormal))) {
+			if g.Target.Name == "t0" {
+				return g
+			}
+			d.end(g, hemlocktally.AttemptUnused, 0)
+		}
+	}
+	d.c.Fatal("no turn on the slow target")
+	return hemlocktally.Grant{}
+}
+
 func TestTargetThatFailsFastDrawsNoMoreWork(t *testing.T) {
 	d := newDesk(t, 4)
 	d.warm()
--- a/allocator/tally.go
+++ b/allocator/tally.go
@@ -37,7 +37,8 @@
 	probing   bool
 	lies      int // lies counts load reports that its answers disproved.
 	served    uint64
-	slow      bool // slow is set while its latency stands out of the service's: it gets one call at a time.
+	slow      bool // slow is set while its latency stands out of the service's: it gets work last.
+	outliers  int  // outliers counts its overdue answers while it is slow.
 }
 
 // The events of a target's state machine.
@@ -74,7 +75,7 @@
 	if event == eventChill || event == eventReturn {
 		t.bears, t.quick = 1, 0
 	}
-	t.slow = false
+	t.slow, t.outliers = false, 0
 }
 
 func (t *tally) state() hemlocktally.TargetState {
@@ -99,9 +100,9 @@
 	switch {
 	case t.out || now.Before(t.holdOff):
 		return 0
-	case t.warm() && t.slow && !standing.Owner:
+	case t.warm() && t.slow && t.outliers >= outliersToLimit && !standing.Owner:
 		return 0
-	case t.warm() && t.slow:
+	case t.warm() && t.slow && t.outliers >= outliersToLimit:
 		return 1
 	case t.warm():
 		return t.target.SlotCount()
@@ -116,6 +117,7 @@
 const (
 	rampAnswers      = 4 // rampAnswers are the good answers before it bears one more.
 	recoveryAnswers  = 2
+	outliersToLimit  = 2 // outliersToLimit overdue answers hold a slow target to one call, as one that may be cold.
 	failuresToChill  = 3
 	firstHoldOff     = 20 * time.Millisecond
 	longestHoldOff   = 2 * time.Second
@@ -159,13 +161,17 @@
 // recover ends the suspicion of a slow target after answers in a row that are
 // as quick as the service's.
 func (t *tally) recover(latency time.Duration, service *window) {
+	if latency > service.overdue() {
+		t.outliers++
+		t.reason = "its answers are overdue"
+	}
 	if latency > service.p95 {
 		t.quick = 0
 		return
 	}
 	t.quick++
 	if t.quick >= recoveryAnswers {
-		t.slow, t.quick, t.reason = false, 0, "its answers are quick again"
+		t.slow, t.outliers, t.quick, t.reason = false, 0, 0, "its answers are quick again"
 	}
 }
 
