--- a/configurator/peers_test.go
+++ b/configurator/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -159,3 +160,20 @@
 	await(c, "it is dropped", func() bool { return len(first.Current().Provisional) == 0 && first.Current().Revision == 2 })
 	c.Check(first.Current().ChangeID, qt.Equals, "two")
 }
+
+// Answers of many peers arrive while the rest are still being asked.
+func TestWaitHearsManyPeersAtOnce(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c)
+	defer f.stop()
+	store := newStore(1)
+	first := f.start("a", store)
+	for i := range 8 {
+		f.start(hemlocktally.InstanceID(fmt.Sprintf("peer-%d", i)), store)
+	}
+	accepted, err := first.Change(background, change("one", 0, service("log", 2)))
+	c.Assert(err, qt.IsNil)
+	all := 0
+	c.Assert(first.WaitInForce(background, accepted.Revision, func(_, members int) { all = members }), qt.IsNil)
+	c.Check(all, qt.Equals, 9)
+}
