Allocator: a stand-in that hears the owner sends back to it

Change: a stand-in serves only while it does not hear the owner itself, and the entry then asks the owner once more. A ping may take 250 ms; an answer ends the avoidance of an owner.

--- a/allocator/client.go
+++ b/allocator/client.go
@@ -66,29 +66,60 @@
 }
 
 func (c *Client) acquire(ctx context.Context, request hemlocktally.GrantRequest) (hemlocktally.Grant, error) {
-	for _, owner := range OwnersOf(request.Service, c.Members.View().Serving()) {
-		if owner.ID == c.Self {
-			return c.Server.AcquireHere(ctx, c.Self, request)
-		}
-		if c.Peers.avoided(owner, time.Now()) {
-			continue
-		}
-		grant, err := c.ask(ctx, owner, request)
-		var silent *silentError
-		if !errors.As(err, &silent) || ctx.Err() != nil {
-			return grant, err
-		}
-		break
+	owners := OwnersOf(request.Service, c.Members.View().Serving())
+	if len(owners) == 0 {
+		return c.Alone.Acquire(ctx, request)
+	}
+	if owners[0].ID == c.Self {
+		return c.Server.AcquireHere(ctx, c.Self, request)
+	}
+	ask := func() (hemlocktally.Grant, error) { return c.ask(ctx, owners[0], request) }
+	if c.Peers.avoided(owners[0], time.Now()) {
+		ask = func() (hemlocktally.Grant, error) { return c.askStandIn(ctx, owners, request) }
+	}
+	grant, err := ask()
+	var silent *silentError
+	if !errors.As(err, &silent) || ctx.Err() != nil {
+		return grant, err
 	}
 	return c.Alone.Acquire(ctx, request)
 }
 
+// askStandIn asks the next in line in the place of an owner that did not
+// answer. Where the stand-in hears the owner, the owner is asked once more: two
+// tallies of one service would fill its targets twice.
+func (c *Client) askStandIn(ctx context.Context, owners []hemlocktally.Instance, request hemlocktally.GrantRequest) (hemlocktally.Grant, error) {
+	owner := owners[0]
+	if len(owners) < 2 {
+		return hemlocktally.Grant{}, &silentError{owner.ID}
+	}
+	standIn := owners[1]
+	if standIn.ID == c.Self {
+		if c.Peers.reachable(ctx, owner, time.Now()) {
+			return c.ask(ctx, owner, request)
+		}
+		return c.Server.AcquireHere(ctx, c.Self, request)
+	}
+	if c.Peers.avoided(standIn, time.Now()) {
+		return hemlocktally.Grant{}, &silentError{standIn.ID}
+	}
+	grant, err := c.ask(ctx, standIn, request)
+	var other *notOwnerError
+	if errors.As(err, &other) {
+		return c.ask(ctx, owner, request)
+	}
+	return grant, err
+}
+
 func (c *Client) ask(ctx context.Context, owner hemlocktally.Instance, request hemlocktally.GrantRequest) (hemlocktally.Grant, error) {
 	asked := time.Now()
 	out, err := c.Peers.acquire(ctx, owner, c.wireRequest(request))
 	if err != nil {
 		return hemlocktally.Grant{}, err
 	}
+	if out.Refused == refusedNotOwner {
+		return hemlocktally.Grant{}, &notOwnerError{owner.ID}
+	}
 	if out.Refused == string(hemlocktally.ReasonLeaving) {
 		return hemlocktally.Grant{}, &silentError{owner.ID}
 	}
--- a/allocator/client_test.go
+++ b/allocator/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -172,3 +173,26 @@
 	c.Assert(errors.As(err, &refused), qt.IsTrue)
 	c.Check(refused.Outcome, qt.Equals, hemlocktally.OutcomeNotRun)
 }
+
+func TestStandInThatHearsTheOwnerSendsBackToIt(t *testing.T) {
+	c := qt.New(t)
+	owner := newOwnerStub(&messenger.AcquireResponse{Grant: "g1", Target: "t1", Address: "y", Owner: "owner", Revision: 1})
+	p := newPair(t, messenger.NewAllocationServer(owner))
+	standIn := httptest.NewServer(messenger.NewAllocationServer(newOwnerStub(&messenger.AcquireResponse{Refused: refusedNotOwner})))
+	defer standIn.Close()
+	view := p.client.Members.View()
+	address := strings.TrimPrefix(standIn.URL, "http://")
+	// The stand-in is the second in line for the service.
+	for i := 0; len(view.Members) < 2; i++ {
+		id := hemlocktally.InstanceID(fmt.Sprintf("other%d", i))
+		if score(id, "reads") < score("owner", "reads") {
+			view.Members = append(view.Members, hemlocktally.Instance{ID: id, State: hemlocktally.InstanceServing, PeerAddress: address})
+		}
+	}
+	p.client.Members = members{view}
+	p.client.Peers.peer(view.Members[0]).avoid = time.Now().Add(time.Minute)
+	grant, err := p.acquire()
+	c.Assert(err, qt.IsNil)
+	c.Check(grant.ID, qt.Equals, hemlocktally.GrantID("g1"))
+	c.Check(p.client.Peers.avoided(view.Members[0], time.Now()), qt.IsFalse)
+}
--- a/allocator/peers.go
+++ b/allocator/peers.go
@@ -49,8 +49,9 @@
 // Bounds of an owner's silence.
 const (
 	quietBound    = 40 * time.Millisecond // quietBound is the silence after which a waiting owner is pinged.
-	pingTimeout   = 120 * time.Millisecond
+	pingTimeout   = 250 * time.Millisecond
 	avoidTime     = time.Second
+	heardLately   = 300 * time.Millisecond // heardLately is how long a sign of life counts.
 	watchInterval = 25 * time.Millisecond
 	reportTimeout = 500 * time.Millisecond
 	resultsBuffer = 4096
@@ -65,6 +66,17 @@
 // Error names the peer.
 func (e *silentError) Error() string { return "no answer of " + string(e.Peer) }
 
+// notOwnerError says that a peer hears the owner and does not stand in for it.
+type notOwnerError struct {
+	Peer hemlocktally.InstanceID
+}
+
+// Error names the peer.
+func (e *notOwnerError) Error() string { return string(e.Peer) + " hears the owner" }
+
+// refusedNotOwner is the wire's word for a notOwnerError.
+const refusedNotOwner = "NotOwner"
+
 // Run watches the peers that calls wait for, until the context ends.
 func (p *Peers) Run(ctx context.Context) error {
 	p.mu.Lock()
@@ -122,7 +134,7 @@
 	other.mu.Lock()
 	other.pinging = false
 	if err == nil {
-		other.heardAt = time.Now()
+		other.heardAt, other.avoid = time.Now(), time.Time{}
 		other.mu.Unlock()
 		return
 	}
@@ -163,6 +175,21 @@
 	return now.Before(other.avoid)
 }
 
+// reachable reports whether the member was heard lately, and pings it where it
+// was not.
+func (p *Peers) reachable(ctx context.Context, member hemlocktally.Instance, now time.Time) bool {
+	other := p.peer(member)
+	other.mu.Lock()
+	heard := now.Sub(other.heardAt) < heardLately
+	ask := !heard && !other.pinging && !now.Before(other.avoid)
+	other.pinging = other.pinging || ask
+	other.mu.Unlock()
+	if ask {
+		p.ping(ctx, other)
+	}
+	return heard || !p.avoided(member, time.Now())
+}
+
 // acquire asks the member for a turn. It returns a *silentError where the
 // member does not answer.
 func (p *Peers) acquire(ctx context.Context, member hemlocktally.Instance, in *messenger.AcquireRequest) (*messenger.AcquireResponse, error) {
@@ -183,7 +210,7 @@
 	defer other.mu.Unlock()
 	delete(other.waiting, w)
 	if err == nil {
-		other.heardAt = time.Now()
+		other.heardAt, other.avoid = time.Now(), time.Time{}
 		return out, nil
 	}
 	if cause := context.Cause(ctx); cause != nil {
--- a/allocator/server.go
+++ b/allocator/server.go
@@ -200,6 +200,9 @@
 // Acquire answers a peer.
 func (s *Server) Acquire(ctx context.Context, in *messenger.AcquireRequest) (*messenger.AcquireResponse, error) {
 	arrived := time.Now()
+	if s.hearsOwner(ctx, hemlocktally.ServiceName(in.Service), arrived) {
+		return &messenger.AcquireResponse{Refused: refusedNotOwner, Owner: string(s.Self)}, nil
+	}
 	grant, err := s.AcquireHere(ctx, hemlocktally.InstanceID(in.Instance), requestOf(in, arrived))
 	var refused *hemlocktally.RefusedError
 	if errors.As(err, &refused) {
@@ -222,6 +225,16 @@
 	return out, nil
 }
 
+// hearsOwner reports whether the service belongs to another instance that is
+// heard here.
+func (s *Server) hearsOwner(ctx context.Context, service hemlocktally.ServiceName, now time.Time) bool {
+	owner, ok := OwnerOf(service, s.view().Serving())
+	if !ok || owner.ID == s.Self || s.Peers == nil {
+		return false
+	}
+	return s.Peers.reachable(ctx, owner, now)
+}
+
 func requestOf(in *messenger.AcquireRequest, now time.Time) hemlocktally.GrantRequest {
 	request := hemlocktally.GrantRequest{
 		Call:       hemlocktally.CallID(in.Call),
