--- a/allocator/client_test.go
+++ b/allocator/client_test.go
@@ -135,6 +135,11 @@
 		grant, err := p.acquire()
 		c.Assert(err, qt.IsNil)
 		c.Check(grant.Alone, qt.IsTrue)
+		owner := p.client.Peers.peer(p.client.Members.View().Members[0])
+		owner.mu.Lock()
+		c.Check(owner.avoid.IsZero(), qt.IsFalse)
+		owner.avoid = time.Now().Add(time.Minute)
+		owner.mu.Unlock()
 		before := asked.Load()
 		_, err = p.acquire()
 		c.Assert(err, qt.IsNil)
@@ -190,7 +195,10 @@
 		}
 	}
 	p.client.Members = members{view}
-	p.client.Peers.peer(view.Members[0]).avoid = time.Now().Add(time.Minute)
+	avoided := p.client.Peers.peer(view.Members[0])
+	avoided.mu.Lock()
+	avoided.avoid = time.Now().Add(time.Minute)
+	avoided.mu.Unlock()
 	grant, err := p.acquire()
 	c.Assert(err, qt.IsNil)
 	c.Check(grant.ID, qt.Equals, hemlocktally.GrantID("g1"))
