Allocator: an owner serves those whose view already names it

Change: a question says whether it comes to a stand-in; only then does one that hears the owner refuse.

--- a/allocator/client.go
+++ b/allocator/client.go
@@ -73,7 +73,7 @@
 	if owners[0].ID == c.Self {
 		return c.Server.AcquireHere(ctx, c.Self, request)
 	}
-	ask := func() (hemlocktally.Grant, error) { return c.ask(ctx, owners[0], request) }
+	ask := func() (hemlocktally.Grant, error) { return c.ask(ctx, owners[0], request, false) }
 	if c.Peers.avoided(owners[0], time.Now()) {
 		ask = func() (hemlocktally.Grant, error) { return c.askStandIn(ctx, owners, request) }
 	}
@@ -96,24 +96,26 @@
 	standIn := owners[1]
 	if standIn.ID == c.Self {
 		if c.Peers.reachable(ctx, owner, time.Now()) {
-			return c.ask(ctx, owner, request)
+			return c.ask(ctx, owner, request, false)
 		}
 		return c.Server.AcquireHere(ctx, c.Self, request)
 	}
 	if c.Peers.avoided(standIn, time.Now()) {
 		return hemlocktally.Grant{}, &silentError{standIn.ID}
 	}
-	grant, err := c.ask(ctx, standIn, request)
+	grant, err := c.ask(ctx, standIn, request, true)
 	var other *notOwnerError
 	if errors.As(err, &other) {
-		return c.ask(ctx, owner, request)
+		return c.ask(ctx, owner, request, false)
 	}
 	return grant, err
 }
 
-func (c *Client) ask(ctx context.Context, owner hemlocktally.Instance, request hemlocktally.GrantRequest) (hemlocktally.Grant, error) {
+func (c *Client) ask(ctx context.Context, owner hemlocktally.Instance, request hemlocktally.GrantRequest, standIn bool) (hemlocktally.Grant, error) {
 	asked := time.Now()
-	out, err := c.Peers.acquire(ctx, owner, c.wireRequest(request))
+	in := c.wireRequest(request)
+	in.StandIn = standIn
+	out, err := c.Peers.acquire(ctx, owner, in)
 	if err != nil {
 		return hemlocktally.Grant{}, err
 	}
--- a/allocator/client_test.go
+++ b/allocator/client_test.go
@@ -204,3 +204,24 @@
 	c.Check(grant.ID, qt.Equals, hemlocktally.GrantID("g1"))
 	c.Check(p.client.Peers.avoided(view.Members[0], time.Now()), qt.IsFalse)
 }
+
+// TestNewOwnerServesBeforeItsOwnViewNamesIt stands for a planned stop, of which
+// the entry heard before the next owner did.
+func TestNewOwnerServesBeforeItsOwnViewNamesIt(t *testing.T) {
+	c := qt.New(t)
+	old := httptest.NewServer(messenger.NewAllocationServer(newOwnerStub()))
+	defer old.Close()
+	config := &configured{}
+	config.Store(&hemlocktally.Configuration{Revision: 1, Services: []hemlocktally.Service{{Name: "reads"}}})
+	lagging := members{hemlocktally.View{Members: []hemlocktally.Instance{{
+		ID: "old", State: hemlocktally.InstanceServing, PeerAddress: strings.TrimPrefix(old.URL, "http://"),
+	}}}}
+	next := &Server{Self: "next", Configuration: config, Members: lagging, Peers: &Peers{HTTP: http.DefaultClient}, Ledger: &Ledger{}}
+	for standIn, want := range map[bool]string{true: refusedNotOwner, false: string(hemlocktally.ReasonLeaving)} {
+		// Its owners do not run in this test, so that it is leaving to those whom it serves.
+		out, err := next.Acquire(context.Background(), &messenger.AcquireRequest{Service: "reads", StandIn: standIn})
+		c.Assert(err, qt.IsNil)
+		c.Check(out.Refused, qt.Equals, want)
+	}
+	http.DefaultClient.CloseIdleConnections()
+}
--- a/allocator/server.go
+++ b/allocator/server.go
@@ -200,7 +200,7 @@
 // Acquire answers a peer.
 func (s *Server) Acquire(ctx context.Context, in *messenger.AcquireRequest) (*messenger.AcquireResponse, error) {
 	arrived := time.Now()
-	if s.hearsOwner(ctx, hemlocktally.ServiceName(in.Service), arrived) {
+	if in.StandIn && s.hearsOwner(ctx, hemlocktally.ServiceName(in.Service), arrived) {
 		return &messenger.AcquireResponse{Refused: refusedNotOwner, Owner: string(s.Self)}, nil
 	}
 	grant, err := s.AcquireHere(ctx, hemlocktally.InstanceID(in.Instance), requestOf(in, arrived))
