Allocator: ownership is worked out once a view, not each 50 ms

Cause: an instance that owns 150 of 2,400 services would hash all members for each of them three times in every look at the view, 20 times a second; that grows with services times members. Change: each owner keeps what the present view says of it.

--- a/allocator/owner.go
+++ b/allocator/owner.go
@@ -19,6 +19,35 @@
 	effects  *effects
 	standing atomic.Pointer[StandingMsg]
 	board    atomic.Pointer[board]
+	rank     atomic.Pointer[rank]
+}
+
+// rank tells whether a view names this instance as the owner.
+type rank struct {
+	view uint64
+	mine bool
+}
+
+// mine reports whether the view names the instance as the owner of the service.
+// It is worked out once a view, because there are many owners.
+func (o *Owner) mine(name hemlocktally.ServiceName, self hemlocktally.InstanceID, view ranking) bool {
+	if known := o.rank.Load(); known != nil && known.view == view.hash {
+		return known.mine
+	}
+	owner, _ := OwnerOf(name, view.serving)
+	o.rank.Store(&rank{view: view.hash, mine: owner.ID == self})
+	return owner.ID == self
+}
+
+// ranking is a view with what owners are worked out from.
+type ranking struct {
+	hemlocktally.View
+	hash    uint64
+	serving []hemlocktally.Instance
+}
+
+func rankingOf(view hemlocktally.View) ranking {
+	return ranking{View: view, hash: HashView(view), serving: view.Serving()}
 }
 
 // board is what an owner shows to its instance without being asked.
--- a/allocator/recaller.go
+++ b/allocator/recaller.go
@@ -34,14 +34,14 @@
 // recall asks each member where it is time to, and gives the owners their
 // standing.
 func (s *Server) recall(ctx context.Context, now time.Time) {
-	view := s.view()
+	view := rankingOf(s.view())
 	owners := s.ownerList()
 	hot, fresh := s.wants(view, owners, now)
 	lease, leaseEnd := s.ownLease()
 	s.mu.Lock()
 	r := &s.recaller
-	changed := HashView(view) != r.standing.View()
-	r.standing.SetView(view, now)
+	changed := view.hash != r.standing.View()
+	r.standing.SetView(view.View, now)
 	r.standing.SetLease(lease, leaseEnd, now)
 	if hot {
 		r.hotUntil = now.Add(recallHotHold)
@@ -76,10 +76,9 @@
 
 // wants reports whether any owner of a service that is this instance's own
 // needs its standing, and whether one has just started.
-func (s *Server) wants(view hemlocktally.View, owners map[hemlocktally.ServiceName]*Owner, now time.Time) (hot, fresh bool) {
-	serving := view.Serving()
+func (s *Server) wants(view ranking, owners map[hemlocktally.ServiceName]*Owner, now time.Time) (hot, fresh bool) {
 	for name, o := range owners {
-		if owner, _ := OwnerOf(name, serving); owner.ID == s.Self {
+		if o.mine(name, s.Self, view) {
 			hot = hot || o.board.Load().needs
 		}
 		fresh = fresh || now.Sub(o.Started) < recallHot
@@ -87,7 +86,7 @@
 	return hot, fresh
 }
 
-func (s *Server) askMembers(ctx context.Context, view hemlocktally.View, owners map[hemlocktally.ServiceName]*Owner, now time.Time) {
+func (s *Server) askMembers(ctx context.Context, view ranking, owners map[hemlocktally.ServiceName]*Owner, now time.Time) {
 	for _, member := range view.Members {
 		if member.ID == s.Self {
 			s.tellRecalled(ctx, owners, s.Self, now, s.Ledger.turnsOf(s.Self, everyService), nil)
@@ -123,7 +122,7 @@
 	return true
 }
 
-func (s *Server) askMember(ctx context.Context, member hemlocktally.Instance, view hemlocktally.View, owners map[hemlocktally.ServiceName]*Owner) {
+func (s *Server) askMember(ctx context.Context, member hemlocktally.Instance, view ranking, owners map[hemlocktally.ServiceName]*Owner) {
 	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
 	defer cancel()
 	sent := time.Now()
@@ -192,18 +191,16 @@
 
 // recallRequest names the services whose targets changed since the member was
 // last told, and those that this instance serves in another's place.
-func (s *Server) recallRequest(member hemlocktally.InstanceID, view hemlocktally.View, owners map[hemlocktally.ServiceName]*Owner, now time.Time) (*messenger.RecallRequest, map[hemlocktally.ServiceName]uint64) {
-	request := &messenger.RecallRequest{Instance: string(s.Self), Incarnation: s.Incarnation, View: HashView(view)}
+func (s *Server) recallRequest(member hemlocktally.InstanceID, view ranking, owners map[hemlocktally.ServiceName]*Owner, now time.Time) (*messenger.RecallRequest, map[hemlocktally.ServiceName]uint64) {
+	request := &messenger.RecallRequest{Instance: string(s.Self), Incarnation: s.Incarnation, View: view.hash}
 	versions := map[hemlocktally.ServiceName]uint64{}
-	serving := view.Serving()
 	for name, o := range owners {
 		shown := o.board.Load()
 		s.mu.Lock()
 		told, known := s.recaller.told[member][name]
 		s.mu.Unlock()
-		owner, _ := OwnerOf(name, serving)
 		fresh := now.Sub(o.Started) < freshTime
-		if !fresh && known && told == shown.version && owner.ID == s.Self {
+		if !fresh && known && told == shown.version && o.mine(name, s.Self, view) {
 			continue
 		}
 		states := &messenger.ServiceStates{Service: string(name)}
@@ -221,7 +218,7 @@
 }
 
 // grantStanding tells the owners until when they are the only ones.
-func (s *Server) grantStanding(view hemlocktally.View, owners map[hemlocktally.ServiceName]*Owner, now time.Time) {
+func (s *Server) grantStanding(view ranking, owners map[hemlocktally.ServiceName]*Owner, now time.Time) {
 	s.mu.Lock()
 	until := s.recaller.standing.Until(now)
 	missing := s.recaller.standing.Missing(now)
@@ -229,10 +226,9 @@
 	s.recaller.stands = !until.IsZero()
 	hot := now.Before(s.recaller.hotUntil)
 	s.mu.Unlock()
-	serving := view.Serving()
 	for name, o := range owners {
 		mine := StandingMsg{}
-		if owner, _ := OwnerOf(name, serving); owner.ID == s.Self {
+		if o.mine(name, s.Self, view) {
 			mine = StandingMsg{Until: until, Owner: true}
 		}
 		o.standing.Store(&mine)
@@ -250,16 +246,14 @@
 
 // dropIdle ends the owners of services that belong to another instance and have
 // had no work for a while.
-func (s *Server) dropIdle(view hemlocktally.View, owners map[hemlocktally.ServiceName]*Owner, now time.Time) {
-	serving := view.Serving()
+func (s *Server) dropIdle(view ranking, owners map[hemlocktally.ServiceName]*Owner, now time.Time) {
 	for name, o := range owners {
 		shown := o.board.Load()
-		owner, _ := OwnerOf(name, serving)
 		idle := ownerIdleTime
 		if shown.askedAt.Equal(o.Started) {
 			idle = recallIdle
 		}
-		if owner.ID == s.Self || now.Sub(shown.askedAt) < idle {
+		if o.mine(name, s.Self, view) || now.Sub(shown.askedAt) < idle {
 			continue
 		}
 		s.mu.Lock()
--- a/allocator/standing.go
+++ b/allocator/standing.go
@@ -1,7 +1,6 @@
 package allocator
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,7 +39,9 @@
 func HashView(view hemlocktally.View) uint64 {
 	digest := xxhash.New()
 	for _, m := range view.Members {
-		_, _ = fmt.Fprintf(digest, "%s/%s/%s;", m.ID, m.Incarnation, m.State)
+		for _, part := range []string{string(m.ID), "/", m.Incarnation, "/", string(m.State), ";"} {
+			_, _ = digest.WriteString(part)
+		}
 	}
 	return digest.Sum64()
 }
