--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -49,11 +49,11 @@
 	// without a time in it must not be used again after that.
 	KeyLifetime = 10 * time.Minute
 	// ClockMargin bounds how far the wall clocks of callers and instances differ.
-	ClockMargin = 2 * time.Second
+	ClockMargin = time.Second
 
 	maxKeyBytes        = 256
-	maxRecords         = 100_000
-	maxKeptBytes       = 32 << 20
+	maxRecords         = 50_000
+	maxKeptBytes       = 16 << 20
 	maxKeptAnswerBytes = 1 << 20
 	maxQueued          = 4096                   // maxQueued bounds the messages that wait for a range to move.
 	leastRun           = 500 * time.Millisecond // leastRun is the least rest of a lease that lets a call run.
