Claimer: pause between the moves of a range that two holders disown

Cause: after a hand-over the old holder names the new one, and the new one, which has not read the table yet, names the old one; the client asked both in turn without a pause and gave up after 8 moves, 2 ms in all (trace: entry-2@0 entry-1@11 entry-2@11 entry-1@12 entry-2@12 entry-1@12 entry-2@12 entry-1@13 ms). Change: from the second move on it pauses 10 ms; up to 32 moves, within the deadline.

--- a/claimer/client.go
+++ b/claimer/client.go
@@ -20,7 +20,7 @@
 	askTimeout   = 250 * time.Millisecond // askTimeout is how long the answer may take beyond that.
 	askPause     = 10 * time.Millisecond
 	maxFailures  = 2 // maxFailures is how many askings in a row may fail.
-	maxMoves     = 8
+	maxMoves     = 32
 	finishTime   = 2 * time.Second
 	beginReserve = 20 * time.Millisecond // beginReserve of the deadline is left to answer the caller.
 )
@@ -52,7 +52,8 @@
 		case out.Moved:
 			moves++
 			holder, last = out.Claim.Holder, out.Claim
-			if holder == asked {
+			if holder == asked || moves > 1 {
+				// Old and new holder point at each other until both have the table.
 				pause(ctx, askPause)
 			}
 		case out.Claim.Verdict == hemlocktally.ClaimRunning:
