--- a/cmd/hemlocktally/main.go
+++ b/cmd/hemlocktally/main.go
@@ -51,8 +51,10 @@
 			"accepted but was not seen in force everywhere in time, 6 the store lost its answer (ask show Revisions).\n" +
 			"Ctrl-C stops gracefully: calls in flight are finished.",
 		Commands: []*cli.Command{
-			serveCommand(), demoCommand(), benchCommand(), benchFleetCommand(), platformCommand(), targetCommand(), settingsCommand(), eventsCommand(), versionCommand(),
-			askCommand(), tellCommand(), shellCommand(), contractsCommand(), reportCommand(), playgroundCommand(), callersCommand(), slopesCommand(),
+			serveCommand(), demoCommand(), settingsCommand(), contractsCommand(), eventsCommand(), versionCommand(),
+			askCommand(), tellCommand(), shellCommand(), reportCommand(), playgroundCommand(),
+			benchCommand(), benchFleetCommand(), soakCommand(), slopesCommand(),
+			platformCommand(), targetCommand(), callersCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
