Owners act on provisional stops; the revision that they act on is reported

Cause: owners cached the configuration by revision, which a provisional stop does not change; an instance reported a revision before its owners had it. Conclusion: a stop in an outage holds at owners too.

--- a/allocator/server.go
+++ b/allocator/server.go
@@ -30,8 +30,8 @@
 	mu       sync.Mutex
 	ctx      context.Context //nolint:containedctx // The owners end with the server's run, not with one request.
 	owners   map[hemlocktally.ServiceName]*Owner
-	revision hemlocktally.Revision
-	owned    uint64 // owned is the view that the owners were last started for.
+	config   *hemlocktally.Configuration // config is what the owners act on.
+	owned    uint64                      // owned is the view that the owners were last started for.
 	effects  *effects
 	recaller recaller
 }
@@ -82,13 +82,14 @@
 	hash := HashView(view)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if config.Revision == s.revision && hash == s.owned {
+	// A provisional stop makes another configuration of the same revision.
+	if config == s.config && hash == s.owned {
 		return
 	}
-	if config.Revision != s.revision {
+	if config != s.config {
 		s.configure(ctx, config)
 	}
-	s.revision, s.owned = config.Revision, hash
+	s.config, s.owned = config, hash
 	serving := view.Serving()
 	for i := range config.Services {
 		name := config.Services[i].Name
@@ -98,6 +99,16 @@
 	}
 }
 
+// Acting returns the revision that the owners of this instance act on.
+func (s *Server) Acting() hemlocktally.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.config == nil {
+		return 0
+	}
+	return s.config.Revision
+}
+
 // configure gives the owners a new configuration. The caller holds the lock.
 func (s *Server) configure(ctx context.Context, config *hemlocktally.Configuration) {
 	for name, owner := range s.owners {
--- a/configurator/configurator.go
+++ b/configurator/configurator.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -110,10 +111,8 @@
 	c.init()
 	c.mu.Lock()
 	cmds := c.state.Update(msg, time.Now())
-	if len(cmds) > 0 {
-		if effective := c.state.Effective(); effective.Revision > 0 || len(effective.Provisional) > 0 {
-			c.current.Store(effective)
-		}
+	if slices.ContainsFunc(cmds, changesForce) {
+		c.current.Store(c.state.Effective())
 	}
 	c.mu.Unlock()
 	for _, cmd := range cmds {
@@ -125,6 +124,16 @@
 	}
 }
 
+// changesForce reports whether a command says that something else is in force.
+func changesForce(cmd Cmd) bool {
+	switch cmd.(type) {
+	case InForceCmd, StopChangedCmd:
+		return true
+	default:
+		return false
+	}
+}
+
 // Run follows the store and the peers until the context ends.
 func (c *Configurator) Run(ctx context.Context) error {
 	c.init()
