--- a/commander/commander.go
+++ b/commander/commander.go
@@ -76,7 +76,7 @@
 	if command.Base != 0 {
 		change.Base = command.Base
 	}
-	options := Options{DryRun: command.DryRun, Wait: command.Wait}
+	options := Options{DryRun: command.DryRun, Wait: command.Wait, Stop: command.Action == interpreter.ActionTakeOut}
 	return c.Offer(ctx, change, options, report)
 }
 
@@ -84,6 +84,7 @@
 type Options struct {
 	DryRun bool // DryRun only shows what would change.
 	Wait   bool // Wait follows the change until it is in force everywhere.
+	Stop   bool // Stop lets a change that only takes out be provisional while the store is down.
 }
 
 // Offer carries out a change as Tell does.
@@ -97,14 +98,14 @@
 	if options.DryRun {
 		return c.planned(config, change, differences, report)
 	}
-	accepted, err := c.send(ctx, change)
+	accepted, err := c.send(ctx, change, options)
 	if err != nil {
 		return err
 	}
 	if accepted == nil {
 		report(StepMsg{
 			Kind: StepProvisional, Revision: config.Revision, Differences: differences,
-			Detail: provisionalDetail,
+			Detail: "the store does not answer: in force among the instances, to be settled by the store later",
 		})
 		return nil
 	}
@@ -115,13 +116,9 @@
 	return c.wait(ctx, accepted.Revision, report)
 }
 
-const provisionalDetail = "the store is down: the stop is provisional. It spreads between the instances now, " +
-	"and becomes a revision or is dropped, with a log event, once the store is back"
-
-// send offers the change; it returns nil where a stop is provisional, which
-// only a change that only takes out can be.
-func (c *Commander) send(ctx context.Context, change hemlocktally.Change) (*hemlocktally.Accepted, error) {
-	if !change.OnlyStops() {
+// send offers the change; it returns nil where a stop is provisional.
+func (c *Commander) send(ctx context.Context, change hemlocktally.Change, options Options) (*hemlocktally.Accepted, error) {
+	if !options.Stop {
 		accepted, err := c.Changer.Change(ctx, change)
 		return &accepted, err
 	}
--- a/inspector/explainer.go
+++ b/inspector/explainer.go
@@ -36,7 +36,8 @@
 	}
 	if explained.Call == nil {
 		explained.Lines = []string{fmt.Sprintf(
-			"No instance that answered keeps call %s: only recent, slow and refused calls are kept, and a replaced instance forgets its own.", call)}
+			"No instance that answered keeps call %s: only recent, slow and refused calls are kept, and a replaced instance forgets its own.", call,
+		)}
 	}
 	return explained
 }
@@ -89,7 +90,7 @@
 	if a.Alone {
 		b.WriteString(", chosen without an owner")
 	} else {
-		fmt.Fprintf(&b, ", granted by owner %s", orNobody(string(a.Owner)))
+		fmt.Fprintf(&b, ", grant %s of owner %s", orNobody(string(a.Grant)), orNobody(string(a.Owner)))
 	}
 	fmt.Fprintf(&b, " after %s: started at %s, took %s, %s", a.Waited, a.Started, a.Took, attemptOutcomes[a.Outcome])
 	link := ", on an open link"
