--- a/configurator/change.go
+++ b/configurator/change.go
@@ -10,7 +10,6 @@
 	"github.com/oklog/ulid/v2"
 
 	"hemlocktally"
-	"hemlocktally/logger"
 	"hemlocktally/storer"
 )
 
@@ -235,26 +234,3 @@
 		return false
 	}
 }
-
-// log writes the log lines of a command.
-func (c *Configurator) log(cmd Cmd) {
-	switch cmd := cmd.(type) {
-	case InForceCmd:
-		c.Log.Log(logger.EventConfigurationInForce, logger.Fields{
-			"Revision": cmd.Configuration.Revision, "Change": cmd.Configuration.ChangeID,
-			"Author": cmd.Configuration.Author, "Source": cmd.Source,
-		})
-	case DivergentCmd:
-		c.divergent.Add(1)
-		c.Log.Log(logger.EventConfigurationDivergent, logger.Fields{
-			"Revision": cmd.Revision, "Hash": cmd.Hash, "Source": cmd.Source, "SourceHash": cmd.SourceHash,
-		})
-	case StopChangedCmd:
-		event := logger.EventProvisionalSettled
-		fields := logger.Fields{"Change": cmd.Stop.ID, "Author": cmd.Stop.Author, "State": cmd.Stop.State, "Cause": cmd.Stop.Detail}
-		if cmd.Stop.State == hemlocktally.StopActive {
-			event, fields = logger.EventProvisionalStop, logger.Fields{"Change": cmd.Stop.ID, "Author": cmd.Stop.Author}
-		}
-		c.Log.Log(event, fields)
-	}
-}
--- /dev/null
+++ b/configurator/example_test.go
@@ -0,0 +1,24 @@
+package configurator_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"hemlocktally"
+	"hemlocktally/configurator"
+)
+
+// Two operators change the same revision; the second learns what came first.
+func ExampleConfigurator_Change() {
+	c := &configurator.Configurator{Store: newStore(1)}
+	put := hemlocktally.Command{Kind: hemlocktally.CommandPutService, Service: &hemlocktally.Service{Name: "bog-log"}}
+	accepted, err := c.Change(context.Background(), hemlocktally.Change{ID: "1", Author: "ann", Commands: []hemlocktally.Command{put}})
+	fmt.Println(accepted.Revision, err)
+	_, err = c.Change(context.Background(), hemlocktally.Change{ID: "2", Author: "bob", Commands: []hemlocktally.Command{put}})
+	var race *hemlocktally.RaceError
+	fmt.Println(errors.As(err, &race), race.Winner.Change.Author)
+	// Output:
+	// 1 <nil>
+	// true ann
+}
--- /dev/null
+++ b/registrar/example_test.go
@@ -0,0 +1,24 @@
+package registrar_test
+
+import (
+	"fmt"
+
+	"hemlocktally"
+	"hemlocktally/registrar"
+)
+
+// Of four instances of a zone, two watch the store for a role.
+func ExampleWatching() {
+	var view hemlocktally.View
+	for _, id := range []hemlocktally.InstanceID{"a", "b", "c", "d"} {
+		view.Members = append(view.Members, hemlocktally.Instance{ID: id, Zone: "north", State: hemlocktally.InstanceServing})
+	}
+	watchers := 0
+	for _, m := range view.Members {
+		if registrar.Watching(view, m.ID, "Configuration/Head") {
+			watchers++
+		}
+	}
+	fmt.Println(watchers)
+	// Output: 2
+}
--- a/registrar/task.go
+++ b/registrar/task.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"hemlocktally"
 	"hemlocktally/logger"
 	"hemlocktally/messenger"
 )
@@ -97,10 +96,3 @@
 	}
 	return nil
 }
-
-// Find returns the member's address for peers; it is empty where the member is
-// unknown.
-func (r *Registrar) Find(id hemlocktally.InstanceID) string {
-	m, _ := r.View().Find(id)
-	return m.PeerAddress
-}
