--- a/allocator/client_test.go
+++ b/allocator/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -134,6 +135,11 @@
 		grant, err := p.acquire()
 		c.Assert(err, qt.IsNil)
 		c.Check(grant.Alone, qt.IsTrue)
+		owner := p.client.Peers.peer(p.client.Members.View().Members[0])
+		owner.mu.Lock()
+		c.Check(owner.avoid.IsZero(), qt.IsFalse)
+		owner.avoid = time.Now().Add(time.Minute)
+		owner.mu.Unlock()
 		before := asked.Load()
 		_, err = p.acquire()
 		c.Assert(err, qt.IsNil)
@@ -172,3 +178,50 @@
 	c.Assert(errors.As(err, &refused), qt.IsTrue)
 	c.Check(refused.Outcome, qt.Equals, hemlocktally.OutcomeNotRun)
 }
+
+func TestStandInThatHearsTheOwnerSendsBackToIt(t *testing.T) {
+	c := qt.New(t)
+	owner := newOwnerStub(&messenger.AcquireResponse{Grant: "g1", Target: "t1", Address: "y", Owner: "owner", Revision: 1})
+	p := newPair(t, messenger.NewAllocationServer(owner))
+	standIn := httptest.NewServer(messenger.NewAllocationServer(newOwnerStub(&messenger.AcquireResponse{Refused: refusedNotOwner})))
+	defer standIn.Close()
+	view := p.client.Members.View()
+	address := strings.TrimPrefix(standIn.URL, "http://")
+	// The stand-in is the second in line for the service.
+	for i := 0; len(view.Members) < 2; i++ {
+		id := hemlocktally.InstanceID(fmt.Sprintf("other%d", i))
+		if score(id, "reads") < score("owner", "reads") {
+			view.Members = append(view.Members, hemlocktally.Instance{ID: id, State: hemlocktally.InstanceServing, PeerAddress: address})
+		}
+	}
+	p.client.Members = members{view}
+	avoided := p.client.Peers.peer(view.Members[0])
+	avoided.mu.Lock()
+	avoided.avoid = time.Now().Add(time.Minute)
+	avoided.mu.Unlock()
+	grant, err := p.acquire()
+	c.Assert(err, qt.IsNil)
+	c.Check(grant.ID, qt.Equals, hemlocktally.GrantID("g1"))
+	c.Check(p.client.Peers.avoided(view.Members[0], time.Now()), qt.IsFalse)
+}
+
+// TestNewOwnerServesBeforeItsOwnViewNamesIt stands for a planned stop, of which
+// the entry heard before the next owner did.
+func TestNewOwnerServesBeforeItsOwnViewNamesIt(t *testing.T) {
+	c := qt.New(t)
+	old := httptest.NewServer(messenger.NewAllocationServer(newOwnerStub()))
+	defer old.Close()
+	config := &configured{}
+	config.Store(&hemlocktally.Configuration{Revision: 1, Services: []hemlocktally.Service{{Name: "reads"}}})
+	lagging := members{hemlocktally.View{Members: []hemlocktally.Instance{{
+		ID: "old", State: hemlocktally.InstanceServing, PeerAddress: strings.TrimPrefix(old.URL, "http://"),
+	}}}}
+	next := &Server{Self: "next", Configuration: config, Members: lagging, Peers: &Peers{HTTP: http.DefaultClient}, Ledger: &Ledger{}}
+	for standIn, want := range map[bool]string{true: refusedNotOwner, false: string(hemlocktally.ReasonLeaving)} {
+		// Its owners do not run in this test, so that it is leaving to those whom it serves.
+		out, err := next.Acquire(context.Background(), &messenger.AcquireRequest{Service: "reads", StandIn: standIn})
+		c.Assert(err, qt.IsNil)
+		c.Check(out.Refused, qt.Equals, want)
+	}
+	http.DefaultClient.CloseIdleConnections()
+}
