Allocator: turns up to twice the slots once a call has waited for long

Cause: on a machine without enough processor time (load 20 to 28 of 10 cores) a turn's way took longer than its measure; slots idled behind a full queue.

--- a/allocator/choice.go
+++ b/allocator/choice.go
@@ -12,6 +12,7 @@
 	headsTried   = 16                     // headsTried bounds the search past waiters that exclude what is free.
 	rampPatience = 250 * time.Millisecond // rampPatience is how long a cold target waits for normal work.
 	suspectShare = 5                      // suspectShare is the inverse of the share of targets left out by suspicion.
+	longWait     = 50 * time.Millisecond  // longWait is the wait from which on turns are given up to twice the slots.
 )
 
 // grant gives turns to the waiting requests in their order.
@@ -160,36 +161,56 @@
 	return n
 }
 
-// ahead returns a target that may have one turn more than it has slots: as many
-// turns as are on their way between entries and owner at any time are granted
-// before a slot is free, so that no slot idles for the way.
+// ahead returns a target that may have more turns than it has slots, up to twice
+// as many: as many turns as are on their way between entries and owner at any
+// time are granted before a slot is free, so that no slot idles for the way. A
+// long wait says that more are on their way than was measured.
 func (s *State) ahead(r hemlocktally.GrantRequest, now time.Time) *tally {
-	extra, slots := 0, 0
 	var best *tally
 	for _, t := range s.targets {
-		if !t.warm() || t.out || now.Before(t.holdOff) {
-			continue
-		}
-		slots += t.target.SlotCount()
-		over := len(t.inFlight) - t.target.SlotCount()
-		extra += max(0, over)
-		if over != 0 || excluded(t, r) || s.suspect(t, now) {
+		if !s.aheadAllowed(t, r, now) {
 			continue
 		}
-		if best == nil || t.oldest(now) > best.oldest(now) {
+		if best == nil || len(t.inFlight) < len(best.inFlight) ||
+			(len(t.inFlight) == len(best.inFlight) && t.oldest(now) > best.oldest(now)) {
 			best = t
 		}
 	}
-	if s.latency.median <= 0 {
-		return nil
+	if oldest := s.queue.oldest(); !oldest.IsZero() && now.Sub(oldest) > longWait {
+		return best
 	}
-	onTheWay := s.idle.value * float64(slots) / s.latency.median.Seconds()
-	if float64(extra)+0.5 > onTheWay {
+	if !s.moreOnTheWay() {
 		return nil
 	}
 	return best
 }
 
+func (s *State) aheadAllowed(t *tally, r hemlocktally.GrantRequest, now time.Time) bool {
+	if !t.warm() || t.out || now.Before(t.holdOff) || excluded(t, r) {
+		return false
+	}
+	over := len(t.inFlight) - t.target.SlotCount()
+	return over >= 0 && over < t.target.SlotCount() && !s.suspect(t, now)
+}
+
+// moreOnTheWay reports whether fewer turns are given ahead than are on their way
+// by the measured time of a turn's way and the rate of all slots.
+func (s *State) moreOnTheWay() bool {
+	if s.latency.median <= 0 {
+		return false
+	}
+	extra, slots := 0, 0
+	for _, t := range s.targets {
+		if !t.warm() || t.out {
+			continue
+		}
+		slots += t.target.SlotCount()
+		extra += max(0, len(t.inFlight)-t.target.SlotCount())
+	}
+	onTheWay := s.idle.value * float64(slots) / s.latency.median.Seconds()
+	return float64(extra)+0.5 <= onTheWay
+}
+
 // wake returns when Update has to run again without a message, or the zero time.
 func (s *State) wake() time.Time {
 	next := s.queue.nextLimit()
--- a/allocator/queue.go
+++ b/allocator/queue.go
@@ -133,3 +133,15 @@
 	}
 	return next
 }
+
+// oldest returns when the first in line of either priority arrived, or the zero
+// time.
+func (q *queue) oldest() time.Time {
+	var oldest time.Time
+	for _, l := range q.lines {
+		if len(l) > 0 && (oldest.IsZero() || l[0].arrived.Before(oldest)) {
+			oldest = l[0].arrived
+		}
+	}
+	return oldest
+}
--- a/allocator/state_test.go
+++ b/allocator/state_test.go
@@ -106,6 +106,21 @@
 	d.c.Check(refused[0].Reason, qt.Equals, hemlocktally.ReasonShed)
 }
 
+func TestLongWaitGivesUpToTwiceTheSlots(t *testing.T) {
+	d := newDesk(t, 2)
+	d.warm()
+	before := len(d.fill(hemlocktally.PriorityNormal))
+	for range 8 {
+		d.acquire(d.request(hemlocktally.PriorityNormal))
+	}
+	d.c.Check(d.state.InFlight("t0")+d.state.InFlight("t1"), qt.Equals, before)
+	d.now = d.now.Add(longWait + time.Millisecond)
+	d.state.latency.p95 = time.Second // No call counts as overdue in this test.
+	d.update(TickMsg{})
+	d.c.Check(d.state.InFlight("t0"), qt.Equals, 4)
+	d.c.Check(d.state.InFlight("t1"), qt.Equals, 4)
+}
+
 func TestStragglerIsLeftOutAndTheShareIsBounded(t *testing.T) {
 	d := newDesk(t, 5)
 	d.warm()
