--- a/cmd/hemlocktally/soak.go
+++ b/cmd/hemlocktally/soak.go
@@ -123,6 +123,7 @@
 		{"PROMISE reverted revisions", r.Reverted},
 		{"PROMISE calls in a stopped zone after 2s", r.ZoneWork},
 		{"PROMISE calls cut by planned stops", r.Cut},
+		{"PROMISE calls cut by planned stops of paused instances", r.CutPaused},
 		{"PROMISE invariants logged", r.Invariants},
 	}
 	for _, row := range rows {
