--- a/allocator/server.go
+++ b/allocator/server.go
@@ -30,7 +30,7 @@
 	mu       sync.Mutex
 	ctx      context.Context //nolint:containedctx // The owners end with the server's run, not with one request.
 	owners   map[hemlocktally.ServiceName]*Owner
-	config   *hemlocktally.Configuration // config is what the owners act on.
+	config   *hemlocktally.Configuration // config is what the owners were last told.
 	owned    uint64                      // owned is the view that the owners were last started for.
 	effects  *effects
 	recaller recaller
@@ -76,13 +76,23 @@
 	return s.Members.View()
 }
 
+// Applied returns the revision that the owners of this instance act on.
+func (s *Server) Applied() hemlocktally.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.config == nil {
+		return 0
+	}
+	return s.config.Revision
+}
+
 func (s *Server) refresh(ctx context.Context) {
 	config := s.Configuration.Current()
 	view := s.view()
 	hash := HashView(view)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	// A provisional stop makes another configuration of the same revision.
+	// A provisional stop is a new configuration without a new revision.
 	if config == s.config && hash == s.owned {
 		return
 	}
@@ -99,16 +109,6 @@
 	}
 }
 
-// Acting returns the revision that the owners of this instance act on.
-func (s *Server) Acting() hemlocktally.Revision {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.config == nil {
-		return 0
-	}
-	return s.config.Revision
-}
-
 // configure gives the owners a new configuration. The caller holds the lock.
 func (s *Server) configure(ctx context.Context, config *hemlocktally.Configuration) {
 	for name, owner := range s.owners {
