--- a/allocator/server.go
+++ b/allocator/server.go
@@ -30,7 +30,7 @@
 	mu       sync.Mutex
 	ctx      context.Context //nolint:containedctx // The owners end with the server's run, not with one request.
 	owners   map[hemlocktally.ServiceName]*Owner
-	config   *hemlocktally.Configuration // config is what the owners were last told.
+	config   *hemlocktally.Configuration // config is what the owners act on.
 	owned    uint64                      // owned is the view that the owners were last started for.
 	effects  *effects
 	recaller recaller
@@ -76,23 +76,13 @@
 	return s.Members.View()
 }
 
-// Applied returns the revision that the owners of this instance act on.
-func (s *Server) Applied() hemlocktally.Revision {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.config == nil {
-		return 0
-	}
-	return s.config.Revision
-}
-
 func (s *Server) refresh(ctx context.Context) {
 	config := s.Configuration.Current()
 	view := s.view()
 	hash := HashView(view)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	// A provisional stop is a new configuration without a new revision.
+	// A provisional stop makes another configuration of the same revision.
 	if config == s.config && hash == s.owned {
 		return
 	}
@@ -109,6 +99,16 @@
 	}
 }
 
+// Acting returns the revision that the owners of this instance act on.
+func (s *Server) Acting() hemlocktally.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.config == nil {
+		return 0
+	}
+	return s.config.Revision
+}
+
 // configure gives the owners a new configuration. The caller holds the lock.
 func (s *Server) configure(ctx context.Context, config *hemlocktally.Configuration) {
 	for name, owner := range s.owners {
@@ -211,6 +211,9 @@
 // Acquire answers a peer.
 func (s *Server) Acquire(ctx context.Context, in *messenger.AcquireRequest) (*messenger.AcquireResponse, error) {
 	arrived := time.Now()
+	if in.StandIn && s.hearsOwner(ctx, hemlocktally.ServiceName(in.Service), arrived) {
+		return &messenger.AcquireResponse{Refused: refusedNotOwner, Owner: string(s.Self)}, nil
+	}
 	grant, err := s.AcquireHere(ctx, hemlocktally.InstanceID(in.Instance), requestOf(in, arrived))
 	var refused *hemlocktally.RefusedError
 	if errors.As(err, &refused) {
@@ -233,6 +236,16 @@
 	return out, nil
 }
 
+// hearsOwner reports whether the service belongs to another instance that is
+// heard here.
+func (s *Server) hearsOwner(ctx context.Context, service hemlocktally.ServiceName, now time.Time) bool {
+	owner, ok := OwnerOf(service, s.view().Serving())
+	if !ok || owner.ID == s.Self || s.Peers == nil {
+		return false
+	}
+	return s.Peers.reachable(ctx, owner, now)
+}
+
 func requestOf(in *messenger.AcquireRequest, now time.Time) hemlocktally.GrantRequest {
 	request := hemlocktally.GrantRequest{
 		Call:       hemlocktally.CallID(in.Call),
