dispatcher: an instance without a configuration says Starting, not NoContract

Cause: an instance that starts during an outage of the store has no contracts yet, and told callers that none covers their request (404). Ruled out: a configuration that was lost again; revisions never fell. Figures: TestInstanceWithoutAConfigurationIsStarting fails before (404, NoContract) and passes after.

--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -18,6 +18,9 @@
 
 // admit matches the call to a contract and reads its body.
 func (c *call) admit() *hemlocktally.RefusedError {
+	if c.config.Revision == 0 {
+		return comeBack(notRun(hemlocktally.ReasonStarting, "the instance has no configuration yet"))
+	}
 	caller := c.identify()
 	c.record.Caller = caller.Name
 	c.record.Tenant = caller.Tenant
--- a/dispatcher/guard_test.go
+++ b/dispatcher/guard_test.go
@@ -105,3 +105,16 @@
 	c.Check(got.header.Get("X-Hop"), qt.Equals, "")
 	c.Check(h.turns.requests[0].Priority, qt.Equals, hemlocktally.PriorityNormal)
 }
+
+// An instance that has no configuration yet can't know what its contracts say.
+func TestInstanceWithoutAConfigurationIsStarting(t *testing.T) {
+	c := qt.New(t)
+	target := serveRaw(t, always(okAnswer))
+	h := newHarness(t, hemlocktally.Contract{}, target)
+	h.config.config = hemlocktally.Configuration{}
+	got := h.send("GET", "/log", "")
+	c.Check(got.status, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(got.header.Get("Retry-After"), qt.Equals, "1")
+	c.Check(got.body, qt.Contains, `"Outcome":"NotRun","Reason":"Starting"`)
+	c.Check(target.runs.Load(), qt.Equals, int64(0))
+}
