--- a/experimenter/bench.go
+++ b/experimenter/bench.go
@@ -38,6 +38,7 @@
 // Run starts a fleet, loads it and stops it again.
 func (r BenchRun) Run(ctx context.Context, counters *BenchCounters) (BenchResult, error) {
 	result := BenchResult{BenchRun: r, Times: newClassTimes(), Counters: counters}
+	started := time.Now()
 	fleet, err := Start(ctx, r.Scenario.deployment(r.Policy, r.Seed))
 	if err != nil {
 		return result, err
@@ -53,6 +54,8 @@
 	cancel()
 	wg.Wait()
 	result.read(fleet, load)
+	// Probes count from the fleet's start, as its budget does.
+	result.ProbeBudget = hemlocktally.Service{}.ProbeBudget() * time.Since(started).Seconds()
 	return result, errors.Join(append(faults.errors, fleet.Stop())...)
 }
 
@@ -95,7 +98,6 @@
 		r.ColdBreaches += c.ColdBreaches
 		r.ToldBreaches += c.ToldColdBreaches
 	}
-	r.ProbeBudget = hemlocktally.Service{}.ProbeBudget() * r.Scenario.For.Seconds()
 	r.Doubled = fleet.Doubled()
 	r.FalseNotRun = load.falseNotRun()
 }
