Control at rest: promises only on demand, and ranges scored without sorting

A profile of 16 idle instances showed two parts: the claims' task sorted all members for each of 64 ranges 50 times a second, and owners of services without calls asked every member for promises each 150 ms, because their targets are cold until the first calls. Change: the place of a member among the others is counted, not sorted; the hash is the same, so no range moves. Owners renew promises often only for 5 s after a request, and a request wakes them at once, as does a promise that is waited for.

--- a/allocator/owner.go
+++ b/allocator/owner.go
@@ -67,6 +67,14 @@
 	changed  chan struct{} // changed wakes the server after a change of a target's state.
 }
 
+// wake makes the server look at its owners at once.
+func (e *effects) wake() {
+	select {
+	case e.changed <- struct{}{}:
+	default:
+	}
+}
+
 type answer struct {
 	grant hemlocktally.Grant
 	err   error
@@ -233,10 +241,7 @@
 		inFlight += len(t.inFlight)
 	}
 	r.board.Store(&board{version: r.version, warm: r.state.warmTargets(), needs: needs, inFlight: inFlight, askedAt: r.askedAt})
-	select {
-	case r.effects.changed <- struct{}{}:
-	default:
-	}
+	r.effects.wake()
 }
 
 func (r *ownerRun) act(ctx context.Context, commands []Command) {
--- a/allocator/recaller.go
+++ b/allocator/recaller.go
@@ -15,6 +15,7 @@
 	recallIdle    = time.Second
 	recallHot     = 150 * time.Millisecond
 	recallHotHold = 3 * time.Second
+	demandTime    = 5 * time.Second // demandTime is how long after a request the promises are kept for cold targets.
 	recallTimeout = 400 * time.Millisecond
 	freshTime     = 300 * time.Millisecond // freshTime is how long a new owner has no word on its targets.
 	ownerIdleTime = 30 * time.Second       // ownerIdleTime is how long an owner without work is kept.
@@ -75,11 +76,13 @@
 }
 
 // wants reports whether any owner of a service that is this instance's own
-// needs its standing, and whether one has just started.
+// needs its standing, and whether one has just started. Cold targets that nobody
+// asks for can wait.
 func (s *Server) wants(view ranking, owners map[hemlocktally.ServiceName]*Owner, now time.Time) (hot, fresh bool) {
 	for name, o := range owners {
 		if o.mine(name, s.Self, view) {
-			hot = hot || o.board.Load().needs
+			shown := o.board.Load()
+			hot = hot || shown.needs && now.Sub(shown.askedAt) < demandTime
 		}
 		fresh = fresh || now.Sub(o.Started) < recallHot
 	}
@@ -137,7 +140,11 @@
 	}
 	s.recaller.standing.Confirm(member.ID, out.View, out.Promised, sent, now)
 	s.noteTold(member.ID, versions)
+	waits := !s.recaller.stands
 	s.mu.Unlock()
+	if waits {
+		s.effects.wake()
+	}
 	turns := make([]Turn, 0, len(out.InFlight))
 	for _, used := range out.InFlight {
 		turns = append(turns, Turn{
--- a/allocator/server_test.go
+++ b/allocator/server_test.go
@@ -47,3 +47,23 @@
 	config.Store(&stopped)
 	c.Check(await(true), qt.IsTrue)
 }
+
+// Promises are renewed often only for cold targets that somebody asks for.
+func TestColdTargetsWithoutDemandCanWait(t *testing.T) {
+	c := qt.New(t)
+	server := &Server{Self: "owner"}
+	view := rankingOf(server.view())
+	now := time.Now()
+	owner := &Owner{Started: now.Add(-time.Hour)}
+	owners := map[hemlocktally.ServiceName]*Owner{"reads": owner}
+	for _, test := range []struct {
+		needs bool
+		asked time.Duration
+		hot   bool
+	}{{true, 0, true}, {true, demandTime - time.Millisecond, true}, {true, demandTime, false}, {false, 0, false}} {
+		owner.board.Store(&board{needs: test.needs, askedAt: now.Add(-test.asked)})
+		hot, fresh := server.wants(view, owners, now)
+		c.Check(hot, qt.Equals, test.hot, qt.Commentf("%+v", test))
+		c.Check(fresh, qt.IsFalse)
+	}
+}
--- a/claimer/handover.go
+++ b/claimer/handover.go
@@ -105,11 +105,11 @@
 		// An instance that is not seen as serving moves ranges only when it leaves.
 		return hemlocktally.Instance{}, false
 	}
-	order := rendezvous(id, members)
-	if len(order) == 0 || order[0].ID == s.Self.ID || now.Before(s.avoided[order[0].ID]) {
+	first, ok := firstOf(id, members)
+	if !ok || first.ID == s.Self.ID || now.Before(s.avoided[first.ID]) {
 		return hemlocktally.Instance{}, false
 	}
-	return order[0], true
+	return first, true
 }
 
 func snapshot(h *held) RangeRecords {
--- a/claimer/handover_test.go
+++ b/claimer/handover_test.go
@@ -126,10 +126,12 @@
 	members := []hemlocktally.Instance{{ID: "a"}, {ID: "b"}, {ID: "c"}}
 	moved := 0
 	for id := range RangeID(Ranges) {
-		before := rendezvous(id, members[:2])[0].ID
-		after := rendezvous(id, members)[0].ID
-		if before != after {
-			c.Check(after, qt.Equals, hemlocktally.InstanceID("c"))
+		before, _ := firstOf(id, members[:2])
+		after, ok := firstOf(id, members)
+		c.Check(ok, qt.IsTrue)
+		c.Check(rankOf(after.ID, id, members), qt.Equals, 0)
+		if before.ID != after.ID {
+			c.Check(after.ID, qt.Equals, hemlocktally.InstanceID("c"))
 			moved++
 		}
 	}
--- a/claimer/table.go
+++ b/claimer/table.go
@@ -1,9 +1,7 @@
 package claimer
 
 import (
-	"cmp"
 	"encoding/json"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -36,20 +34,43 @@
 	return table, err
 }
 
-// rankOf returns at which place of the range's rendezvous order the instance
-// stands among the members; zero is the first choice.
+// rankOf returns the place of an instance in the order of the members by their
+// score for the range, from 0, or -1 where it is none of them.
 func rankOf(id hemlocktally.InstanceID, r RangeID, members []hemlocktally.Instance) int {
-	order := rendezvous(r, members)
-	return slices.IndexFunc(order, func(m hemlocktally.Instance) bool { return m.ID == id })
+	own := scoreOf(id, r)
+	rank, found := 0, false
+	for i := range members {
+		switch other := members[i].ID; {
+		case other == id:
+			found = true
+		case scoreOf(other, r) > own:
+			rank++
+		}
+	}
+	if !found {
+		return -1
+	}
+	return rank
 }
 
-// rendezvous orders the members by their hash with the range, so that a member
-// that comes or goes moves only its own ranges.
-func rendezvous(r RangeID, members []hemlocktally.Instance) []hemlocktally.Instance {
-	order := slices.Clone(members)
-	score := func(m hemlocktally.Instance) uint64 {
-		return xxhash.Sum64(append([]byte(m.ID), '/', byte(r)))
+// firstOf returns the member with the highest score for the range.
+func firstOf(r RangeID, members []hemlocktally.Instance) (hemlocktally.Instance, bool) {
+	best, bestScore := -1, uint64(0)
+	for i := range members {
+		if score := scoreOf(members[i].ID, r); best < 0 || score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	if best < 0 {
+		return hemlocktally.Instance{}, false
 	}
-	slices.SortFunc(order, func(a, b hemlocktally.Instance) int { return cmp.Compare(score(b), score(a)) })
-	return order
+	return members[best], true
+}
+
+// scoreOf hashes a member with the range (rendezvous hashing), so that a member
+// that comes or goes moves only its own ranges.
+func scoreOf(id hemlocktally.InstanceID, r RangeID) uint64 {
+	const usualLength = 64
+	var buffer [usualLength]byte
+	return xxhash.Sum64(append(append(buffer[:0], id...), '/', byte(r)))
 }
