runner: a pause of the process doesn't count as time to settle

Cause: a leaving instance closes its listener a settle time after it stopped being ready. Change: the settle time is counted in ticks; a gap of 250 ms between two of them starts it anew.

--- a/runner/entry.go
+++ b/runner/entry.go
@@ -34,7 +34,8 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() {
 		d.noteLeaving(ctx)
-		time.AfterFunc(limits.SettleTime, cancel)
+		settle(settled, limits.SettleTime)
+		cancel()
 	})
 	defer stop()
 	return serveUntilWithin(settled, server, d.Listeners.Callers, d.stopLimit)
