--- a/experimenter/faults.go
+++ b/experimenter/faults.go
@@ -48,6 +48,7 @@
 		f.chill(last, now)
 		f.silence(last, now)
 		f.stop(ctx, last, now)
+		f.outage(last, now)
 		last = now
 	}
 }
@@ -115,6 +116,16 @@
 	f.set(i)
 }
 
+// outage takes the key-value service down and brings it back.
+func (f *faulter) outage(last, now time.Duration) {
+	if passed(f.scenario.StoreDownAt, last, now) {
+		f.fleet.Platform.SetFaults(imitator.PlatformFaults{Down: true})
+	}
+	if passed(f.scenario.StoreBackAt, last, now) {
+		f.fleet.Platform.SetFaults(imitator.PlatformFaults{})
+	}
+}
+
 func (f *faulter) stop(ctx context.Context, last, now time.Duration) {
 	if passed(f.scenario.ZoneOutAt, last, now) {
 		f.command(ctx, hemlocktally.CommandZoneOut)
--- a/experimenter/scenario.go
+++ b/experimenter/scenario.go
@@ -37,6 +37,8 @@
 	ZoneOutAt   time.Duration // ZoneOutAt is when a zone is taken out; zero means never.
 	ZoneBackAt  time.Duration
 	CrashAt     time.Duration // CrashAt is when the owner of the service crashes; zero means never.
+	StoreDownAt time.Duration // StoreDownAt is when the platform's key-value service goes down; zero means never.
+	StoreBackAt time.Duration
 	PeerDelay   time.Duration // PeerDelay is the one-way delay between two zones.
 }
 
