--- /dev/null
+++ b/balancer/balancer.go
@@ -0,0 +1,240 @@
+// Package balancer assembles an entry instance that runs on a platform: the
+// platform's store holds what must last, targets register themselves there, and
+// all instances are alike.
+package balancer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/oklog/ulid/v2"
+	"github.com/zeebo/errs"
+
+	"hemlocktally"
+	"hemlocktally/dialer"
+	"hemlocktally/dispatcher"
+	"hemlocktally/follower"
+	"hemlocktally/logger"
+	"hemlocktally/messenger"
+	"hemlocktally/placer"
+	"hemlocktally/prober"
+	"hemlocktally/recorder"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("balancer")
+
+// Platform is what an instance needs of the platform that it runs on.
+type Platform interface {
+	hemlocktally.Interpreter
+	hemlocktally.Dialect
+}
+
+// Balancer is one entry instance on a platform. Its fields are set before Run.
+type Balancer struct {
+	Settings  Settings
+	Platform  Platform
+	Directory hemlocktally.Directory
+	Log       logger.Logger
+
+	follower *follower.Follower
+	owner    *placer.Server // owner decides for the services that the instance owns.
+	alone    *placer.Server // alone decides while no owner answers.
+	turns    *placer.Client
+	links    *dialer.Dialer
+	recorder *recorder.Recorder
+	leaving  atomic.Bool
+}
+
+// Bounds of an instance's own work. Sources: the platform's pages say that
+// upstreams close connections that are idle for ten seconds, and that readiness
+// is asked for once a second.
+const (
+	coldShare       = 0.8                     // coldShare of a cold target's rate is used, so that two owners at once stay within the slack.
+	linkProvenFor   = 5 * time.Second         // linkProvenFor is how long an answer proves a link to a target.
+	linkIdleLimit   = 8 * time.Second         // linkIdleLimit is less than the time after which targets close idle connections.
+	linkDialTimeout = 100 * time.Millisecond  // linkDialTimeout bounds a new connection to a target.
+	peerLinks       = 8                       // peerLinks are kept idle to each other instance.
+	peerIdleTime    = 30 * time.Second        // peerIdleTime is how long they are kept.
+	probeIdleTime   = linkIdleLimit           // probeIdleTime is how long a connection for questions about load is kept.
+	headerTimeout   = 3 * time.Second         // headerTimeout bounds the reading of a caller's header.
+	callerIdleTime  = time.Minute             // callerIdleTime is how long an idle caller's connection is kept.
+	maxHeaderBytes  = 32 << 10                // maxHeaderBytes bounds a caller's header.
+	bodyLimit       = 64 << 20                // bodyLimit bounds a caller's body where the configuration names no limit.
+	holdBack        = 256 << 10               // holdBack is how much of an answer is held until it is whole.
+	settleTime      = 2200 * time.Millisecond // settleTime is how long new calls come after an instance is no longer ready.
+	stopReserve     = 500 * time.Millisecond  // stopReserve is kept of the time for a planned stop.
+)
+
+// Run serves until the context ends, then stops gracefully.
+func (b *Balancer) Run(ctx context.Context) error {
+	b.assemble()
+	listeners, err := b.listen()
+	if err != nil {
+		return err
+	}
+	s := b.Settings
+	b.Log.Log(logger.EventStarted, logger.Fields{
+		"Instance": s.Instance.ID, "Zone": s.Instance.Zone, "Callers": s.Listen.Callers, "Peers": s.Listen.Peers, "Operators": s.Listen.Metrics,
+	})
+	defer b.Log.Log(logger.EventStopped, logger.Fields{"Instance": s.Instance.ID})
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var group run.Group
+	group.Add(func() error { return b.serveCallers(ctx, listeners.callers) }, func(error) {})
+	for _, task := range []func(context.Context) error{
+		b.follower.Run, b.owner.Run, b.alone.Run, b.links.Run,
+		func(ctx context.Context) error { return serve(ctx, listeners.ready, b.readiness()) },
+		func(ctx context.Context) error { return serve(ctx, listeners.peers, b.peerHandler()) },
+		func(ctx context.Context) error { return serve(ctx, listeners.metrics, b.metricsHandler()) },
+	} {
+		group.Add(func() error { return task(inner) }, func(error) { cancel() })
+	}
+	return Error.Wrap(group.Run())
+}
+
+// assemble makes the parts.
+func (b *Balancer) assemble() {
+	s := b.Settings
+	epoch := ulid.Make().String()
+	self := hemlocktally.InstanceID(s.Instance.ID)
+	b.recorder = &recorder.Recorder{}
+	b.follower = &follower.Follower{
+		Self: self, Directory: b.Directory, Interpreter: b.Platform, Log: b.Log, Changed: b.pictureChanged,
+		Member: follower.Member{
+			Incarnation: epoch, Zone: hemlocktally.ZoneName(s.Instance.Zone), PeerAddress: s.Listen.Peers, Weight: s.Instance.Weight,
+		},
+	}
+	b.follower.Prepare()
+	loads := &prober.LoadProber{Dialect: b.Platform, HTTP: &http.Client{Transport: transport(1, probeIdleTime)}}
+	bounds := placer.Bounds{
+		RetryRatio: s.Bounds.RetryRatio, RetryWindow: s.Bounds.RetryWindow, RetrySlack: s.Bounds.RetrySlack,
+		ColdShare: coldShare, ProbesPerSecond: s.Bounds.ProbesPerSecond,
+	}
+	b.owner = &placer.Server{Self: self, Epoch: epoch, Bounds: bounds, Loads: loads, Log: b.Log, Needed: b.follower.NeedTargets}
+	// An instance that decides alone is one of many: it keeps to a small part of
+	// the fleet's budget and leaves cold targets to the owner.
+	const alonePart = 0.05
+	bounds.ColdShare, bounds.RetrySlack, bounds.RetryRatio = 0, bounds.RetrySlack*alonePart, bounds.RetryRatio/2
+	b.alone = &placer.Server{Self: self, Epoch: epoch + "A", Bounds: bounds, Loads: loads, Log: b.Log, Needed: b.follower.NeedTargets, Alone: true}
+	b.turns = &placer.Client{
+		Self: self, Zone: hemlocktally.ZoneName(s.Instance.Zone), Epoch: epoch, View: b.follower, Server: b.owner, Alone: b.alone,
+		HTTP: &http.Client{Transport: transport(peerLinks, peerIdleTime)}, Log: b.Log,
+	}
+	b.links = &dialer.Dialer{
+		Viewer: b.follower, ProvenFor: linkProvenFor, IdleLimit: linkIdleLimit, DialTimeout: linkDialTimeout, Dial: dial,
+	}
+}
+
+// pictureChanged tells the owners what the follower saw.
+func (b *Balancer) pictureChanged(p *follower.Picture) {
+	out := map[hemlocktally.ZoneName]bool{}
+	for _, zone := range p.Configuration.Zones {
+		out[zone.Name] = zone.Out
+	}
+	services := make(map[hemlocktally.ServiceName]placer.TargetsMsg, len(p.Targets))
+	for name, targets := range p.Targets {
+		services[name] = placer.TargetsMsg{Targets: targets, Out: out, Revision: p.Configuration.Revision}
+	}
+	for _, service := range p.Configuration.Services {
+		msg := services[service.Name]
+		msg.Service, msg.Out, msg.Revision = service, out, p.Configuration.Revision
+		services[service.Name] = msg
+	}
+	b.owner.Configure(services)
+	b.alone.Configure(services)
+}
+
+// listeners are the sockets of an instance.
+type listeners struct {
+	callers, ready, peers, metrics net.Listener
+}
+
+func (b *Balancer) listen() (listeners, error) {
+	var l listeners
+	for _, open := range []struct {
+		listener *net.Listener
+		address  string
+	}{
+		{&l.callers, b.Settings.Listen.Callers}, {&l.ready, b.Settings.Listen.Ready},
+		{&l.peers, b.Settings.Listen.Peers}, {&l.metrics, b.Settings.Listen.Metrics},
+	} {
+		if open.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", open.address)
+		if err != nil {
+			return l, Error.Wrap(err)
+		}
+		*open.listener = listener
+	}
+	return l, nil
+}
+
+// serve answers on a listener until the context ends. Without a listener it
+// only waits.
+func serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	if listener == nil {
+		<-ctx.Done()
+		return nil
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTime}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Ready reports whether the platform's balancer may send new calls here.
+func (b *Balancer) Ready() bool {
+	p := b.follower.Picture()
+	return !b.leaving.Load() && p.Configuration.Revision > 0 && !p.TargetsAt.IsZero()
+}
+
+func (b *Balancer) readiness() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !b.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+func (b *Balancer) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(messenger.PlacementPathPrefix, messenger.NewPlacementServer(b.owner))
+	return mux
+}
+
+func (b *Balancer) metricsHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		config := b.follower.Current()
+		err := b.recorder.WriteMetrics(w, []recorder.Gauge{
+			{Name: "revision", Help: "Revision of the configuration in force.", Type: "gauge", Value: float64(config.Revision)},
+			{Name: "members", Help: "Instances in the view.", Type: "gauge", Value: float64(len(b.follower.View().Members))},
+		})
+		if err != nil {
+			b.Log.Log(logger.EventMetricsFailed, logger.Fields{"Cause": err.Error()})
+		}
+	})
+}
+
+// handler is the entry path.
+func (b *Balancer) handler() http.Handler {
+	entry := &dispatcher.Dispatcher{
+		Self: hemlocktally.InstanceID(b.Settings.Instance.ID), Configuration: b.follower, Granter: b.turns, Recorder: b.recorder,
+		Links: b.links, Log: b.Log, Dialect: b.Platform, BodyLimit: bodyLimit, HoldBack: holdBack,
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if b.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		entry.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/balancer/settings.go
@@ -0,0 +1,124 @@
+package balancer
+
+import (
+	"errors"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"hemlocktally"
+	"hemlocktally/loader"
+)
+
+// Settings are all keys of one entry instance on a platform. Its fields are the
+// sections of the INI file.
+type Settings struct {
+	Instance InstanceSettings
+	Listen   ListenSettings
+	Platform PlatformSettings
+	Bounds   BoundSettings
+	Log      loader.LogSettings
+}
+
+// InstanceSettings say who the instance is.
+type InstanceSettings struct {
+	ID     string
+	Zone   string
+	Weight float64 // Weight is its part of a core, by which services are dealt; zero means one.
+}
+
+// ListenSettings hold the IP:port of each listener.
+type ListenSettings struct {
+	Callers string
+	Ready   string
+	Peers   string
+	Metrics string // Metrics may be empty.
+}
+
+// PlatformSettings say where the platform's store is.
+type PlatformSettings struct {
+	Store string // Store is IP:port.
+}
+
+// BoundSettings are the limits that operators agreed with their users.
+type BoundSettings struct {
+	StopTimeout     time.Duration // StopTimeout is how long a planned stop may take before the process is killed.
+	RetryRatio      float64       // RetryRatio is the share of a service's calls that may be sent once more.
+	RetryWindow     time.Duration // RetryWindow is the span over which repeats are counted.
+	RetrySlack      float64       // RetrySlack is how many repeats a span may have beyond the ratio.
+	ProbesPerSecond float64       // ProbesPerSecond bounds the questions to one target.
+}
+
+// Defaults of the settings.
+const (
+	defaultStopTimeout     = 6 * time.Second
+	defaultRetryRatio      = 0.1
+	defaultRetryWindow     = 10 * time.Second
+	defaultProbesPerSecond = 50
+)
+
+// WithDefaults returns the settings with a default in place of each zero value.
+func (s Settings) WithDefaults() Settings {
+	setDefault(&s.Instance.Weight, 1)
+	setDefault(&s.Bounds.StopTimeout, defaultStopTimeout)
+	setDefault(&s.Bounds.RetryRatio, defaultRetryRatio)
+	setDefault(&s.Bounds.RetryWindow, defaultRetryWindow)
+	setDefault(&s.Bounds.ProbesPerSecond, defaultProbesPerSecond)
+	setDefault(&s.Log.Format, "Text")
+	setDefault(&s.Log.Level, "info")
+	return s
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Load reads and checks a settings file. It returns a
+// *hemlocktally.SettingError for each key that can't work, joined.
+func Load(path string) (Settings, error) {
+	var s Settings
+	err := loader.Load(path, &s)
+	var bad *hemlocktally.SettingError
+	if errors.As(err, &bad) && bad.Section == "" {
+		return s, err // The file can't be read at all.
+	}
+	s = s.WithDefaults()
+	return s, errors.Join(err, s.Check(path))
+}
+
+// Check returns a *hemlocktally.SettingError for each key that is missing or
+// has a value that can't work, joined.
+func (s Settings) Check(file string) error {
+	const address = "an IP address with a port, such as 127.0.0.1:8080"
+	levels := []string{"debug", "info", "warning", "error"}
+	var bad []error
+	for _, check := range []struct {
+		section, key, found, allowed string
+		ok                           bool
+	}{
+		{"Instance", "ID", s.Instance.ID, "a name that no other instance has", s.Instance.ID != ""},
+		{"Instance", "Zone", s.Instance.Zone, "the name of an availability zone", s.Instance.Zone != ""},
+		{"Listen", "Callers", s.Listen.Callers, address, isAddress(s.Listen.Callers)},
+		{"Listen", "Ready", s.Listen.Ready, address, isAddress(s.Listen.Ready)},
+		{"Listen", "Peers", s.Listen.Peers, address, isAddress(s.Listen.Peers)},
+		{"Listen", "Metrics", s.Listen.Metrics, address + ", or nothing", s.Listen.Metrics == "" || isAddress(s.Listen.Metrics)},
+		{"Platform", "Store", s.Platform.Store, address, isAddress(s.Platform.Store)},
+		{"Bounds", "RetryRatio", strconv.FormatFloat(s.Bounds.RetryRatio, 'g', -1, 64), "a share from 0 to 1", s.Bounds.RetryRatio <= 1},
+		{"Log", "Format", s.Log.Format, "Text, JSON", s.Log.Format == "Text" || s.Log.Format == "JSON"},
+		{"Log", "Level", s.Log.Level, "debug, info, warning, error", slices.Contains(levels, s.Log.Level)},
+	} {
+		if !check.ok {
+			bad = append(bad, &hemlocktally.SettingError{File: file, Section: check.section, Key: check.key, Found: check.found, Allowed: check.allowed})
+		}
+	}
+	return errors.Join(bad...)
+}
+
+func isAddress(text string) bool {
+	_, err := netip.ParseAddrPort(text)
+	return err == nil
+}
--- /dev/null
+++ b/cmd/hemlocktally/balance.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"hemlocktally/balancer"
+	"hemlocktally/logger"
+	"hemlocktally/platform"
+)
+
+func balanceCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "balance",
+		Usage:       "run one entry instance on a platform that keeps the configuration and the list of targets",
+		Description: "Example:\n  hemlocktally balance --settings examples/settings/balance.ini",
+		Flags: []cli.Flag{&cli.StringFlag{
+			Name: settingsFlag, Usage: "the settings `FILE` in INI", Required: true, Sources: cli.EnvVars("HEMLOCKTALLY_BOOT"),
+		}},
+		Action: balance,
+	}
+}
+
+func balance(ctx context.Context, c *cli.Command) error {
+	path := c.String(settingsFlag)
+	settings, err := balancer.Load(path)
+	if err != nil {
+		return err
+	}
+	log, err := logger.New(os.Stdout, settings.Log.Format, settings.Log.Level)
+	if err != nil {
+		return err
+	}
+	go noteReloads(ctx, path, log)
+	b := &balancer.Balancer{
+		Settings: settings, Platform: platform.Translator{}, Log: log,
+		Directory: &platform.Store{Address: settings.Platform.Store, HTTP: &http.Client{Transport: balancer.Transport()}},
+	}
+	return b.Run(ctx)
+}
+
+// noteReloads checks the settings file again at each SIGHUP.
+func noteReloads(ctx context.Context, path string, log logger.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			cause := ""
+			if _, err := balancer.Load(path); err != nil {
+				cause = err.Error()
+			}
+			log.Log(logger.EventReloaded, logger.Fields{"File": path, "Cause": cause})
+		}
+	}
+}
--- a/cmd/hemlocktally/main.go
+++ b/cmd/hemlocktally/main.go
@@ -51,7 +51,7 @@
 			"accepted but was not seen in force everywhere in time, 6 the store lost its answer (ask show Revisions).\n" +
 			"Ctrl-C stops gracefully: calls in flight are finished.",
 		Commands: []*cli.Command{
-			serveCommand(), demoCommand(), settingsCommand(), contractsCommand(), eventsCommand(), versionCommand(),
+			serveCommand(), balanceCommand(), demoCommand(), settingsCommand(), contractsCommand(), eventsCommand(), versionCommand(),
 			askCommand(), tellCommand(), shellCommand(), reportCommand(), playgroundCommand(),
 			benchCommand(), benchFleetCommand(), soakCommand(), claimsCommand(), slopesCommand(),
 			platformCommand(), targetCommand(), callersCommand(),
--- a/configuration.go
+++ b/configuration.go
@@ -18,6 +18,7 @@
 	Services     []Service
 	Contracts    []Contract
 	Callers      []Caller
+	Limits       CallerLimits
 	InstancesOut []InstanceID
 	// Hash sums up all accepted changes up to the revision. The same revision
 	// with another hash is another configuration.
@@ -27,6 +28,15 @@
 	Provisional []ProvisionalStop `json:",omitempty"`
 }
 
+// CallerLimits bound what a caller may send and how long it may take. A zero
+// field leaves the instance's own setting in force.
+type CallerLimits struct {
+	HeaderBytes   int64
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration // IdleTimeout is how long a caller's connection may stay unused.
+}
+
 // Configurer gives the configuration in force.
 type Configurer interface {
 	Current() *Configuration
--- a/contract.go
+++ b/contract.go
@@ -68,10 +68,22 @@
 	Hedge         bool          // Hedge allows a second attempt for a slow idempotent call.
 	HedgeBudget   float64       // HedgeBudget is the share of calls that may be hedged; zero means DefaultHedgeBudget.
 	RetryBudget   float64       // RetryBudget is the share of calls that may be retried; zero means DefaultRetryBudget.
+	Objective     time.Duration // Objective is the time within which an answer is prompt; zero means the deadline.
+	MaxAttempts   int           // MaxAttempts bounds the targets that one call may be sent to; zero means DefaultMaxAttempts.
+	// Split spreads the calls over several services in proportion to the
+	// weights; empty means that all go to Service.
+	Split []ServiceShare
+}
+
+// ServiceShare is one service's part of a contract's calls.
+type ServiceShare struct {
+	Service ServiceName
+	Weight  float64
 }
 
 // Defaults for contracts that declare nothing.
 const (
+	DefaultMaxAttempts = 3
 	DefaultDeadline    = 2 * time.Second
 	DefaultHedgeBudget = 0.05
 	DefaultRetryBudget = 0.10
@@ -108,3 +120,19 @@
 	}
 	return c.RetryBudget
 }
+
+// Attempts returns the bound of attempts with the default applied.
+func (c Contract) Attempts() int {
+	if c.MaxAttempts <= 0 {
+		return DefaultMaxAttempts
+	}
+	return c.MaxAttempts
+}
+
+// Prompt returns the objective with the default applied.
+func (c Contract) Prompt() time.Duration {
+	if c.Objective <= 0 {
+		return c.CallDeadline()
+	}
+	return c.Objective
+}
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -5,6 +5,7 @@
 package dialer
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -38,6 +39,9 @@
 	// Configuration names the targets to which Run keeps a link ready; it may be
 	// nil.
 	Configuration hemlocktally.Configurer
+	ProvenFor     time.Duration // ProvenFor is how long an answer proves its link; zero means 250 ms.
+	IdleLimit     time.Duration // IdleLimit is how long a link stays open unused; zero means 30 s.
+	DialTimeout   time.Duration // DialTimeout bounds the opening of a link; zero means 500 ms.
 	// Dial opens a connection; nil means a net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -50,8 +54,11 @@
 
 func (d *Dialer) init() {
 	d.once.Do(func() {
+		d.ProvenFor = cmp.Or(d.ProvenFor, provenFor)
+		d.IdleLimit = cmp.Or(d.IdleLimit, idleLimit)
+		d.DialTimeout = cmp.Or(d.DialTimeout, dialTimeout)
 		if d.Dial == nil {
-			d.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+			d.Dial = (&net.Dialer{Timeout: d.DialTimeout}).DialContext
 		}
 		d.transport = &http.Transport{
 			DisableCompression: true, DialContext: handOver,
@@ -109,7 +116,7 @@
 		p = &pool{}
 		d.pools[request.Target.Address] = p
 	}
-	return p.take(request.Proven, share, time.Now())
+	return p.take(request.Proven, d.ProvenFor, share, time.Now())
 }
 
 func (d *Dialer) await(ctx context.Context, target hemlocktally.Target, wait chan struct{}) error {
@@ -140,7 +147,7 @@
 
 // dial opens a link; the pool has counted it already.
 func (d *Dialer) dial(ctx context.Context, target hemlocktally.Target) (*link, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, d.DialTimeout)
 	defer cancel()
 	raw, err := d.Dial(ctx, "tcp", target.Address)
 	if err != nil {
--- a/dialer/keeper.go
+++ b/dialer/keeper.go
@@ -23,7 +23,7 @@
 			d.warm(ctx)
 			if now.Sub(swept) >= sweepEvery {
 				swept = now
-				d.sweep(now.Add(-idleLimit))
+				d.sweep(now.Add(-d.IdleLimit))
 			}
 		}
 	}
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -21,7 +21,7 @@
 
 // take picks the link that was heard last. Where a proven one is asked for and
 // there is none, a new one is opened, in place of the oldest if need be.
-func (p *pool) take(proven bool, share int, now time.Time) choice {
+func (p *pool) take(proven bool, provenFor time.Duration, share int, now time.Time) choice {
 	if n := len(p.idle); n > 0 {
 		l := p.idle[n-1]
 		if !proven || now.Sub(l.heard()) <= provenFor {
--- a/dialer/pool_test.go
+++ b/dialer/pool_test.go
@@ -19,7 +19,7 @@
 
 func (w *poolWorld) take(t *rapid.T) {
 	proven := rapid.Bool().Draw(t, "proven")
-	choice := w.pool.take(proven, w.share, w.now)
+	choice := w.pool.take(proven, provenFor, w.share, w.now)
 	switch {
 	case choice.link != nil:
 		if proven && w.now.Sub(choice.link.heard()) > provenFor {
--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -8,7 +8,6 @@
 	"net"
 	"strconv"
 	"strings"
-	"time"
 
 	"hemlocktally"
 )
@@ -31,8 +30,9 @@
 		return notRun(hemlocktally.ReasonNoContract, "no contract covers this request")
 	}
 	c.contract = contract
+	c.contract.Service = c.dispatcher.splits.next(contract)
 	c.record.Contract = contract.Name
-	c.record.Service = contract.Service
+	c.record.Service = c.contract.Service
 	for _, check := range []func() *hemlocktally.RefusedError{c.readDepth, c.readDeadline, c.readKey, c.readBody} {
 		if refused := check(); refused != nil {
 			return refused
@@ -79,21 +79,17 @@
 // readDeadline takes over the caller's deadline where it is the shorter one.
 func (c *call) readDeadline() *hemlocktally.RefusedError {
 	limit := c.contract.CallDeadline()
-	text, ok, refused := c.single(hemlocktally.HeaderDeadline)
-	if refused != nil {
+	if _, _, refused := c.single(hemlocktally.HeaderDeadline); refused != nil {
 		return refused
 	}
-	if ok {
-		ms, err := strconv.ParseInt(text, 10, 64)
-		if err != nil {
-			return notRun(hemlocktally.ReasonBadRequest, fmt.Sprintf("%s is %q", hemlocktally.HeaderDeadline, text))
-		}
-		if ms <= 0 {
-			return notRun(hemlocktally.ReasonDeadline, "the deadline has passed")
-		}
-		if ms < limit.Milliseconds() {
-			limit = time.Duration(ms) * time.Millisecond
-		}
+	left, ok, err := c.dispatcher.dialect().LeftOf(c.request.Header)
+	switch {
+	case err != nil:
+		return notRun(hemlocktally.ReasonBadRequest, "the deadline can't be read: "+err.Error())
+	case ok && left <= 0:
+		return notRun(hemlocktally.ReasonDeadline, "the deadline has passed")
+	case ok:
+		limit = min(limit, left)
 	}
 	c.deadline = c.started.Add(limit)
 	return nil
@@ -104,6 +100,9 @@
 
 // readKey checks the caller's key of a non-idempotent call.
 func (c *call) readKey() *hemlocktally.RefusedError {
+	if c.dispatcher.Dialect != nil {
+		return nil // A key is a header of hemlocktally's own interface.
+	}
 	key, ok, refused := c.single(hemlocktally.HeaderIdempotencyKey)
 	if !ok {
 		return refused
--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -4,9 +4,9 @@
 	"bytes"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"hemlocktally"
@@ -61,14 +61,10 @@
 // writeHead writes status and header of an answer. Trailers are not passed on.
 func (c *call) writeHead(status int, from http.Header, length int64) {
 	header := c.writer.Header()
-	for name, values := range from {
-		if !strings.HasPrefix(name, hemlocktally.HeaderPrefix) {
-			header[name] = values
-		}
-	}
-	stripHopByHop(header)
-	header[hemlocktally.HeaderCall] = []string{string(c.record.Call)}
-	header[hemlocktally.HeaderOutcome] = []string{string(hemlocktally.OutcomeDone)}
+	passed := maps.Clone(from)
+	stripHopByHop(passed)
+	c.dispatcher.dialect().WriteAnswer(passed, c.record.Call)
+	maps.Copy(header, passed)
 	switch {
 	case status == http.StatusNoContent:
 		header.Del("Content-Length")
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -103,6 +103,7 @@
 		failed = a.forward(ctx, &result)
 	}
 	if failed != nil {
+		result.Unreachable = a.link == nil && failed.Error.Reason == hemlocktally.ReasonTargetFailed
 		trace := a.release(&result, a.silent())
 		a.call.inbox <- failedMsg{FailedMsg: *failed, trace: trace}
 	}
@@ -114,6 +115,7 @@
 	grant, err := c.dispatcher.Granter.Acquire(ctx, hemlocktally.GrantRequest{
 		Call: c.record.Call, Service: c.contract.Service, Contract: c.contract.Name, Priority: c.contract.Priority,
 		Kind: a.kind, Deadline: c.deadline, QueueLimit: a.queueLimit(), Exclude: a.exclude,
+		Objective: c.started.Add(c.contract.Prompt()), NonIdempotent: c.contract.NonIdempotent,
 	})
 	if err != nil {
 		c.inbox <- GrantRefusedMsg{Attempt: a.number, Error: grantError(ctx, err)}
@@ -180,6 +182,10 @@
 		return false
 	}
 	service, _ := config.Service(a.grant.Service)
+	if len(service.Targets) == 0 {
+		// The targets register themselves and are no part of the configuration.
+		return config.TargetOut(a.grant.Target)
+	}
 	for _, target := range service.Targets {
 		if target.Name == a.grant.Target.Name && target.Address == a.grant.Target.Address {
 			return config.TargetOut(target)
@@ -211,8 +217,12 @@
 		return a.sendError(ctx, err, result)
 	}
 	defer func() { _ = response.Body.Close() }()
-	readTargetState(response, result)
-	if response.Header.Get(hemlocktally.HeaderNotRun) == "true" {
+	answer := a.call.dispatcher.dialect().ReadAnswer(response.StatusCode, response.Header)
+	if err := a.foreign(response, answer); err != nil {
+		return a.sendError(ctx, err, result)
+	}
+	result.SaidCold, result.SaidDraining, result.Load, result.Elsewhere = answer.Cold, answer.Draining, answer.Load, answer.Elsewhere
+	if answer.NotRun {
 		result.Outcome = hemlocktally.AttemptRefused
 		return &FailedMsg{
 			Attempt: a.number, Sent: true, Declared: true, BodySpent: a.call.body.spent.Load(),
@@ -229,7 +239,7 @@
 		return a.sendError(ctx, errors.New("the target switched protocols"), result)
 	}
 	held, err := readHeld(response, a.call.dispatcher.HoldBack)
-	if err == nil && endless(response) {
+	if err == nil && endless(response) && !a.call.dispatcher.dialect().EndsWithConnection() {
 		err = errors.New("the answer has neither a length nor chunks, so it can't be known to be whole")
 	}
 	if err != nil {
@@ -241,6 +251,9 @@
 	}
 	answer := &targetAnswer{status: response.StatusCode, header: response.Header, length: response.ContentLength, held: held}
 	result.Outcome = outcomeOf(response.StatusCode)
+	if endless(response) && int64(len(held)) <= a.call.dispatcher.HoldBack {
+		answer.length = int64(len(held))
+	}
 	msg := answeredMsg{AnsweredMsg: AnsweredMsg{Attempt: a.number, Status: response.StatusCode}, answer: answer}
 	if int64(len(held)) <= a.call.dispatcher.HoldBack {
 		msg.Whole = true
--- a/dispatcher/body.go
+++ b/dispatcher/body.go
@@ -31,6 +31,9 @@
 		return nil
 	}
 	limit := c.dispatcher.BodyLimit
+	if declared := c.config.Limits.BodyBytes; declared > 0 {
+		limit = declared
+	}
 	if c.request.ContentLength > limit {
 		return tooLarge(limit)
 	}
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -36,9 +36,6 @@
 	hedge    *time.Timer
 }
 
-// maxAttempts bounds the attempts of one call.
-const maxAttempts = 3
-
 // inboxPerAttempt is how many messages one attempt sends at most.
 const inboxPerAttempt = 3
 
@@ -58,9 +55,9 @@
 // run takes the plan from its start to the one answer of the call.
 func (c *call) run(ctx context.Context) {
 	c.plan = Plan{
-		NonIdempotent: c.contract.NonIdempotent, Hedge: c.mayHedge(), Deep: c.depth > 0, MaxAttempts: maxAttempts,
+		NonIdempotent: c.contract.NonIdempotent, Hedge: c.mayHedge(), Deep: c.depth > 0, MaxAttempts: c.contract.Attempts(),
 	}
-	c.inbox = make(chan any, maxAttempts*inboxPerAttempt)
+	c.inbox = make(chan any, (c.contract.Attempts()+1)*inboxPerAttempt)
 	defer c.stopAttempts()
 	gone := c.request.Context().Done()
 	var slow <-chan time.Time
@@ -82,9 +79,10 @@
 }
 
 // mayHedge reports whether the contract and the body allow a second attempt
-// beside the first.
+// beside the first. Idempotent work with an objective may always have one.
 func (c *call) mayHedge() bool {
-	return c.contract.Hedge && c.contract.Priority >= hemlocktally.PriorityHigh && !c.body.streamed()
+	asked := c.contract.Hedge && c.contract.Priority >= hemlocktally.PriorityHigh
+	return (asked || c.contract.Objective > 0) && !c.body.streamed()
 }
 
 // step notes a message, gives it to the plan and runs the commands. It returns
@@ -114,7 +112,16 @@
 	return done
 }
 
+// hedgePart is the part of the objective after which idempotent work that has no
+// answer gets a second attempt, if a target would still be in time.
+const hedgePart = 0.5
+
 func (c *call) armHedge() {
+	if c.contract.Objective > 0 {
+		after := c.started.Add(time.Duration(hedgePart * float64(c.contract.Objective)))
+		c.hedge = time.NewTimer(max(0, time.Until(after)))
+		return
+	}
 	if after, ok := c.dispatcher.latencies.slow(c.contract.Name, time.Now()); ok {
 		c.hedge = time.NewTimer(after)
 	}
@@ -165,11 +172,10 @@
 		refused.RetryAfter = adviceFor(refused)
 	}
 	c.armWrite()
-	writeRefusal(c.writer, refused, hemlocktally.Refusal{
+	c.record.Status = c.dispatcher.writeRefusal(c.writer, refused, hemlocktally.Refusal{
 		Outcome: refused.Outcome, Reason: refused.Reason, Detail: refused.Detail,
 		Instance: c.dispatcher.Self, Revision: c.config.Revision,
 	}, c.record.Call)
-	c.record.Status = statusOf(refused)
 }
 
 func notRun(reason hemlocktally.Reason, detail string) *hemlocktally.RefusedError {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -23,11 +23,13 @@
 	Recorder      hemlocktally.Recorder
 	Links         hemlocktally.Linker
 	Log           logger.Logger
-	BodyLimit     int64         // BodyLimit bounds the body of a request.
-	HoldBack      int64         // HoldBack is how much of a body or an answer is held until it is whole.
-	ReadTimeout   time.Duration // ReadTimeout bounds the wait for more of a caller's body; zero means 10 s.
-	WriteTimeout  time.Duration // WriteTimeout bounds the wait for a caller to take more; zero means 10 s.
+	Dialect       hemlocktally.Dialect // Dialect is the headers of callers and targets; nil means hemlocktally's own.
+	BodyLimit     int64                // BodyLimit bounds the body of a request.
+	HoldBack      int64                // HoldBack is how much of a body or an answer is held until it is whole.
+	ReadTimeout   time.Duration        // ReadTimeout bounds the wait for more of a caller's body; zero means 10 s.
+	WriteTimeout  time.Duration        // WriteTimeout bounds the wait for a caller to take more; zero means 10 s.
 
+	splits     splits
 	latencies  latencies
 	violations atomic.Uint64
 }
@@ -69,12 +71,20 @@
 		control: http.NewResponseController(w),
 	}
 	c.record = hemlocktally.CallRecord{
-		Call: newCallID(), Method: r.Method, Path: r.URL.Path,
+		Call: d.callID(r), Method: r.Method, Path: r.URL.Path,
 		Started: c.started, Revision: config.Revision,
 	}
 	return c
 }
 
+// callID returns the caller's own ID of its request, or a new one.
+func (d *Dispatcher) callID(r *http.Request) hemlocktally.CallID {
+	if id := d.dialect().CallOf(r.Header); id != "" {
+		return id
+	}
+	return newCallID()
+}
+
 func newCallID() hemlocktally.CallID { return hemlocktally.CallID(ulid.Make().String()) }
 
 func (d *Dispatcher) finish(c *call) {
--- a/dispatcher/failure.go
+++ b/dispatcher/failure.go
@@ -51,15 +51,20 @@
 	return &FailedMsg{Attempt: a.number, Error: refused, Sent: sent, BodySpent: c.body.spent.Load()}
 }
 
-// readTargetState takes over what the target says of itself.
-func readTargetState(response *http.Response, result *hemlocktally.GrantResult) {
-	switch hemlocktally.TargetState(response.Header.Get(hemlocktally.HeaderTargetState)) {
-	case hemlocktally.TargetCold:
-		result.SaidCold = true
-	case hemlocktally.TargetDraining:
-		result.SaidDraining = true
-	case hemlocktally.TargetWarm, hemlocktally.TargetGone:
+// foreign returns an error for an answer that belongs to another call: an extra
+// answer of a target may stand where the next one is expected.
+func (a *attempt) foreign(response *http.Response, answer hemlocktally.AnswerHeader) error {
+	named := a.call.dispatcher.dialect().CallOf(a.call.request.Header) != ""
+	if !named || answer.Call == a.call.record.Call {
+		return nil
 	}
+	if answer.Call != "" {
+		return fmt.Errorf("the answer belongs to call %s", answer.Call)
+	}
+	if response.StatusCode < http.StatusMultipleChoices {
+		return errors.New("the answer does not name its call")
+	}
+	return nil
 }
 
 // silent reports whether an attempt that failed did so on a link that seems to
--- a/dispatcher/header.go
+++ b/dispatcher/header.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"strconv"
 	"strings"
 	"time"
 
@@ -38,36 +37,41 @@
 	from := c.request
 	out := &http.Request{
 		Method: from.Method, Host: from.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		URL: &url.URL{
-			Scheme: "http", Host: a.grant.Target.Address, Path: from.URL.Path, RawPath: from.URL.RawPath,
-			RawQuery: from.URL.RawQuery, ForceQuery: from.URL.ForceQuery,
-		},
-		Header: a.outgoingHeader(), Body: c.body.open(), ContentLength: c.body.length,
+		URL: a.outgoingURL(), Header: a.outgoingHeader(), Body: c.body.open(), ContentLength: c.body.length,
 	}
 	return out.WithContext(ctx)
 }
 
+// outgoingURL keeps the path as the caller wrote it, without encoding it anew.
+func (a *attempt) outgoingURL() *url.URL {
+	from := a.call.request
+	out := &url.URL{
+		Scheme: "http", Host: a.grant.Target.Address, Path: from.URL.Path, RawPath: from.URL.RawPath,
+		RawQuery: from.URL.RawQuery, ForceQuery: from.URL.ForceQuery,
+	}
+	path, _, _ := strings.Cut(from.RequestURI, "?")
+	if strings.HasPrefix(path, "/") && !strings.HasPrefix(path, "//") {
+		out.Opaque = path
+	}
+	return out
+}
+
 func (a *attempt) outgoingHeader() http.Header {
 	c := a.call
 	const own = 5
 	header := make(http.Header, len(c.request.Header)+own)
 	for name, values := range c.request.Header {
-		if !strings.HasPrefix(name, hemlocktally.HeaderPrefix) {
-			header[name] = values
-		}
+		header[name] = values
 	}
 	stripHopByHop(header)
-	delete(header, "Authorization")
 	delete(header, "Expect")
 	if header["User-Agent"] == nil {
 		header["User-Agent"] = []string{""} // An empty value keeps net/http from writing its own.
 	}
-	appendForwardedFor(header, c.request.RemoteAddr)
-	header[hemlocktally.HeaderCall] = []string{string(c.record.Call)}
-	header[hemlocktally.HeaderAttempt] = []string{strconv.Itoa(a.number)}
-	header[hemlocktally.HeaderDepth] = []string{strconv.Itoa(c.depth + 1)}
-	left := max(1, time.Until(c.deadline).Milliseconds())
-	header[hemlocktally.HeaderDeadline] = []string{strconv.FormatInt(left, 10)}
+	c.dispatcher.dialect().WriteAttempt(header, hemlocktally.AttemptHeader{
+		Call: c.record.Call, Number: a.number, Depth: c.depth, Left: time.Until(c.deadline),
+		Target: a.grant.Target.Name, Address: c.request.RemoteAddr,
+	})
 	return header
 }
 
--- a/dispatcher/refusal.go
+++ b/dispatcher/refusal.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/json"
-	"math"
 	"net/http"
-	"strconv"
 	"time"
 
 	"hemlocktally"
@@ -46,14 +44,13 @@
 	return 0
 }
 
-func writeRefusal(w http.ResponseWriter, refused *hemlocktally.RefusedError, body hemlocktally.Refusal, id hemlocktally.CallID) {
-	header := w.Header()
-	header.Set("Content-Type", "application/json")
-	header.Set(hemlocktally.HeaderCall, string(id))
-	header.Set(hemlocktally.HeaderOutcome, string(body.Outcome))
-	if refused.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(refused.RetryAfter.Seconds()))))
-	}
-	w.WriteHeader(statusOf(refused))
+// writeRefusal answers with a refusal and returns its status.
+func (d *Dispatcher) writeRefusal(
+	w http.ResponseWriter, refused *hemlocktally.RefusedError, body hemlocktally.Refusal, id hemlocktally.CallID,
+) int {
+	w.Header().Set("Content-Type", "application/json")
+	status := d.dialect().WriteRefusal(w.Header(), refused, id)
+	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body)
+	return status
 }
--- /dev/null
+++ b/follower/state.go
@@ -0,0 +1,331 @@
+package follower
+
+import (
+	"cmp"
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"hemlocktally"
+)
+
+// returnGrace is how long entries may take to come back once the store answers
+// again; what is still missing then is gone.
+const returnGrace = 2200 * time.Millisecond
+
+// Member is an instance's own registration, in JSON.
+type Member struct {
+	Incarnation string
+	Zone        hemlocktally.ZoneName
+	PeerAddress string  // PeerAddress is IP:port.
+	Weight      float64 // Weight is its part of a core, by which services are dealt.
+}
+
+// Picture is all that an instance follows, as of one moment. It is never
+// changed once it is published.
+type Picture struct {
+	Configuration *hemlocktally.Configuration
+	Targets       map[hemlocktally.ServiceName][]hemlocktally.Registration
+	Members       map[hemlocktally.InstanceID]Member
+	TargetsAt     time.Time // TargetsAt is when the targets were last read; zero means never.
+}
+
+// Messages to the state.
+type (
+	// SnapshotMsg holds all entries below a prefix.
+	SnapshotMsg struct {
+		Kind    hemlocktally.EntryKind // Kind is what is read below the prefix.
+		Entries []hemlocktally.DirectoryEntry
+	}
+	// ChangesMsg holds entries that changed.
+	ChangesMsg struct {
+		Kind    hemlocktally.EntryKind
+		Entries []hemlocktally.DirectoryEntry
+	}
+	// FailedMsg says that the store did not answer.
+	FailedMsg struct{ Kind hemlocktally.EntryKind }
+	// TickMsg lets time pass.
+	TickMsg struct{}
+)
+
+// Notes of the state, to be logged.
+type (
+	// BadEntry names an entry that was left out.
+	BadEntry struct {
+		Key   string
+		Cause error
+	}
+	// InForce says that a newer configuration is in force.
+	InForce struct{ Configuration *hemlocktally.Configuration }
+	// ZoneStop says that a zone was taken out or brought back.
+	ZoneStop struct {
+		Zone hemlocktally.ZoneName
+		Out  bool
+	}
+	// TargetChange says that a target came, drains or is gone.
+	TargetChange struct {
+		Service hemlocktally.ServiceName
+		Target  hemlocktally.TargetName
+		State   string
+	}
+	// MemberChange says that an instance came or is gone.
+	MemberChange struct {
+		Member hemlocktally.InstanceID
+		Joined bool
+	}
+)
+
+// States of a target in a TargetChange.
+const (
+	targetListed   = "Listed"
+	targetDraining = "Draining"
+	targetRemoved  = "Removed"
+)
+
+// State is the picture in the making. Its zero value is empty.
+type State struct {
+	Interpreter hemlocktally.Interpreter
+
+	config    *hemlocktally.Configuration
+	stops     map[hemlocktally.ZoneName]bool
+	targets   map[hemlocktally.TargetName]hemlocktally.Registration
+	members   map[hemlocktally.InstanceID]Member
+	targetsAt time.Time
+	feeds     map[hemlocktally.EntryKind]*feedState
+}
+
+// feedState is what the state knows of one prefix.
+type feedState struct {
+	failing bool
+	settled time.Time       // settled is from when on a missing entry is gone.
+	missing map[string]bool // missing holds the keys that were removed before that.
+}
+
+// Update takes one message at the given time. It returns whether the picture
+// changed, and what is to be logged.
+func (s *State) Update(msg any, now time.Time) (changed bool, notes []any) {
+	switch msg := msg.(type) {
+	case SnapshotMsg:
+		notes = s.snapshot(msg, now)
+	case ChangesMsg:
+		f := s.answered(msg.Kind, now)
+		for _, entry := range msg.Entries {
+			notes = append(notes, s.apply(f, entry, now)...)
+		}
+	case FailedMsg:
+		s.feed(msg.Kind).failing = true
+		return false, nil
+	case TickMsg:
+	}
+	for _, f := range s.feeds {
+		notes = append(notes, s.settle(f, now)...)
+	}
+	_, tick := msg.(TickMsg)
+	return !tick || len(notes) > 0, notes
+}
+
+func (s *State) feed(kind hemlocktally.EntryKind) *feedState {
+	if s.feeds == nil {
+		s.feeds = map[hemlocktally.EntryKind]*feedState{}
+		s.stops = map[hemlocktally.ZoneName]bool{}
+		s.targets = map[hemlocktally.TargetName]hemlocktally.Registration{}
+		s.members = map[hemlocktally.InstanceID]Member{}
+	}
+	f := s.feeds[kind]
+	if f == nil {
+		f = &feedState{missing: map[string]bool{}}
+		s.feeds[kind] = f
+	}
+	return f
+}
+
+// answered notes an answer of the store, the first one after a failure included.
+func (s *State) answered(kind hemlocktally.EntryKind, now time.Time) *feedState {
+	f := s.feed(kind)
+	if f.failing {
+		f.failing = false
+		f.settled = now.Add(returnGrace)
+	}
+	if kind == hemlocktally.EntryTarget {
+		s.targetsAt = now
+	}
+	return f
+}
+
+func (s *State) snapshot(msg SnapshotMsg, now time.Time) []any {
+	f := s.answered(msg.Kind, now)
+	present := make(map[string]bool, len(msg.Entries))
+	var notes []any
+	for _, entry := range msg.Entries {
+		present[entry.Key] = true
+		notes = append(notes, s.apply(f, entry, now)...)
+	}
+	for _, key := range s.keys(msg.Kind) {
+		if !present[key] {
+			notes = append(notes, s.apply(f, hemlocktally.DirectoryEntry{Entry: hemlocktally.Entry{Key: key}, Removed: true}, now)...)
+		}
+	}
+	return notes
+}
+
+// keys lists the keys that the state holds of one prefix.
+func (s *State) keys(kind hemlocktally.EntryKind) []string {
+	var keys []string
+	switch kind {
+	case hemlocktally.EntryTarget:
+		for name := range s.targets {
+			keys = append(keys, s.Interpreter.TargetPrefix()+string(name))
+		}
+	case hemlocktally.EntryMember:
+		for id := range s.members {
+			keys = append(keys, s.Interpreter.MemberPrefix()+string(id))
+		}
+	case hemlocktally.EntryDeclaration, hemlocktally.EntryZoneStop:
+		for zone := range s.stops {
+			keys = append(keys, s.Interpreter.ZoneStopKey(zone))
+		}
+	case hemlocktally.EntryForeign:
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// apply takes one entry over. A removal soon after the store's return waits
+// until the entry has had time to come back.
+func (s *State) apply(f *feedState, entry hemlocktally.DirectoryEntry, now time.Time) []any {
+	kind, name := s.Interpreter.Kind(entry.Key)
+	if entry.Removed {
+		if kind != hemlocktally.EntryZoneStop && now.Before(f.settled) {
+			f.missing[entry.Key] = true
+			return nil
+		}
+		return s.remove(kind, name)
+	}
+	delete(f.missing, entry.Key)
+	switch kind {
+	case hemlocktally.EntryDeclaration:
+		return s.declare(entry)
+	case hemlocktally.EntryZoneStop:
+		return s.stopZone(hemlocktally.ZoneName(name), true)
+	case hemlocktally.EntryTarget:
+		return s.register(entry, hemlocktally.TargetName(name))
+	case hemlocktally.EntryMember:
+		return s.join(entry, hemlocktally.InstanceID(name))
+	case hemlocktally.EntryForeign:
+	}
+	return nil
+}
+
+// settle drops what has not come back in time.
+func (s *State) settle(f *feedState, now time.Time) []any {
+	if f.failing || len(f.missing) == 0 || now.Before(f.settled) {
+		return nil
+	}
+	var notes []any
+	for _, key := range slices.Sorted(maps.Keys(f.missing)) {
+		kind, name := s.Interpreter.Kind(key)
+		notes = append(notes, s.remove(kind, name)...)
+	}
+	clear(f.missing)
+	return notes
+}
+
+func (s *State) remove(kind hemlocktally.EntryKind, name string) []any {
+	switch kind {
+	case hemlocktally.EntryZoneStop:
+		return s.stopZone(hemlocktally.ZoneName(name), false)
+	case hemlocktally.EntryTarget:
+		known, ok := s.targets[hemlocktally.TargetName(name)]
+		if !ok {
+			return nil
+		}
+		delete(s.targets, hemlocktally.TargetName(name))
+		return []any{TargetChange{Service: known.Service, Target: known.Target.Name, State: targetRemoved}}
+	case hemlocktally.EntryMember:
+		if _, ok := s.members[hemlocktally.InstanceID(name)]; !ok {
+			return nil
+		}
+		delete(s.members, hemlocktally.InstanceID(name))
+		return []any{MemberChange{Member: hemlocktally.InstanceID(name)}}
+	case hemlocktally.EntryDeclaration, hemlocktally.EntryForeign:
+	}
+	return nil
+}
+
+// declare puts a newer configuration in force; an older one is ignored.
+func (s *State) declare(entry hemlocktally.DirectoryEntry) []any {
+	config, bad := s.Interpreter.Declaration(entry.Value)
+	var notes []any
+	for _, cause := range bad {
+		notes = append(notes, BadEntry{Key: entry.Key, Cause: cause})
+	}
+	if config == nil || (s.config != nil && config.Revision <= s.config.Revision) {
+		return notes
+	}
+	s.config = config
+	return append(notes, InForce{Configuration: config})
+}
+
+func (s *State) stopZone(zone hemlocktally.ZoneName, out bool) []any {
+	if s.stops[zone] == out {
+		return nil
+	}
+	s.stops[zone] = out
+	if !out {
+		delete(s.stops, zone)
+	}
+	return []any{ZoneStop{Zone: zone, Out: out}}
+}
+
+// register takes over a target's entry. One that can't be read names no target.
+func (s *State) register(entry hemlocktally.DirectoryEntry, name hemlocktally.TargetName) []any {
+	read, err := s.Interpreter.Registration(string(name), entry.Value)
+	if err != nil {
+		return append(s.remove(hemlocktally.EntryTarget, string(name)), BadEntry{Key: entry.Key, Cause: err})
+	}
+	known, ok := s.targets[name]
+	s.targets[name] = read
+	switch {
+	case !ok && !read.Draining, ok && known.Started != read.Started:
+		return []any{TargetChange{Service: read.Service, Target: name, State: targetListed}}
+	case read.Draining && (!ok || !known.Draining):
+		return []any{TargetChange{Service: read.Service, Target: name, State: targetDraining}}
+	}
+	return nil
+}
+
+func (s *State) join(entry hemlocktally.DirectoryEntry, id hemlocktally.InstanceID) []any {
+	var member Member
+	if err := json.Unmarshal(entry.Value, &member); err != nil {
+		return []any{BadEntry{Key: entry.Key, Cause: err}}
+	}
+	_, known := s.members[id]
+	s.members[id] = member
+	if known {
+		return nil
+	}
+	return []any{MemberChange{Member: id, Joined: true}}
+}
+
+// Picture returns a copy of all that is followed.
+func (s *State) Picture() *Picture {
+	config := hemlocktally.Configuration{}
+	if s.config != nil {
+		config = *s.config
+	}
+	for _, zone := range slices.Sorted(maps.Keys(s.stops)) {
+		config.Zones = append(config.Zones, hemlocktally.AvailabilityZone{Name: zone, Out: true})
+	}
+	p := &Picture{
+		Configuration: &config, Members: maps.Clone(s.members), TargetsAt: s.targetsAt,
+		Targets: map[hemlocktally.ServiceName][]hemlocktally.Registration{},
+	}
+	for _, r := range s.targets {
+		p.Targets[r.Service] = append(p.Targets[r.Service], r)
+	}
+	for _, list := range p.Targets {
+		slices.SortFunc(list, func(a, b hemlocktally.Registration) int { return cmp.Compare(a.Target.Name, b.Target.Name) })
+	}
+	return p
+}
--- a/grant.go
+++ b/grant.go
@@ -44,6 +44,9 @@
 	Deadline   time.Time
 	QueueLimit time.Duration
 	Exclude    []TargetName // Exclude lists targets that the call has tried.
+	// Objective is until when an answer is prompt; zero means the deadline.
+	Objective     time.Time
+	NonIdempotent bool
 }
 
 // Grant is a turn on one target.
@@ -66,8 +69,11 @@
 	Contract     ContractName
 	Outcome      AttemptOutcome
 	Latency      time.Duration
-	SaidCold     bool // SaidCold is set where the target's answer said that it is cold.
-	SaidDraining bool // SaidDraining is set where the target's answer said that it drains.
+	SaidCold     bool  // SaidCold is set where the target's answer said that it is cold.
+	SaidDraining bool  // SaidDraining is set where the target's answer said that it drains.
+	Elsewhere    bool  // Elsewhere is set where another target answered at the address.
+	Load         *Load // Load is the report in the target's answer, or nil.
+	Unreachable  bool  // Unreachable is set where no link to the target could be had.
 }
 
 // Granter hands out turns on targets. Acquire returns a *RefusedError where no
--- a/instance.go
+++ b/instance.go
@@ -32,6 +32,7 @@
 	State           InstanceState
 	Revision        Revision  // Revision is the configuration in force there.
 	HeardAt         time.Time // HeardAt is the local time of its last sign of life.
+	Weight          float64   // Weight is its part of a core, by which services are dealt; zero means one.
 }
 
 // View is what one instance knows of the fleet. Members are ordered by ID.
--- a/logger/daemon_events.go
+++ b/logger/daemon_events.go
@@ -22,6 +22,24 @@
 		Meaning: "All tasks of the instance have ended.",
 		Action:  "None.",
 	}
+	EventStopCut = Event{
+		Number: 1004, Name: "planned stop cut calls", Level: logrus.ErrorLevel,
+		Fields:  []string{"Instance", "Cause"},
+		Meaning: "The time for a planned stop was over before all calls had ended; their connections were closed.",
+		Action:  "Compare the deadlines of the contracts with the time for a planned stop.",
+	}
+	EventReloaded = Event{
+		Number: 1005, Name: "settings read again", Level: logrus.InfoLevel,
+		Fields:  []string{"File", "Cause"},
+		Meaning: "The instance was told that its settings changed and checked the file; Cause is empty where it can be used. Addresses and names hold until the next start.",
+		Action:  "Correct the file where a cause is given.",
+	}
+	EventMetricsFailed = Event{
+		Number: 1006, Name: "metrics not written", Level: logrus.WarnLevel,
+		Fields:  []string{"Cause"},
+		Meaning: "A reader of the metrics went away or was too slow.",
+		Action:  "None, unless it goes on.",
+	}
 )
 
-var daemonEvents = []Event{EventStarted, EventStopping, EventStopped}
+var daemonEvents = []Event{EventStarted, EventStopping, EventStopped, EventStopCut, EventReloaded, EventMetricsFailed}
--- a/logger/membership_events.go
+++ b/logger/membership_events.go
@@ -70,10 +70,34 @@
 		Meaning: "The store had lost accepted changes; the instances wrote back what they have in force.",
 		Action:  "Find out how the platform's service lost writes.",
 	}
+	EventEntryUnusable = Event{
+		Number: 4012, Name: "store entry not usable", Level: logrus.WarnLevel,
+		Fields:  []string{"Key", "Cause"},
+		Meaning: "An entry of the store, or a part of the operators' configuration, could not be read and was left out.",
+		Action:  "Find its writer by the key; all other entries hold.",
+	}
+	EventZoneStop = Event{
+		Number: 4013, Name: "availability zone out or back", Level: logrus.InfoLevel,
+		Fields:  []string{"Zone", "Out"},
+		Meaning: "Operators took the zone's targets out of service or brought them back.",
+		Action:  "None.",
+	}
+	EventTargetListed = Event{
+		Number: 4014, Name: "target listed", Level: logrus.InfoLevel,
+		Fields:  []string{"Service", "Target", "State"},
+		Meaning: "A target came, started anew, is draining, or left the platform's list.",
+		Action:  "None, unless many leave at once without planned work.",
+	}
+	EventMemberListed = Event{
+		Number: 4015, Name: "member listed", Level: logrus.InfoLevel,
+		Fields:  []string{"Member", "Joined"},
+		Meaning: "Another instance registered itself, or its registration ended.",
+		Action:  "None, where it was planned; else look at that instance.",
+	}
 )
 
 var membershipEvents = []Event{
 	EventStoreDown, EventStoreBack, EventRegistered, EventMemberState, EventLeaseRelayed, EventConfigurationInForce,
 	EventConfigurationDivergent, EventConfigurationStale, EventProvisionalStop, EventProvisionalSettled,
-	EventConfigurationRestored,
+	EventConfigurationRestored, EventEntryUnusable, EventZoneStop, EventTargetListed, EventMemberListed,
 }
--- a/logger/tally_events.go
+++ b/logger/tally_events.go
@@ -34,8 +34,19 @@
 		Meaning: "Every member confirmed this instance's view; it alone serves the cold targets of its services.",
 		Action:  "None.",
 	}
+	EventTargetSilent = Event{
+		Number: 3006, Name: "target did not tell its load", Level: logrus.InfoLevel,
+		Fields:  []string{"Service", "Target", "Cause"},
+		Meaning: "A question about load brought no answer; the target gets no work for a moment.",
+		Action:  "Look at the target where this goes on.",
+	}
+	EventTurn = Event{
+		Number: 3007, Name: "turn on a target", Level: logrus.DebugLevel,
+		Fields:  []string{"Call", "Service", "Target", "Owner", "Alone", "Cold", "Expected", "Pace", "Age", "Waited"},
+		Meaning: "The call goes to the target. Expected, Pace and Age (of the pace's report) are known where the instance decided itself.",
+		Action:  "None.",
+	}
 )
 
 var tallyEvents = []Event{
-	EventInvariantBroken, EventTargetState, EventOwnerSilent, EventStandingLost, EventStandingGained,
-}
+	EventInvariantBroken, EventTargetState, EventOwnerSilent, EventStandingLost, EventStandingGained, EventTargetSilent, EventTurn}
--- a/outcome.go
+++ b/outcome.go
@@ -20,6 +20,7 @@
 	ReasonNoContract      Reason = "NoContract"
 	ReasonBadRequest      Reason = "BadRequest"
 	ReasonTooLarge        Reason = "TooLarge"
+	ReasonHeaderTooLarge  Reason = "HeaderTooLarge"
 	ReasonUnauthorized    Reason = "Unauthorized"
 	ReasonDeadline        Reason = "Deadline"
 	ReasonQueueFull       Reason = "QueueFull"
--- /dev/null
+++ b/placer/choice.go
@@ -0,0 +1,249 @@
+package placer
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"hemlocktally"
+)
+
+// Bounds of the choice.
+const (
+	freshFor     = 40 * time.Millisecond // freshFor is how old a report may be to give a turn without asking anew.
+	probeWait    = 8 * time.Millisecond  // probeWait is how long a choice waits for answers about load.
+	probesAtOnce = 3                     // probesAtOnce is how many targets one choice asks.
+	probePause   = 20 * time.Millisecond // probePause is the least time between two questions to a target.
+	retryLook    = 25 * time.Millisecond // retryLook is the time between two rounds of questions for one waiter.
+	comfort      = 0.6                   // comfort is the part of the time left that a target in the caller's zone may take.
+	farPenalty   = 10 * time.Millisecond // farPenalty is added for a target in another zone.
+	nearlyFull   = 1.3                   // nearlyFull is how much longer work takes with the last slot taken.
+	late         = 1.1                   // late is the multiple of the usual work below which no prompt answer is hoped for.
+	worstFaulty  = 0.75
+	coldValidity = 100 * time.Millisecond // coldValidity is how long a turn on a cold target may be begun.
+	leastAdvice  = 50 * time.Millisecond  // leastAdvice is the shortest advice when to come back.
+	mostAdvice   = 2 * time.Second
+)
+
+// candidate is a target that could take a waiter's call now.
+type candidate struct {
+	t        *tally
+	expected time.Duration
+	near     bool
+	fresh    bool
+}
+
+// place answers the waiters in their order as far as targets are free. Those
+// that can no longer be answered promptly go after all that can.
+func (s *State) place(now time.Time) []any {
+	var commands []any
+	ordered := slices.Clone(s.queue)
+	slices.SortStableFunc(ordered, func(a, b *waiter) int { return cmp.Compare(s.lateness(a, now), s.lateness(b, now)) })
+	for _, w := range ordered {
+		if !w.attached() {
+			continue
+		}
+		answered, more := s.placeOne(w, now)
+		commands = append(commands, more...)
+		if answered {
+			s.drop(w.msg.Ticket)
+		}
+	}
+	return commands
+}
+
+// lateness is 1 for a waiter whose answer can't be prompt any more, else 0.
+func (s *State) lateness(w *waiter, now time.Time) int {
+	if now.Add(s.usual(w.msg.Request.Contract)).After(w.msg.Request.Objective) {
+		return 1
+	}
+	return 0
+}
+
+// placeOne tries to answer one waiter.
+func (s *State) placeOne(w *waiter, now time.Time) (bool, []any) {
+	r := w.msg.Request
+	usual := s.usual(r.Contract)
+	if !now.Add(usual / 2).Before(r.Deadline) {
+		return true, []any{RefuseCmd{Ticket: w.msg.Ticket, Error: notRun(hemlocktally.ReasonDeadline, "too little time is left for the work", s.advice(usual))}}
+	}
+	candidates := s.candidates(w, now)
+	best, ok := pick(candidates, r.Objective.Sub(now))
+	if !ok {
+		if r.Kind == hemlocktally.AttemptHedge {
+			return true, []any{RefuseCmd{Ticket: w.msg.Ticket, Error: notRun(hemlocktally.ReasonShed, "no target is free for a second attempt", 0)}}
+		}
+		return false, nil
+	}
+	if now.Before(w.probeBy) && s.awaits(candidates) {
+		return false, nil
+	}
+	if !best.fresh && w.probed == 0 {
+		if asked := s.probe(candidates, best, now); len(asked) > 0 {
+			w.probed++
+			w.probeBy = now.Add(probeWait)
+			return false, asked
+		}
+	}
+	left := r.Objective.Sub(now)
+	if best.expected > left && left > time.Duration(late*float64(usual)) && r.Kind != hemlocktally.AttemptHedge {
+		// A better target may turn up while a prompt answer is still possible.
+		if now.Sub(w.probeBy) < retryLook {
+			return false, nil
+		}
+		w.probed++
+		w.probeBy = now.Add(probeWait)
+		return false, s.probe(candidates, best, now)
+	}
+	if r.Kind == hemlocktally.AttemptHedge && best.expected > left {
+		return true, []any{RefuseCmd{Ticket: w.msg.Ticket, Error: notRun(hemlocktally.ReasonShed, "no target would be in time for a second attempt", 0)}}
+	}
+	return true, []any{s.give(w, best, now)}
+}
+
+// candidates lists the targets that may take the call now, best first.
+func (s *State) candidates(w *waiter, now time.Time) []candidate {
+	var list []candidate
+	for _, t := range s.order {
+		if !t.open(now) || t.busy(now) >= t.target.SlotCount() || slices.Contains(w.msg.Request.Exclude, t.target.Name) {
+			continue
+		}
+		if t.cold(now) && (s.Alone || !t.coldRoom(s.coldRate(), s.Bounds.ColdShare, now)) {
+			continue
+		}
+		c := candidate{t: t, near: t.target.Zone == w.msg.Zone, fresh: !t.suspect && t.age(now) >= 0 && t.age(now) <= freshFor}
+		c.expected = s.expect(t, w.msg.Request.Contract, now)
+		if !c.near {
+			c.expected += farPenalty
+		}
+		list = append(list, c)
+	}
+	slices.SortStableFunc(list, func(a, b candidate) int {
+		if a.expected != b.expected {
+			return int(a.expected - b.expected)
+		}
+		return a.t.usedAt.Compare(b.t.usedAt)
+	})
+	return list
+}
+
+func (s *State) coldRate() float64 {
+	if s.service.ColdPerSecond > 0 {
+		return s.service.ColdPerSecond
+	}
+	return 1
+}
+
+// expect is how long the contract's work should take on the target.
+func (s *State) expect(t *tally, contract hemlocktally.ContractName, now time.Time) time.Duration {
+	factor := t.expectedPace(s.mean, now)
+	if t.busy(now)+1 >= t.target.SlotCount() && t.target.SlotCount() > 1 {
+		factor *= nearlyFull
+	}
+	if t.cold(now) {
+		factor *= coldSlowdown
+	}
+	if t.suspect {
+		factor *= outlierFactor
+	}
+	factor /= 1 - math.Min(worstFaulty, t.faulty)
+	return time.Duration(float64(s.usual(contract)) * factor)
+}
+
+// pick returns the best target of the caller's zone where that one is quick
+// enough, and else the best of all.
+func pick(candidates []candidate, left time.Duration) (candidate, bool) {
+	if len(candidates) == 0 {
+		return candidate{}, false
+	}
+	for _, c := range candidates {
+		if c.near && float64(c.expected) <= comfort*float64(left) {
+			return c, true
+		}
+	}
+	return candidates[0], true
+}
+
+// awaits reports whether a candidate is being asked for its load.
+func (s *State) awaits(candidates []candidate) bool {
+	return slices.ContainsFunc(candidates, func(c candidate) bool { return c.t.probing })
+}
+
+// probe asks the best candidate and the next ones whose reports are old.
+func (s *State) probe(candidates []candidate, best candidate, now time.Time) []any {
+	if s.service.ProbePath == "" {
+		return nil
+	}
+	var commands []any
+	ask := func(t *tally) {
+		if t.probing || now.Sub(t.askedAt) < probePause || len(commands) >= probesAtOnce {
+			return
+		}
+		t.probing, t.askedAt = true, now
+		commands = append(commands, ProbeCmd{Target: t.target, Path: s.service.ProbePath})
+	}
+	ask(best.t)
+	for _, near := range []bool{true, false} {
+		for _, c := range candidates {
+			if c.near == near && !c.fresh {
+				ask(c.t)
+			}
+		}
+	}
+	return commands
+}
+
+func (s *State) give(w *waiter, c candidate, now time.Time) GrantCmd {
+	r := w.msg.Request
+	grant := hemlocktally.Grant{
+		ID: s.nextID(), Service: r.Service, Target: c.t.target, Owner: s.Owner, Revision: s.revision,
+		Deadline: r.Deadline, Waited: now.Sub(w.arrived), Cold: c.t.cold(now), Alone: s.Alone,
+	}
+	if grant.Cold {
+		grant.LeaseEnd = now.Add(coldValidity)
+		c.t.coldSent = append(c.t.coldSent, now)
+	}
+	why := Why{
+		Expected: c.expected, Pace: c.t.pace, Age: c.t.age(now), Busy: c.t.busy(now), Waiting: len(s.queue) - 1,
+	}
+	pace := c.t.expectedPace(s.mean, now)
+	c.t.turns[grant.ID] = turn{
+		contract: r.Contract, deadline: r.Deadline, pace: pace,
+	}
+	c.t.usedAt = now
+	return GrantCmd{Ticket: w.msg.Ticket, Grant: grant, Why: why}
+}
+
+// admit refuses a call at once that could not be served within its time, given
+// those that go before it.
+func (s *State) admit(msg AskMsg, now time.Time) *hemlocktally.RefusedError {
+	slots := 0
+	for _, t := range s.order {
+		if !t.out && !t.registration.Draining && !t.suspect && !t.cold(now) {
+			slots += t.target.SlotCount()
+		}
+	}
+	if len(s.order) == 0 {
+		return notRun(hemlocktally.ReasonNoTarget, "no target of the service is known", leastAdvice)
+	}
+	ahead := 0
+	for _, w := range s.queue {
+		if w.msg.Request.Priority >= msg.Request.Priority {
+			ahead++
+		}
+	}
+	usual := s.usual(msg.Request.Contract)
+	wait := time.Duration(float64(ahead) * float64(usual) * s.mean / float64(max(1, slots)))
+	if now.Add(wait + usual).After(msg.Request.Deadline) {
+		return notRun(hemlocktally.ReasonShed, "the calls that go before it take all the time it has", s.advice(wait))
+	}
+	return nil
+}
+
+// advice is when to come back, spread so that not all come at once.
+func (s *State) advice(wait time.Duration) time.Duration {
+	spread := 0.75 + 0.5*rand.Float64()
+	return time.Duration(float64(min(mostAdvice, max(leastAdvice, wait))) * spread)
+}
--- /dev/null
+++ b/placer/client.go
@@ -0,0 +1,183 @@
+package placer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hemlocktally"
+	"hemlocktally/logger"
+	"hemlocktally/messenger"
+)
+
+// Bounds of the questions to other instances.
+const (
+	firstAsk    = 60 * time.Millisecond // firstAsk bounds one question to an owner, the time for which it is held included.
+	endTimeout  = 150 * time.Millisecond
+	avoidFirst  = time.Second // avoidFirst is how long an owner that did not answer is not asked.
+	avoidMost   = 4 * time.Second
+	ownersAsked = 2 // ownersAsked is how many owners in line are asked before the instance decides alone.
+)
+
+// Client asks for turns on behalf of one instance. It implements
+// hemlocktally.Granter.
+type Client struct {
+	Self   hemlocktally.InstanceID
+	Zone   hemlocktally.ZoneName
+	Epoch  string
+	View   hemlocktally.Viewer
+	Server *Server // Server decides for the services that this instance owns.
+	Alone  *Server // Alone decides while no owner answers.
+	HTTP   *http.Client
+	Log    logger.Logger
+
+	asked atomic.Uint64
+	mu    sync.Mutex
+	peers map[string]*peer // peers are keyed by address.
+}
+
+// peer is one other instance.
+type peer struct {
+	client  messenger.Placement
+	avoid   time.Time
+	silence time.Duration
+}
+
+// errLeaving says that the owner is leaving.
+var errLeaving = errors.New("the owner is leaving")
+
+// Acquire returns a turn, or a *hemlocktally.RefusedError.
+func (c *Client) Acquire(ctx context.Context, request hemlocktally.GrantRequest) (hemlocktally.Grant, error) {
+	if request.Objective.IsZero() {
+		request.Objective = request.Deadline
+	}
+	ticket := string(c.Self) + "/" + c.Epoch + "/" + strconv.FormatUint(c.asked.Add(1), 10)
+	ask := AskMsg{Ticket: ticket, From: c.Self, Zone: c.Zone, Request: request}
+	started := time.Now()
+	for {
+		answer := c.ask(ctx, ask)
+		switch answer := answer.(type) {
+		case GrantCmd:
+			c.Log.Log(logger.EventTurn, logger.Fields{
+				"Call": request.Call, "Service": request.Service, "Target": answer.Grant.Target.Name, "Owner": answer.Grant.Owner,
+				"Alone": answer.Grant.Alone, "Cold": answer.Grant.Cold, "Expected": answer.Why.Expected, "Pace": answer.Why.Pace,
+				"Age": answer.Why.Age, "Waited": time.Since(started),
+			})
+			return answer.Grant, nil
+		case RefuseCmd:
+			return hemlocktally.Grant{}, answer.Error
+		}
+		if ctx.Err() != nil {
+			return hemlocktally.Grant{}, context.Cause(ctx)
+		}
+	}
+}
+
+// ask asks the owner in line, and decides alone where none answers.
+func (c *Client) ask(ctx context.Context, ask AskMsg) any {
+	now := time.Now()
+	tried := 0
+	for _, owner := range Ranked(ask.Request.Service, c.View.View().Serving()) {
+		if owner.ID == c.Self {
+			return c.Server.Ask(ctx, ask)
+		}
+		if tried == ownersAsked {
+			break
+		}
+		p := c.peer(owner.PeerAddress)
+		if c.avoided(p, now) {
+			continue
+		}
+		tried++
+		answer, err := c.askPeer(ctx, p, owner.ID, ask)
+		if err == nil || ctx.Err() != nil {
+			return answer
+		}
+		c.Log.Log(logger.EventOwnerSilent, logger.Fields{"Owner": owner.ID, "Cause": err.Error()})
+	}
+	return c.Alone.Ask(ctx, ask)
+}
+
+func (c *Client) askPeer(ctx context.Context, p *peer, owner hemlocktally.InstanceID, ask AskMsg) (any, error) {
+	asked := time.Now()
+	bounded, cancel := context.WithTimeout(ctx, firstAsk)
+	defer cancel()
+	out, err := p.client.Place(bounded, placeRequest(ask, asked))
+	if err == nil && out.GetLeaving() {
+		err = errLeaving
+	}
+	if ctx.Err() != nil {
+		return RefuseCmd{Ticket: ask.Ticket, Error: notRun(hemlocktally.ReasonCallerCancelled, "the caller went away before a target was free", 0)}, err
+	}
+	c.noteAnswer(p, err)
+	switch {
+	case err != nil:
+		return nil, err
+	case out.GetGrant() != "":
+		return GrantCmd{Ticket: ask.Ticket, Grant: grantOf(out, ask, owner, asked)}, nil
+	case out.GetRefused() != "":
+		return RefuseCmd{Ticket: ask.Ticket, Error: notRun(
+			hemlocktally.Reason(out.GetRefused()), out.GetDetail(), microseconds(out.GetRetryAfterMicroseconds()))}, nil
+	default:
+		return HoldCmd{Ticket: ask.Ticket}, nil
+	}
+}
+
+func (c *Client) peer(address string) *peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.peers[address]; p != nil {
+		return p
+	}
+	if c.peers == nil {
+		c.peers = map[string]*peer{}
+	}
+	p := &peer{client: messenger.NewPlacementProtobufClient("http://"+address, c.HTTP)}
+	c.peers[address] = p
+	return p
+}
+
+func (c *Client) avoided(p *peer, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Before(p.avoid)
+}
+
+// noteAnswer keeps a peer from being asked for a while after it was silent.
+func (c *Client) noteAnswer(p *peer, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		p.silence = 0
+		return
+	}
+	p.silence = min(avoidMost, max(avoidFirst, 2*p.silence))
+	p.avoid = time.Now().Add(p.silence)
+}
+
+// Release gives a turn back to whoever granted it.
+func (c *Client) Release(result hemlocktally.GrantResult) {
+	switch {
+	case result.Grant.Alone:
+		c.Alone.End(result)
+	case result.Grant.Owner == c.Self:
+		c.Server.End(result)
+	default:
+		if owner, ok := c.View.View().Find(result.Grant.Owner); ok {
+			go c.endTurn(c.peer(owner.PeerAddress), result)
+		}
+	}
+}
+
+// endTurn tells the owner; where that fails, the turn ends with its deadline.
+func (c *Client) endTurn(p *peer, result hemlocktally.GrantResult) {
+	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+	defer cancel()
+	if _, err := p.client.EndTurn(ctx, endTurnRequest(result)); err != nil {
+		c.Log.Log(logger.EventOwnerSilent, logger.Fields{"Owner": result.Grant.Owner, "Cause": err.Error()})
+	}
+}
--- /dev/null
+++ b/placer/state.go
@@ -0,0 +1,270 @@
+package placer
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"hemlocktally"
+)
+
+// State decides for one service. Its zero value has no targets. It is changed
+// by Update alone and holds no lock and no clock.
+type State struct {
+	Owner  hemlocktally.InstanceID
+	Epoch  string // Epoch tells the turns of this life of the owner from earlier ones.
+	Alone  bool   // Alone is set where the state decides for one instance without the owner.
+	Bounds Bounds
+
+	service  hemlocktally.Service
+	revision hemlocktally.Revision
+	targets  map[hemlocktally.TargetName]*tally
+	order    []*tally
+	queue    []*waiter
+	spent    retryWindow
+	work     map[hemlocktally.ContractName]*estimate
+	mean     float64 // mean is the moving mean of the reported paces.
+	granted  uint64
+}
+
+// waiter is a question in the queue.
+type waiter struct {
+	msg     AskMsg
+	arrived time.Time
+	probeBy time.Time // probeBy is until when answers about load are awaited.
+	probed  int       // probed counts the rounds of questions made for it.
+}
+
+const (
+	usualWork     = 100 * time.Millisecond // usualWork is expected of a contract before its first answer.
+	workWeight    = 0.05
+	meanWeight    = 0.02
+	keepPlace     = 80 * time.Millisecond // keepPlace is how long a waiter keeps its place after its last answer.
+	turnGrace     = 100 * time.Millisecond
+	outlierFactor = 4
+)
+
+// estimate is a moving mean of a contract's work at the usual pace, in seconds.
+type estimate struct {
+	seconds float64
+	samples int
+}
+
+func (e *estimate) add(sample float64) {
+	e.samples++
+	weight := max(workWeight, 1/float64(e.samples))
+	e.seconds += weight * (min(sample, outlierFactor*max(e.seconds, usualWork.Seconds())) - e.seconds)
+}
+
+// Update takes one message at the given time and returns what is to be done.
+func (s *State) Update(msg any, now time.Time) []any {
+	if s.targets == nil {
+		s.targets = map[hemlocktally.TargetName]*tally{}
+		s.work = map[hemlocktally.ContractName]*estimate{}
+		s.mean = unknownPace
+	}
+	var commands []any
+	switch msg := msg.(type) {
+	case TargetsMsg:
+		s.configure(msg, now)
+	case AskMsg:
+		commands = s.ask(msg, now)
+	case LeaveMsg:
+		s.drop(msg.Ticket)
+	case EndMsg:
+		s.end(msg.Result, now)
+	case LoadMsg:
+		s.load(msg, now)
+	case TickMsg:
+	}
+	s.lapse(now)
+	commands = append(commands, s.place(now)...)
+	return append(commands, s.hold(now)...)
+}
+
+// Waiting returns how many calls wait.
+func (s *State) Waiting() int { return len(s.queue) }
+
+func (s *State) configure(msg TargetsMsg, now time.Time) {
+	s.service, s.revision = msg.Service, msg.Revision
+	present := make(map[hemlocktally.TargetName]bool, len(msg.Targets))
+	for _, r := range msg.Targets {
+		present[r.Target.Name] = true
+		t := s.targets[r.Target.Name]
+		if t == nil || t.registration.Started != r.Started || t.target.Address != r.Target.Address {
+			t = &tally{turns: map[hemlocktally.GrantID]turn{}}
+			s.targets[r.Target.Name] = t
+		}
+		if r.ColdFor > 0 && t.registration.ColdFor != r.ColdFor {
+			t.coldUntil = later(t.coldUntil, now.Add(r.ColdFor))
+		}
+		t.registration, t.target = r, r.Target
+		if t.target.MaxConnections == 0 {
+			t.target.MaxConnections = msg.Service.MaxConnections
+		}
+		t.out = msg.Out[r.Target.Zone]
+	}
+	maps.DeleteFunc(s.targets, func(name hemlocktally.TargetName, _ *tally) bool { return !present[name] })
+	s.order = slices.SortedFunc(maps.Values(s.targets), func(a, b *tally) int { return cmp.Compare(a.target.Name, b.target.Name) })
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// ask puts a question into the queue, or takes up one that waits there.
+func (s *State) ask(msg AskMsg, now time.Time) []any {
+	for _, w := range s.queue {
+		if w.msg.Ticket == msg.Ticket {
+			w.msg = msg
+			return nil
+		}
+	}
+	if msg.Request.Kind == hemlocktally.AttemptFirst {
+		s.spent.call(now, s.Bounds.RetryWindow)
+	} else if !s.spent.may(now, s.Bounds) {
+		return []any{RefuseCmd{Ticket: msg.Ticket, Error: notRun(hemlocktally.ReasonRetryBudget, "the budget for sending once more is spent", 0)}}
+	}
+	if refused := s.admit(msg, now); refused != nil {
+		return []any{RefuseCmd{Ticket: msg.Ticket, Error: refused}}
+	}
+	w := &waiter{msg: msg, arrived: now}
+	i, _ := slices.BinarySearchFunc(s.queue, w, goesBefore)
+	s.queue = slices.Insert(s.queue, i, w)
+	return nil
+}
+
+// goesBefore orders waiters by priority, then by their objective.
+func goesBefore(a, b *waiter) int {
+	if c := cmp.Compare(b.msg.Request.Priority, a.msg.Request.Priority); c != 0 {
+		return c
+	}
+	return a.msg.Request.Objective.Compare(b.msg.Request.Objective)
+}
+
+func (s *State) drop(ticket string) {
+	s.queue = slices.DeleteFunc(s.queue, func(w *waiter) bool { return w.msg.Ticket == ticket })
+}
+
+// end takes a turn back and learns from its answer.
+func (s *State) end(result hemlocktally.GrantResult, now time.Time) {
+	t := s.targets[result.Grant.Target.Name]
+	if t == nil {
+		return
+	}
+	held, ok := t.turns[result.Grant.ID]
+	delete(t.turns, result.Grant.ID)
+	if result.SaidDraining {
+		t.registration.Draining = true
+	}
+	switch result.Outcome {
+	case hemlocktally.AttemptDone:
+		t.heard(hemlocktally.AnswerHeader{Load: result.Load}, now)
+		t.answered(false)
+		if ok && held.pace > 0 && !t.cold(now) {
+			s.estimate(held.contract).add(result.Latency.Seconds() / held.pace)
+		}
+	case hemlocktally.AttemptRefused:
+		t.answered(true)
+		if result.Elsewhere {
+			t.holdUntil = now.Add(elsewhereHold)
+		}
+	case hemlocktally.AttemptFailed:
+		t.answered(true)
+		if result.Load == nil {
+			t.unreachable(now)
+		}
+	case hemlocktally.AttemptUnused:
+		if result.Unreachable {
+			t.unreachable(now)
+		}
+	case hemlocktally.AttemptTimedOut:
+		t.answered(true)
+	case hemlocktally.AttemptCancelled:
+	}
+}
+
+func (s *State) estimate(contract hemlocktally.ContractName) *estimate {
+	e := s.work[contract]
+	if e == nil {
+		e = &estimate{}
+		s.work[contract] = e
+	}
+	return e
+}
+
+// usual is how long a contract's work takes at the usual pace.
+func (s *State) usual(contract hemlocktally.ContractName) time.Duration {
+	if e := s.work[contract]; e != nil && e.samples > 0 {
+		return time.Duration(e.seconds * float64(time.Second))
+	}
+	return usualWork
+}
+
+// load takes over a target's answer to a question about its load.
+func (s *State) load(msg LoadMsg, now time.Time) {
+	t := s.targets[msg.Target]
+	if t == nil {
+		return
+	}
+	t.probing = false
+	switch {
+	case msg.Failed:
+		t.unreachable(now)
+		return
+	case msg.Answer.Elsewhere:
+		t.holdUntil = now.Add(elsewhereHold)
+		return
+	case msg.Answer.Draining:
+		t.suspect = true
+		t.holdUntil = now.Add(firstHold)
+		return
+	}
+	t.heard(msg.Answer, now)
+	if load := msg.Answer.Load; load != nil {
+		t.others, t.othersAt = max(0, load.Running+load.Waiting-len(t.turns)), now
+		s.mean += meanWeight * (load.Pace - s.mean)
+	}
+}
+
+// lapse frees turns whose deadline is over, and the places of waiters that did
+// not ask again.
+func (s *State) lapse(now time.Time) {
+	for _, t := range s.order {
+		for id, held := range t.turns {
+			if now.After(held.deadline.Add(turnGrace)) {
+				delete(t.turns, id)
+			}
+		}
+	}
+	s.queue = slices.DeleteFunc(s.queue, func(w *waiter) bool { return now.After(w.msg.Hold.Add(keepPlace)) })
+}
+
+// hold answers the waiters whose answer is due that they have to ask again.
+func (s *State) hold(now time.Time) []any {
+	var commands []any
+	for _, w := range s.queue {
+		if w.attached() && !now.Before(w.msg.Hold) {
+			commands = append(commands, HoldCmd{Ticket: w.msg.Ticket})
+			w.msg.From = ""
+		}
+	}
+	return commands
+}
+
+// attached reports whether somebody waits for an answer to the waiter now.
+func (w *waiter) attached() bool { return w.msg.From != "" }
+
+func (s *State) nextID() hemlocktally.GrantID {
+	s.granted++
+	return hemlocktally.GrantID(fmt.Sprintf("%s/%s/%d", s.Owner, s.Epoch, s.granted))
+}
+
+func notRun(reason hemlocktally.Reason, detail string, retryAfter time.Duration) *hemlocktally.RefusedError {
+	return &hemlocktally.RefusedError{Outcome: hemlocktally.OutcomeNotRun, Reason: reason, Detail: detail, RetryAfter: retryAfter}
+}
--- a/service.go
+++ b/service.go
@@ -1,5 +1,7 @@
 package hemlocktally
 
+import "time"
+
 // ServiceName names a service.
 type ServiceName string
 
@@ -12,6 +14,11 @@
 	ProbesPerSecond float64
 	// ProbePath is requested from a target to measure it.
 	ProbePath string
+	// MaxConnections bounds the fleet's links to each target that says nothing
+	// itself; zero means DefaultMaxConnections.
+	MaxConnections int
+	ColdStart      time.Duration // ColdStart is how long a target is cold after its start.
+	ColdPerSecond  float64       // ColdPerSecond is how many calls a second a cold target bears; zero means one at a time.
 }
 
 // DefaultProbesPerSecond is the measuring budget of a service without one.
