--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -41,6 +43,9 @@
 	Platform  Platform
 	Directory hemlocktally.Directory
 	Log       logger.Logger
+	// StoreCalls counts the calls to the store by operation, for the metrics; it
+	// may be nil.
+	StoreCalls func() map[string]uint64
 
 	follower *follower.Follower
 	owner    *placer.Server // owner decides for the services that the instance owns.
@@ -214,17 +219,32 @@
 
 func (b *Balancer) metricsHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		config := b.follower.Current()
-		err := b.recorder.WriteMetrics(w, []recorder.Gauge{
-			{Name: "revision", Help: "Revision of the configuration in force.", Type: "gauge", Value: float64(config.Revision)},
-			{Name: "members", Help: "Instances in the view.", Type: "gauge", Value: float64(len(b.follower.View().Members))},
-		})
-		if err != nil {
+		if err := b.recorder.WriteMetrics(w, b.gauges()); err != nil {
 			b.Log.Log(logger.EventMetricsFailed, logger.Fields{"Cause": err.Error()})
 		}
 	})
 }
 
+// gauges are the values that are exposed besides the histograms of calls.
+func (b *Balancer) gauges() []recorder.Gauge {
+	p := b.follower.Picture()
+	gauges := []recorder.Gauge{
+		{Name: "revision", Help: "Revision of the configuration in force.", Type: "gauge", Value: float64(p.Configuration.Revision)},
+		{Name: "members", Help: "Instances in the view.", Type: "gauge", Value: float64(len(b.follower.View().Members))},
+		{Name: "targets_age_seconds", Help: "Age of the list of targets.", Type: "gauge", Value: time.Since(p.TargetsAt).Seconds()},
+	}
+	if b.StoreCalls == nil {
+		return gauges
+	}
+	calls := b.StoreCalls()
+	for _, operation := range slices.Sorted(maps.Keys(calls)) {
+		gauges = append(gauges, recorder.Gauge{
+			Name: "store_calls_" + operation + "_total", Help: "Calls to the store.", Type: "counter", Value: float64(calls[operation]),
+		})
+	}
+	return gauges
+}
+
 // handler is the entry path.
 func (b *Balancer) handler() http.Handler {
 	entry := &dispatcher.Dispatcher{
--- a/cmd/hemlocktally/balance.go
+++ b/cmd/hemlocktally/balance.go
@@ -37,9 +37,9 @@
 		return err
 	}
 	go noteReloads(ctx, path, log)
+	store := &platform.Store{Address: settings.Platform.Store, HTTP: &http.Client{Transport: balancer.Transport()}}
 	b := &balancer.Balancer{
-		Settings: settings, Platform: platform.Translator{}, Log: log,
-		Directory: &platform.Store{Address: settings.Platform.Store, HTTP: &http.Client{Transport: balancer.Transport()}},
+		Settings: settings, Platform: platform.Translator{}, Log: log, Directory: store, StoreCalls: store.Calls,
 	}
 	return b.Run(ctx)
 }
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -156,7 +156,7 @@
 }
 
 func (p *Plan) slow() []any {
-	if p.answered || p.callerGone || p.fallback != 0 || len(p.tries) != 1 || p.running() != 1 {
+	if p.answered || p.callerGone || p.fallback != 0 || len(p.tries) != 1 || p.running() != 1 || len(p.tries) >= p.MaxAttempts {
 		return nil
 	}
 	return p.start(hemlocktally.AttemptHedge)
--- a/dispatcher/plan_test.go
+++ b/dispatcher/plan_test.go
@@ -160,3 +160,12 @@
 		dispatcher.AnswerCmd{Attempt: 2}, dispatcher.CancelAttemptCmd{Attempt: 1},
 	})
 }
+
+// A route may allow a single target: then a slow first attempt gets no second.
+func TestSlowCallWithOneAttemptGetsNoSecond(t *testing.T) {
+	c := qt.New(t)
+	p := dispatcher.Plan{Hedge: true, MaxAttempts: 1}
+	p.Update(dispatcher.StartMsg{})
+	p.Update(dispatcher.GrantedMsg{Attempt: 1, Target: "a"})
+	c.Assert(p.Update(dispatcher.SlowMsg{}), qt.HasLen, 0)
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -47,6 +47,8 @@
 	base     time.Time
 	leaving  atomic.Bool
 	storeOut atomic.Bool
+	// unregistered is used by the task that keeps the registration alone.
+	unregistered bool
 }
 
 // Picture returns the present picture; it is never nil.
--- a/follower/member.go
+++ b/follower/member.go
@@ -51,6 +51,7 @@
 		} else {
 			err = f.renew(ctx, lease)
 		}
+		f.noteRegistration(err)
 		var absent *hemlocktally.AbsentError
 		pause := renewInterval
 		switch {
@@ -67,6 +68,14 @@
 	<-ctx.Done()
 }
 
+// noteRegistration logs the first failure of a row.
+func (f *Follower) noteRegistration(err error) {
+	if err != nil && !f.unregistered {
+		f.Log.Log(logger.EventRegistrationFailed, logger.Fields{"Instance": f.Self, "Cause": err.Error()})
+	}
+	f.unregistered = err != nil
+}
+
 func (f *Follower) pauseUnlessLeaving(ctx context.Context, pause time.Duration) {
 	for end := time.Now().Add(pause); time.Now().Before(end) && !f.leaving.Load() && ctx.Err() == nil; {
 		sleep(ctx, min(needInterval, time.Until(end)))
--- a/logger/membership_events.go
+++ b/logger/membership_events.go
@@ -94,10 +94,16 @@
 		Meaning: "Another instance registered itself, or its registration ended.",
 		Action:  "None, where it was planned; else look at that instance.",
 	}
+	EventRegistrationFailed = Event{
+		Number: 4016, Name: "instance not registered", Level: logrus.WarnLevel,
+		Fields:  []string{"Instance", "Cause"},
+		Meaning: "The instance's own key could not be written or renewed; it tries again. Meanwhile others may take its services over.",
+		Action:  "Look at the store, and at the link to it.",
+	}
 )
 
 var membershipEvents = []Event{
 	EventStoreDown, EventStoreBack, EventRegistered, EventMemberState, EventLeaseRelayed, EventConfigurationInForce,
 	EventConfigurationDivergent, EventConfigurationStale, EventProvisionalStop, EventProvisionalSettled,
-	EventConfigurationRestored, EventEntryUnusable, EventZoneStop, EventTargetListed, EventMemberListed,
+	EventConfigurationRestored, EventEntryUnusable, EventZoneStop, EventTargetListed, EventMemberListed, EventRegistrationFailed,
 }
