Follower: a watch that hears nothing no longer hides a change

Change: watches of operators' decisions wait 2.2 s, and only changes that were seen move the revision from which the next watch asks.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -18,7 +18,10 @@
 // Bounds of the calls to the store. Each call is priced, so a watch that
 // returns is followed by a pause in which changes gather.
 const (
-	operatorWait = 25 * time.Second       // operatorWait is how long a watch of rare changes waits.
+	// operatorWait is how long a watch of operators' decisions waits: one that
+	// waits while the store drops its history may miss changes without a word.
+	operatorWait = 2200 * time.Millisecond
+	memberWait   = 10 * time.Second       // memberWait is how long a watch of the members waits.
 	operatorPace = 250 * time.Millisecond // operatorPace is the least time between two such watches.
 	targetPace   = 700 * time.Millisecond // targetPace is the time between two looks at the targets while they are needed.
 	restingPace  = 8 * time.Second        // restingPace is that time while they are only kept for an emergency.
@@ -133,7 +136,7 @@
 }
 
 func (f *Follower) followMembers(ctx context.Context, inbox chan<- any) {
-	f.follow(ctx, inbox, feed{hemlocktally.EntryMember, f.Interpreter.MemberPrefix(), operatorWait, operatorPace})
+	f.follow(ctx, inbox, feed{hemlocktally.EntryMember, f.Interpreter.MemberPrefix(), memberWait, operatorPace})
 }
 
 // follow reads everything once and then what changes.
@@ -165,7 +168,16 @@
 		return SnapshotMsg{Kind: fd.kind, Entries: all.Entries}, all.Revision, err
 	}
 	changes, err := f.Directory.Follow(ctx, fd.prefix, known, fd.wait)
-	return ChangesMsg{Kind: fd.kind, Entries: changes.Entries}, max(known, changes.Revision), err
+	return ChangesMsg{Kind: fd.kind, Entries: changes.Entries}, newest(known, changes.Entries), err
+}
+
+// newest is the revision of the last change seen. An answer without changes
+// proves nothing: the next watch asks for the same ones again.
+func newest(known uint64, entries []hemlocktally.DirectoryEntry) uint64 {
+	for _, entry := range entries {
+		known = max(known, uint64(entry.Version))
+	}
+	return known
 }
 
 // failed notes a failure and returns from which revision to go on.
