Placer: an owner that knows no targets is passed over

Change: an instance that is leaving or knows no targets of the service says so, and the next in line is asked; with tests of the loads that the owner meets. Test: TestOwnerWithoutTargetsIsPassedOver.

--- a/placer/client.go
+++ b/placer/client.go
@@ -47,8 +47,8 @@
 	silence time.Duration
 }
 
-// errLeaving says that the owner is leaving.
-var errLeaving = errors.New("the owner is leaving")
+// errUnable says that the owner is leaving or knows no targets.
+var errUnable = errors.New("the owner can't decide")
 
 // Acquire returns a turn, or a *hemlocktally.RefusedError.
 func (c *Client) Acquire(ctx context.Context, request hemlocktally.GrantRequest) (hemlocktally.Grant, error) {
@@ -83,7 +83,10 @@
 	tried := 0
 	for _, owner := range Ranked(ask.Request.Service, c.View.View().Serving()) {
 		if owner.ID == c.Self {
-			return c.Server.Ask(ctx, ask)
+			if c.Server.Able(ask.Request.Service) {
+				return c.Server.Ask(ctx, ask)
+			}
+			continue
 		}
 		if tried == ownersAsked {
 			break
@@ -107,8 +110,8 @@
 	bounded, cancel := context.WithTimeout(ctx, firstAsk)
 	defer cancel()
 	out, err := p.client.Place(bounded, placeRequest(ask, asked))
-	if err == nil && out.GetLeaving() {
-		err = errLeaving
+	if err == nil && out.GetUnable() {
+		err = errUnable
 	}
 	if ctx.Err() != nil {
 		return RefuseCmd{Ticket: ask.Ticket, Error: notRun(hemlocktally.ReasonCallerCancelled, "the caller went away before a target was free", 0)}, err
--- /dev/null
+++ b/placer/client_test.go
@@ -0,0 +1,67 @@
+package placer_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hemlocktally"
+	"hemlocktally/messenger"
+	"hemlocktally/placer"
+)
+
+// view is a fixed view of the fleet.
+type view struct{ members []hemlocktally.Instance }
+
+func (v view) View() hemlocktally.View { return hemlocktally.View{Members: v.members} }
+
+// calm is a target's load prober that finds nothing to do anywhere.
+type calm struct{}
+
+func (calm) Load(context.Context, hemlocktally.Target, string) (hemlocktally.AnswerHeader, error) {
+	return hemlocktally.AnswerHeader{Load: &hemlocktally.Load{Slots: 2, Pace: 1}}, nil
+}
+
+// instance starts a server of turns that listens on loopback.
+func instance(t *testing.T, id hemlocktally.InstanceID, targets ...hemlocktally.Registration) (*placer.Server, hemlocktally.Instance) {
+	t.Helper()
+	server := &placer.Server{Self: id, Loads: calm{}, Bounds: placer.Bounds{RetryWindow: time.Second}}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = server.Run(ctx) }()
+	server.Configure(map[hemlocktally.ServiceName]placer.TargetsMsg{"s": {
+		Service: hemlocktally.Service{Name: "s", ProbePath: "/"}, Targets: targets,
+	}})
+	listener := httptest.NewServer(messenger.NewPlacementServer(server))
+	t.Cleanup(listener.Close)
+	return server, hemlocktally.Instance{
+		ID: id, PeerAddress: strings.TrimPrefix(listener.URL, "http://"), State: hemlocktally.InstanceServing,
+	}
+}
+
+// An instance that has started while the store is down knows no targets. It must
+// not turn away the calls of the others that still take it for the owner.
+func TestOwnerWithoutTargetsIsPassedOver(t *testing.T) {
+	c := qt.New(t)
+	known := hemlocktally.Registration{Service: "s", Target: hemlocktally.Target{Name: "x", Address: "127.0.0.1:1", Zone: "a", Slots: 2}}
+	_, empty := instance(t, "empty")
+	_, knowing := instance(t, "knowing", known)
+	self, own := instance(t, "self", known)
+	members := []hemlocktally.Instance{empty, knowing, own}
+	alone := &placer.Server{Self: "self", Loads: calm{}, Alone: true}
+	client := &placer.Client{Self: "self", Zone: "a", View: view{members}, Server: self, Alone: alone, HTTP: http.DefaultClient}
+	// Every order of the members has to do.
+	for _, weight := range []float64{0, 1000} {
+		members[0].Weight = weight
+		grant, err := client.Acquire(context.Background(), hemlocktally.GrantRequest{
+			Service: "s", Contract: "c", Deadline: time.Now().Add(5 * time.Second),
+		})
+		c.Assert(err, qt.IsNil)
+		c.Assert(grant.Target.Name, qt.Equals, hemlocktally.TargetName("x"))
+	}
+}
--- a/placer/server.go
+++ b/placer/server.go
@@ -73,11 +73,13 @@
 	s.leaving = true
 }
 
-// Leaving reports whether the instance is leaving.
-func (s *Server) Leaving() bool {
+// Able reports whether the server can decide for the service on behalf of
+// others: it is not leaving and knows targets. An instance that has just
+// started while the store is down knows none.
+func (s *Server) Able(service hemlocktally.ServiceName) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.leaving
+	return !s.leaving && len(s.latest[service].Targets) > 0
 }
 
 // Configure tells each service its targets.
--- a/placer/wire.go
+++ b/placer/wire.go
@@ -11,8 +11,8 @@
 // Place answers a question of another instance. It implements
 // messenger.Placement.
 func (s *Server) Place(ctx context.Context, in *messenger.PlaceRequest) (*messenger.PlaceResponse, error) {
-	if s.Leaving() {
-		return &messenger.PlaceResponse{Leaving: true}, nil
+	if !s.Able(hemlocktally.ServiceName(in.GetService())) {
+		return &messenger.PlaceResponse{Unable: true}, nil
 	}
 	switch answer := s.Ask(ctx, askMsg(in, time.Now())).(type) {
 	case GrantCmd:
