--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -109,10 +109,11 @@
 	epoch := ulid.Make().String()
 	self := hemlocktally.InstanceID(s.Instance.ID)
 	b.recorder = &recorder.Recorder{}
+	peers := &http.Client{Transport: transport(peerLinks, peerIdleTime)}
 	b.follower = &follower.Follower{
-		Self: self, Directory: b.Directory, Interpreter: b.Platform, Log: b.Log, Changed: b.pictureChanged,
-		Member: follower.Member{
-			Incarnation: epoch, Zone: hemlocktally.ZoneName(s.Instance.Zone), PeerAddress: s.Listen.Peers, Weight: s.Instance.Weight,
+		Directory: b.Directory, Interpreter: b.Platform, Log: b.Log, Changed: b.pictureChanged, HTTP: peers,
+		Self: follower.Hub{
+			ID: self, Incarnation: epoch, Zone: hemlocktally.ZoneName(s.Instance.Zone), PeerAddress: s.Listen.Peers, Weight: s.Instance.Weight,
 		},
 	}
 	b.follower.Prepare()
@@ -129,7 +130,7 @@
 	b.alone = &placer.Server{Self: self, Epoch: epoch + "A", Bounds: bounds, Loads: loads, Log: b.Log, Needed: b.follower.NeedTargets, Alone: true}
 	b.turns = &placer.Client{
 		Self: self, Zone: hemlocktally.ZoneName(s.Instance.Zone), Epoch: epoch, View: b.follower, Server: b.owner, Alone: b.alone,
-		HTTP: &http.Client{Transport: transport(peerLinks, peerIdleTime)}, Log: b.Log,
+		HTTP: peers, Log: b.Log, NeedTargets: b.follower.NeedTargets,
 	}
 	b.links = &dialer.Dialer{
 		Viewer: b.follower, ProvenFor: linkProvenFor, IdleLimit: linkIdleLimit, DialTimeout: linkDialTimeout, Dial: dial,
@@ -199,8 +200,7 @@
 
 // Ready reports whether the platform's balancer may send new calls here.
 func (b *Balancer) Ready() bool {
-	p := b.follower.Picture()
-	return !b.leaving.Load() && p.Configuration.Revision > 0 && !p.TargetsAt.IsZero()
+	return !b.leaving.Load() && b.follower.Informed()
 }
 
 func (b *Balancer) readiness() http.Handler {
@@ -214,6 +214,7 @@
 func (b *Balancer) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(messenger.PlacementPathPrefix, messenger.NewPlacementServer(b.owner))
+	mux.Handle(messenger.RelayPathPrefix, messenger.NewRelayServer(b.follower))
 	return mux
 }
 
@@ -230,7 +231,8 @@
 	p := b.follower.Picture()
 	gauges := []recorder.Gauge{
 		{Name: "revision", Help: "Revision of the configuration in force.", Type: "gauge", Value: float64(p.Configuration.Revision)},
-		{Name: "members", Help: "Instances in the view.", Type: "gauge", Value: float64(len(b.follower.View().Members))},
+		{Name: "hubs", Help: "Hubs in the view.", Type: "gauge", Value: float64(len(b.follower.View().Members))},
+		{Name: "instances", Help: "Instances that there seem to be.", Type: "gauge", Value: float64(b.follower.View().Instances)},
 		{Name: "targets_age_seconds", Help: "Age of the list of targets.", Type: "gauge", Value: time.Since(p.TargetsAt).Seconds()},
 	}
 	if b.StoreCalls == nil {
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -73,11 +73,8 @@
 func (d *Dialer) Share(target hemlocktally.Target) int {
 	instances := 0
 	if d.Viewer != nil {
-		for _, member := range d.Viewer.View().Members {
-			if member.State == hemlocktally.InstanceServing {
-				instances++
-			}
-		}
+		view := d.Viewer.View()
+		instances = max(view.Instances, len(view.Serving()))
 	}
 	instances = max(1, instances)
 	return max(1, int(float64(target.ConnectionLimit())*(1-shareReserve))/instances)
--- a/directory.go
+++ b/directory.go
@@ -60,7 +60,7 @@
 	EntryDeclaration EntryKind = "Declaration" // EntryDeclaration is the operators' configuration.
 	EntryZoneStop    EntryKind = "ZoneStop"    // EntryZoneStop takes an availability zone out while it is there.
 	EntryTarget      EntryKind = "Target"      // EntryTarget is a target's own registration.
-	EntryMember      EntryKind = "Member"      // EntryMember is an instance's own registration.
+	EntryHub         EntryKind = "Hub"         // EntryHub is the registration of an instance that reads for others.
 	EntryForeign     EntryKind = "Foreign"     // EntryForeign is of no use here.
 )
 
@@ -76,10 +76,10 @@
 // Interpreter reads the entries of a directory. It knows the platform's names
 // and formats and decides nothing.
 type Interpreter interface {
-	// OperatorPrefix, TargetPrefix and MemberPrefix are where each kind stands.
+	// OperatorPrefix, TargetPrefix and HubPrefix are where each kind stands.
 	OperatorPrefix() string
 	TargetPrefix() string
-	MemberPrefix() string
+	HubPrefix() string
 	// ZoneStopKey is the key that takes the zone out.
 	ZoneStopKey(zone ZoneName) string
 	// Kind says what the key describes, and its name.
--- /dev/null
+++ b/follower/feed.go
@@ -0,0 +1,158 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"hemlocktally"
+	"hemlocktally/logger"
+)
+
+// Bounds of the calls to the store. Each call is priced, so a watch that
+// returns is followed by a pause in which changes gather.
+const (
+	// operatorWait is how long a watch of operators' decisions waits: one that
+	// waits while the store drops its history may miss changes without a word.
+	operatorWait = 2200 * time.Millisecond
+	hubWait      = 10 * time.Second       // hubWait is how long a watch of the hubs waits.
+	rarePace     = 250 * time.Millisecond // rarePace is the least time between two watches of rare changes.
+	targetPace   = 700 * time.Millisecond // targetPace is the time between two looks at the targets while they are needed.
+	targetWait   = time.Second            // targetWait is how long a look at the targets waits for a change.
+	restingPace  = 8 * time.Second        // restingPace is how often a hub reads the targets that nobody needs.
+	callTimeout  = 800 * time.Millisecond // callTimeout bounds a call that does not wait.
+	firstBackoff = 100 * time.Millisecond
+	longestBoff  = time.Second
+	spreadBoff   = 0.3 // spreadBoff is the part of a pause that is random.
+)
+
+// feed is one prefix that is followed.
+type feed struct {
+	kind   hemlocktally.EntryKind
+	prefix string
+	wait   time.Duration
+	pace   time.Duration
+}
+
+func (f *Follower) followOperators(ctx context.Context, inbox chan<- any) {
+	f.follow(ctx, inbox, feed{hemlocktally.EntryDeclaration, f.Interpreter.OperatorPrefix(), operatorWait, rarePace})
+}
+
+func (f *Follower) followHubs(ctx context.Context, inbox chan<- any) {
+	f.follow(ctx, inbox, feed{hemlocktally.EntryHub, f.Interpreter.HubPrefix(), hubWait, rarePace})
+}
+
+// gate waits until the instance has to read the store itself. It reports whether
+// it had to wait.
+func (f *Follower) gate(ctx context.Context) (waited bool) {
+	for !f.readsItself() && ctx.Err() == nil {
+		waited = true
+		sleepUntil(ctx, gateInterval, f.wakeFeeds.wait())
+	}
+	return waited
+}
+
+// follow reads everything once and then what changes, while the instance has to
+// read the store itself.
+func (f *Follower) follow(ctx context.Context, inbox chan<- any, fd feed) {
+	known, pause := uint64(0), firstBackoff
+	for ctx.Err() == nil {
+		if f.gate(ctx) {
+			known = 0
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		msg, revision, err := f.look(ctx, fd, known)
+		if err != nil {
+			known = f.failed(ctx, inbox, fd, known, err)
+			sleep(ctx, spread(pause))
+			pause = min(2*pause, longestBoff)
+			continue
+		}
+		f.answered()
+		pause, known = firstBackoff, revision
+		send(ctx, inbox, msg)
+		sleep(ctx, fd.pace)
+	}
+}
+
+func spread(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - spreadBoff + 2*spreadBoff*rand.Float64()))
+}
+
+// look makes one call: everything where nothing is known, else what changed.
+func (f *Follower) look(ctx context.Context, fd feed, known uint64) (any, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+fd.wait)
+	defer cancel()
+	if known == 0 {
+		all, err := f.Directory.Snapshot(ctx, fd.prefix, false)
+		return SnapshotMsg{Kind: fd.kind, Entries: all.Entries}, all.Revision, err
+	}
+	changes, err := f.Directory.Follow(ctx, fd.prefix, known, fd.wait)
+	return ChangesMsg{Kind: fd.kind, Entries: changes.Entries}, newest(known, changes.Entries), err
+}
+
+// newest is the revision of the last change seen. An answer without changes
+// proves nothing: the next watch asks for the same ones again.
+func newest(known uint64, entries []hemlocktally.DirectoryEntry) uint64 {
+	for _, entry := range entries {
+		known = max(known, uint64(entry.Version))
+	}
+	return known
+}
+
+// failed notes a failure and returns from which revision to go on.
+func (f *Follower) failed(ctx context.Context, inbox chan<- any, fd feed, known uint64, err error) uint64 {
+	var lost *hemlocktally.HistoryError
+	if errors.As(err, &lost) {
+		return 0
+	}
+	if ctx.Err() != nil {
+		return known
+	}
+	if !f.storeOut.Swap(true) {
+		f.Log.Log(logger.EventStoreDown, logger.Fields{"Store": fd.prefix, "Cause": err.Error()})
+	}
+	send(ctx, inbox, FailedMsg{Kind: fd.kind})
+	return known
+}
+
+func (f *Follower) answered() {
+	f.mark(&f.heard)
+	if f.storeOut.Swap(false) {
+		f.Log.Log(logger.EventStoreBack, logger.Fields{"Store": "directory"})
+	}
+}
+
+// followTargets looks at the targets often while this instance places work; a
+// hub that places none looks rarely.
+func (f *Follower) followTargets(ctx context.Context, inbox chan<- any) {
+	fd := feed{hemlocktally.EntryTarget, f.Interpreter.TargetPrefix(), targetWait, targetPace}
+	known, pause := uint64(0), firstBackoff
+	var lookedAt time.Time
+	for ctx.Err() == nil {
+		needed := f.targetsNeeded()
+		rested := lookedAt.IsZero() || time.Since(lookedAt) >= restingPace
+		if !needed && !(f.isHub.Load() && rested) {
+			known = 0
+			sleepUntil(ctx, gateInterval, f.wakeFeeds.wait())
+			continue
+		}
+		msg, revision, err := f.look(ctx, fd, known)
+		lookedAt = time.Now()
+		if err != nil {
+			known = f.failed(ctx, inbox, fd, known, err)
+			sleep(ctx, spread(pause))
+			pause = min(2*pause, longestBoff)
+			continue
+		}
+		f.answered()
+		pause, known = firstBackoff, revision
+		send(ctx, inbox, msg)
+		if needed {
+			sleep(ctx, fd.pace)
+		}
+	}
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -1,11 +1,16 @@
 // Package follower keeps an instance's picture of the fleet: the operators'
-// configuration, the targets and the other instances, as the platform's store
-// tells them. It registers the instance itself by one leased key.
+// configuration, the targets and the hubs, as the platform's store tells them.
+//
+// One instance of each availability zone, the hub, reads the store and passes
+// on what it reads; it holds its place by a leased key. All others follow a hub
+// and read the store themselves only while no hub answers that is in touch with
+// it. Any instance can be a hub; none is set aside for it.
 package follower
 
 import (
 	"context"
-	"errors"
+	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,43 +20,42 @@
 	"hemlocktally/logger"
 )
 
-// Bounds of the calls to the store. Each call is priced, so a watch that
-// returns is followed by a pause in which changes gather.
 const (
-	// operatorWait is how long a watch of operators' decisions waits: one that
-	// waits while the store drops its history may miss changes without a word.
-	operatorWait = 2200 * time.Millisecond
-	memberWait   = 10 * time.Second       // memberWait is how long a watch of the members waits.
-	operatorPace = 250 * time.Millisecond // operatorPace is the least time between two such watches.
-	targetPace   = 700 * time.Millisecond // targetPace is the time between two looks at the targets while they are needed.
-	restingPace  = 8 * time.Second        // restingPace is that time while they are only kept for an emergency.
-	targetWait   = time.Second            // targetWait is how long a look at the targets waits for a change.
-	callTimeout  = 800 * time.Millisecond // callTimeout bounds a call that does not wait.
-	firstBackoff = 100 * time.Millisecond
-	longestBoff  = time.Second
 	tickInterval = 200 * time.Millisecond
 	inboxLength  = 16
-	needLasts    = 3 * time.Second // needLasts is how long a need for targets lasts without being renewed.
-	needInterval = 25 * time.Millisecond
+	needLasts    = 3 * time.Second        // needLasts is how long a need for targets lasts without being renewed.
+	gateInterval = 100 * time.Millisecond // gateInterval is the time between two looks at whether a feed has to run.
 )
 
-// Follower follows the directory. Its fields are set before Run.
+// Follower follows the directory. Its fields are set before Prepare.
 type Follower struct {
-	Self        hemlocktally.InstanceID
-	Member      Member
+	Self        Hub // Self is how the instance registers itself as a hub.
 	Directory   hemlocktally.Directory
 	Interpreter hemlocktally.Interpreter
+	HTTP        *http.Client // HTTP is for calls of hubs.
 	Log         logger.Logger
 	// Changed is told of each new picture, from one goroutine; it may be nil.
 	Changed func(*Picture)
 
-	picture  atomic.Pointer[Picture]
-	needed   atomic.Int64 // needed is until when targets are needed, in nanoseconds since base.
-	base     time.Time
-	leaving  atomic.Bool
-	storeOut atomic.Bool
-	// unregistered is used by the task that keeps the registration alone.
-	unregistered bool
+	base       time.Time
+	picture    atomic.Pointer[Picture]
+	published  *broadcast
+	needed     atomic.Int64 // needed is until when targets are needed, in nanoseconds since base.
+	heard      atomic.Int64 // heard is when the store last answered, in nanoseconds since base.
+	followed   atomic.Int64 // followed is when a hub in touch with the store last answered, likewise.
+	instances  atomic.Int64 // instances is how many instances there seem to be.
+	isHub      atomic.Bool
+	leaving    atomic.Bool
+	storeOut   atomic.Bool
+	wakeFeeds  *broadcast
+	followers  followers
+	hubClients hubClients
+}
+
+// Prepare readies the follower; it is called before anything else.
+func (f *Follower) Prepare() {
+	f.base = time.Now()
+	f.published, f.wakeFeeds = newBroadcast(), newBroadcast()
 }
 
 // Picture returns the present picture; it is never nil.
@@ -66,24 +70,63 @@
 // hemlocktally.Configurer.
 func (f *Follower) Current() *hemlocktally.Configuration { return f.Picture().Configuration }
 
-// View returns the members of the fleet, this instance included unless it
-// leaves. It implements hemlocktally.Viewer.
+// View returns the hubs, among which services are dealt. It implements
+// hemlocktally.Viewer.
 func (f *Follower) View() hemlocktally.View {
-	return f.Picture().view(f.Self, f.Member, f.leaving.Load())
+	view := hemlocktally.View{Instances: int(f.instances.Load())}
+	own := f.isHub.Load() && !f.leaving.Load()
+	for zone, hub := range f.Picture().Hubs {
+		if hub.ID != f.Self.ID && (!own || zone != f.Self.Zone) {
+			view.Members = append(view.Members, hub.instance())
+		}
+	}
+	if own {
+		view.Members = append(view.Members, f.Self.instance())
+	}
+	return view
+}
+
+func (h Hub) instance() hemlocktally.Instance {
+	return hemlocktally.Instance{
+		ID: h.ID, Incarnation: h.Incarnation, Zone: h.Zone, PeerAddress: h.PeerAddress, Weight: h.Weight,
+		State: hemlocktally.InstanceServing,
+	}
+}
+
+// Informed reports whether the instance can serve: it has a configuration, and
+// either follows a hub or has read the targets itself.
+func (f *Follower) Informed() bool {
+	p := f.Picture()
+	return p.Configuration.Revision > 0 && (!p.TargetsAt.IsZero() || f.followed.Load() > 0)
 }
 
-// Leave takes the instance out of its own view; Run then ends its lease.
-func (f *Follower) Leave() { f.leaving.Store(true) }
+// Leave gives the instance's place as a hub up.
+func (f *Follower) Leave() {
+	f.leaving.Store(true)
+	f.wakeFeeds.signal()
+}
 
 // NeedTargets says that the targets are needed up to date for the next seconds.
 func (f *Follower) NeedTargets() {
-	f.needed.Store(int64(time.Since(f.base) + needLasts))
+	if f.needed.Swap(int64(time.Since(f.base)+needLasts)) < int64(time.Since(f.base)) {
+		f.wakeFeeds.signal()
+	}
 }
 
 func (f *Follower) targetsNeeded() bool { return int64(time.Since(f.base)) < f.needed.Load() }
 
-// Prepare readies the follower; it is called before anything else.
-func (f *Follower) Prepare() { f.base = time.Now() }
+// since returns how long ago a time noted by mark was; very long where it never
+// was.
+func (f *Follower) since(mark *atomic.Int64) time.Duration {
+	at := mark.Load()
+	if at == 0 {
+		const never = time.Hour
+		return never
+	}
+	return time.Since(f.base) - time.Duration(at)
+}
+
+func (f *Follower) mark(at *atomic.Int64) { at.Store(int64(time.Since(f.base))) }
 
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
@@ -91,7 +134,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var group run.Group
-	for _, task := range []func(context.Context, chan<- any){f.followOperators, f.followMembers, f.followTargets, f.keepRegistered} {
+	for _, task := range []func(context.Context, chan<- any){f.followOperators, f.followHubs, f.followTargets, f.runRole} {
 		group.Add(func() error { task(ctx, inbox); return nil }, func(error) { cancel() })
 	}
 	group.Add(func() error { f.digest(ctx, inbox); return nil }, func(error) { cancel() })
@@ -113,136 +156,58 @@
 		}
 		changed, notes := state.Update(msg, time.Now())
 		f.note(notes)
-		if changed {
-			p := state.Picture()
-			f.picture.Store(p)
-			if f.Changed != nil {
-				f.Changed(p)
-			}
-		}
-	}
-}
-
-// feed is one prefix that is followed.
-type feed struct {
-	kind   hemlocktally.EntryKind
-	prefix string
-	wait   time.Duration
-	pace   time.Duration
-}
-
-func (f *Follower) followOperators(ctx context.Context, inbox chan<- any) {
-	f.follow(ctx, inbox, feed{hemlocktally.EntryDeclaration, f.Interpreter.OperatorPrefix(), operatorWait, operatorPace})
-}
-
-func (f *Follower) followMembers(ctx context.Context, inbox chan<- any) {
-	f.follow(ctx, inbox, feed{hemlocktally.EntryMember, f.Interpreter.MemberPrefix(), memberWait, operatorPace})
-}
-
-// follow reads everything once and then what changes.
-func (f *Follower) follow(ctx context.Context, inbox chan<- any, fd feed) {
-	known := uint64(0)
-	backoff := firstBackoff
-	for ctx.Err() == nil {
-		msg, revision, err := f.look(ctx, fd, known)
-		if err != nil {
-			known = f.failed(ctx, inbox, fd, known, err)
-			sleep(ctx, backoff)
-			backoff = min(2*backoff, longestBoff)
+		if !changed {
 			continue
 		}
-		f.answered()
-		backoff = firstBackoff
-		known = revision
-		send(ctx, inbox, msg)
-		sleep(ctx, fd.pace)
-	}
-}
-
-// look makes one call: everything where nothing is known, else what changed.
-func (f *Follower) look(ctx context.Context, fd feed, known uint64) (any, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout+fd.wait)
-	defer cancel()
-	if known == 0 {
-		all, err := f.Directory.Snapshot(ctx, fd.prefix, false)
-		return SnapshotMsg{Kind: fd.kind, Entries: all.Entries}, all.Revision, err
+		p := state.Picture()
+		f.picture.Store(p)
+		f.published.signal()
+		if f.Changed != nil {
+			f.Changed(p)
+		}
 	}
-	changes, err := f.Directory.Follow(ctx, fd.prefix, known, fd.wait)
-	return ChangesMsg{Kind: fd.kind, Entries: changes.Entries}, newest(known, changes.Entries), err
 }
 
-// newest is the revision of the last change seen. An answer without changes
-// proves nothing: the next watch asks for the same ones again.
-func newest(known uint64, entries []hemlocktally.DirectoryEntry) uint64 {
-	for _, entry := range entries {
-		known = max(known, uint64(entry.Version))
+// note logs what the state noted.
+func (f *Follower) note(notes []any) {
+	for _, n := range notes {
+		switch n := n.(type) {
+		case BadEntry:
+			f.Log.Log(logger.EventEntryUnusable, logger.Fields{"Key": n.Key, "Cause": n.Cause.Error()})
+		case InForce:
+			f.Log.Log(logger.EventConfigurationInForce, logger.Fields{
+				"Revision": n.Configuration.Revision, "Change": n.Configuration.ChangeID, "Author": n.Configuration.Author, "Source": "Store",
+			})
+		case ZoneStop:
+			f.Log.Log(logger.EventZoneStop, logger.Fields{"Zone": n.Zone, "Out": n.Out})
+		case TargetChange:
+			f.Log.Log(logger.EventTargetListed, logger.Fields{"Service": n.Service, "Target": n.Target, "State": n.State})
+		case HubChange:
+			f.Log.Log(logger.EventHubListed, logger.Fields{"Zone": n.Zone, "Hub": n.Hub})
+		}
 	}
-	return known
 }
 
-// failed notes a failure and returns from which revision to go on.
-func (f *Follower) failed(ctx context.Context, inbox chan<- any, fd feed, known uint64, err error) uint64 {
-	var lost *hemlocktally.HistoryError
-	if errors.As(err, &lost) {
-		return 0
-	}
-	if ctx.Err() != nil {
-		return known
-	}
-	if !f.storeOut.Swap(true) {
-		f.Log.Log(logger.EventStoreDown, logger.Fields{"Store": fd.prefix, "Cause": err.Error()})
-	}
-	send(ctx, inbox, FailedMsg{Kind: fd.kind})
-	return known
+// broadcast wakes all who wait.
+type broadcast struct {
+	mu sync.Mutex
+	ch chan struct{}
 }
 
-func (f *Follower) answered() {
-	if f.storeOut.Swap(false) {
-		f.Log.Log(logger.EventStoreBack, logger.Fields{"Store": "directory"})
-	}
-}
+func newBroadcast() *broadcast { return &broadcast{ch: make(chan struct{})} }
 
-// followTargets looks at the targets often while this instance places work, and
-// rarely otherwise.
-func (f *Follower) followTargets(ctx context.Context, inbox chan<- any) {
-	fd := feed{hemlocktally.EntryTarget, f.Interpreter.TargetPrefix(), targetWait, targetPace}
-	known, backoff := uint64(0), firstBackoff
-	var lookedAt time.Time
-	for ctx.Err() == nil {
-		needed := f.targetsNeeded()
-		if !needed && !lookedAt.IsZero() && time.Since(lookedAt) < restingPace {
-			sleep(ctx, needInterval)
-			continue
-		}
-		var msg any
-		var err error
-		if needed {
-			msg, known, err = f.look(ctx, fd, known)
-		} else {
-			known = 0
-			msg, err = f.lookStale(ctx, fd)
-		}
-		lookedAt = time.Now()
-		if err != nil {
-			known = f.failed(ctx, inbox, fd, known, err)
-			sleep(ctx, backoff)
-			backoff = min(2*backoff, longestBoff)
-			continue
-		}
-		f.answered()
-		backoff = firstBackoff
-		send(ctx, inbox, msg)
-		if needed {
-			sleep(ctx, fd.pace)
-		}
-	}
+// wait returns a channel that is closed by the next signal.
+func (b *broadcast) wait() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ch
 }
 
-func (f *Follower) lookStale(ctx context.Context, fd feed) (any, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	all, err := f.Directory.Snapshot(ctx, fd.prefix, true)
-	return SnapshotMsg{Kind: fd.kind, Entries: all.Entries}, err
+func (b *broadcast) signal() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	close(b.ch)
+	b.ch = make(chan struct{})
 }
 
 func send(ctx context.Context, inbox chan<- any, msg any) {
@@ -252,31 +217,15 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+func sleep(ctx context.Context, d time.Duration) { sleepUntil(ctx, d, nil) }
+
+// sleepUntil sleeps for the time or until it is woken.
+func sleepUntil(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+	case <-wake:
 	case <-ctx.Done():
 	}
 }
-
-// note logs what the state noted.
-func (f *Follower) note(notes []any) {
-	for _, n := range notes {
-		switch n := n.(type) {
-		case BadEntry:
-			f.Log.Log(logger.EventEntryUnusable, logger.Fields{"Key": n.Key, "Cause": n.Cause.Error()})
-		case InForce:
-			f.Log.Log(logger.EventConfigurationInForce, logger.Fields{
-				"Revision": n.Configuration.Revision, "Change": n.Configuration.ChangeID, "Author": n.Configuration.Author, "Source": "Store",
-			})
-		case ZoneStop:
-			f.Log.Log(logger.EventZoneStop, logger.Fields{"Zone": n.Zone, "Out": n.Out})
-		case TargetChange:
-			f.Log.Log(logger.EventTargetListed, logger.Fields{"Service": n.Service, "Target": n.Target, "State": n.State})
-		case MemberChange:
-			f.Log.Log(logger.EventMemberListed, logger.Fields{"Member": n.Member, "Joined": n.Joined})
-		}
-	}
-}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -91,7 +92,7 @@
 	c := qt.New(t)
 	d := &directory{muted: true}
 	d.put("op/config", version("4"))
-	f := &follower.Follower{Self: "i", Directory: d, Interpreter: platform.Translator{}}
+	f := &follower.Follower{Self: follower.Hub{ID: "i", Zone: "a", Weight: 1}, HTTP: http.DefaultClient, Directory: d, Interpreter: platform.Translator{}}
 	f.Prepare()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- /dev/null
+++ b/follower/relay.go
@@ -0,0 +1,210 @@
+package follower
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"io"
+	"strconv"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"hemlocktally"
+	"hemlocktally/logger"
+	"hemlocktally/messenger"
+)
+
+// Bounds of what hubs pass on.
+const (
+	syncHold     = 450 * time.Millisecond // syncHold is how long a hub keeps a question without news.
+	syncTimeout  = syncHold + 250*time.Millisecond
+	followerSpan = 3 * time.Second // followerSpan is how long a follower counts after its last question.
+	maxRelayed   = 4 << 20         // maxRelayed bounds the entries that are passed on, in bytes.
+)
+
+// Sync answers a follower. It implements messenger.Relay.
+func (f *Follower) Sync(ctx context.Context, in *messenger.SyncRequest) (*messenger.SyncResponse, error) {
+	if !f.isHub.Load() || f.leaving.Load() {
+		return &messenger.SyncResponse{Leaving: true}, nil
+	}
+	count := f.followers.note(in.GetInstance(), time.Now())
+	f.noteInstances(count + 1)
+	hold := time.NewTimer(min(syncHold, time.Duration(in.GetHoldMicroseconds())*time.Microsecond))
+	defer hold.Stop()
+	for {
+		changed := f.published.wait()
+		p := f.Picture()
+		if version := f.versionOf(p); version != in.GetVersion() && p.Version > 0 {
+			return f.answerSync(p, version, count)
+		}
+		select {
+		case <-changed:
+		case <-hold.C:
+			return f.answerSync(nil, in.GetVersion(), count)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (f *Follower) versionOf(p *Picture) string {
+	return f.Self.Incarnation + "/" + strconv.FormatUint(p.Version, 10)
+}
+
+func (f *Follower) answerSync(p *Picture, version string, count int) (*messenger.SyncResponse, error) {
+	out := &messenger.SyncResponse{
+		Version: version, StoreAgeMicroseconds: f.since(&f.heard).Microseconds(), Followers: int64(count),
+	}
+	if p == nil {
+		return out, nil
+	}
+	var err error
+	out.EntriesGzip, err = pack(p.Relayed)
+	return out, err
+}
+
+// noteInstances counts the fleet: one hub a zone, each with about as many
+// followers as the next.
+func (f *Follower) noteInstances(ofOneHub int) {
+	f.instances.Store(int64(ofOneHub * max(1, len(f.Picture().Hubs))))
+}
+
+// pack compresses entries.
+func pack(entries []hemlocktally.Entry) ([]byte, error) {
+	all := &messenger.RelayedEntries{}
+	for _, e := range entries {
+		all.Entries = append(all.Entries, &messenger.RelayedEntry{Key: e.Key, Value: e.Value, Revision: uint64(e.Version)})
+	}
+	plain, err := proto.Marshal(all)
+	if err != nil {
+		return nil, err
+	}
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	if _, err := w.Write(plain); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+// unpack reads what pack wrote.
+func unpack(packed []byte) ([]hemlocktally.DirectoryEntry, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, err
+	}
+	plain, err := io.ReadAll(io.LimitReader(r, maxRelayed))
+	if err != nil {
+		return nil, err
+	}
+	var all messenger.RelayedEntries
+	if err := proto.Unmarshal(plain, &all); err != nil {
+		return nil, err
+	}
+	entries := make([]hemlocktally.DirectoryEntry, 0, len(all.GetEntries()))
+	for _, e := range all.GetEntries() {
+		entries = append(entries, hemlocktally.DirectoryEntry{Entry: hemlocktally.Entry{
+			Key: e.GetKey(), Value: e.GetValue(), Version: hemlocktally.StoreVersion(e.GetRevision()),
+		}})
+	}
+	return entries, nil
+}
+
+// sync asks one hub for what is new. It reports whether the hub is in touch with
+// the store, and whether it answered at all.
+func (r *role) sync(ctx context.Context, hub Hub) (touch, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	out, err := r.hubClients.of(hub.PeerAddress, r.Follower).Sync(ctx, &messenger.SyncRequest{
+		Instance: string(r.Self.ID), Version: r.versions[hub.ID], HoldMicroseconds: syncHold.Microseconds(),
+	})
+	if err != nil || out.GetLeaving() {
+		if err != nil && ctx.Err() == nil {
+			r.Log.Log(logger.EventHubSilent, logger.Fields{"Hub": hub.ID, "Cause": err.Error()})
+		}
+		return false, false
+	}
+	touch = time.Duration(out.GetStoreAgeMicroseconds())*time.Microsecond <= inTouch
+	if touch {
+		r.mark(&r.followed)
+	}
+	r.noteInstances(int(out.GetFollowers()) + 1)
+	if len(out.GetEntriesGzip()) == 0 {
+		return touch, true
+	}
+	entries, err := unpack(out.GetEntriesGzip())
+	if err != nil {
+		r.Log.Log(logger.EventHubSilent, logger.Fields{"Hub": hub.ID, "Cause": err.Error()})
+		return false, false
+	}
+	r.take(ctx, entries, touch)
+	r.versions[hub.ID] = out.GetVersion()
+	return touch, true
+}
+
+// take hands the entries of a hub to the state. Those of a hub that is out of
+// touch may add but not remove.
+func (r *role) take(ctx context.Context, entries []hemlocktally.DirectoryEntry, touch bool) {
+	byKind := map[hemlocktally.EntryKind][]hemlocktally.DirectoryEntry{hemlocktally.EntryDeclaration: nil, hemlocktally.EntryHub: nil}
+	for _, entry := range entries {
+		kind, _ := r.Interpreter.Kind(entry.Key)
+		if kind == hemlocktally.EntryZoneStop {
+			kind = hemlocktally.EntryDeclaration
+		}
+		byKind[kind] = append(byKind[kind], entry)
+	}
+	for _, kind := range []hemlocktally.EntryKind{hemlocktally.EntryDeclaration, hemlocktally.EntryHub} {
+		if touch {
+			send(ctx, r.inbox, SnapshotMsg{Kind: kind, Entries: byKind[kind]})
+		} else {
+			send(ctx, r.inbox, ChangesMsg{Kind: kind, Entries: byKind[kind]})
+		}
+	}
+}
+
+// hubClients are the clients of hubs, by address. Its zero value works.
+type hubClients struct {
+	mu      sync.Mutex
+	clients map[string]messenger.Relay
+}
+
+func (h *hubClients) of(address string, f *Follower) messenger.Relay {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if c := h.clients[address]; c != nil {
+		return c
+	}
+	if h.clients == nil {
+		h.clients = map[string]messenger.Relay{}
+	}
+	c := messenger.NewRelayProtobufClient("http://"+address, f.HTTP)
+	h.clients[address] = c
+	return c
+}
+
+// followers counts who follows a hub. Its zero value works.
+type followers struct {
+	mu   sync.Mutex
+	seen map[string]time.Time
+}
+
+// note counts the instance and returns how many were seen lately.
+func (f *followers) note(instance string, now time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.seen == nil {
+		f.seen = map[string]time.Time{}
+	}
+	f.seen[instance] = now
+	for name, at := range f.seen {
+		if now.Sub(at) > followerSpan {
+			delete(f.seen, name)
+		}
+	}
+	return len(f.seen)
+}
--- /dev/null
+++ b/follower/role.go
@@ -0,0 +1,297 @@
+package follower
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/looplab/fsm"
+
+	"hemlocktally"
+	"hemlocktally/logger"
+)
+
+// The roles of an instance, and the events that change them.
+const (
+	roleSeeking   = "Seeking"   // roleSeeking knows no hub that answers.
+	roleFollowing = "Following" // roleFollowing follows a hub.
+	roleHub       = "Hub"       // roleHub reads the store for others.
+
+	eventFound  = "Found"
+	eventLost   = "Lost"
+	eventChosen = "Chosen"
+	eventEnded  = "Ended"
+)
+
+// Bounds of the roles.
+const (
+	hubTTL        = 2 * time.Second        // hubTTL is how long a silent hub keeps its place.
+	renewInterval = 600 * time.Millisecond // renewInterval is the time between two renewals of a hub's place.
+	renewTimeout  = 400 * time.Millisecond
+	revokeTimeout = 300 * time.Millisecond
+	inTouch       = 1300 * time.Millisecond // inTouch is how long after the store's last answer a hub speaks for it.
+	followLasts   = 900 * time.Millisecond  // followLasts is how long an answer of a hub in touch keeps an instance from reading itself.
+	outageLook    = 3 * time.Second         // outageLook is about how often an instance looks at the store itself while no hub is in touch.
+	seekPause     = 150 * time.Millisecond
+	claimDelay    = 400 * time.Millisecond // claimDelay holds instances with little of a core back, so that strong ones become hubs.
+	claimSpread   = 600 * time.Millisecond // claimSpread is the random part of that.
+)
+
+func newRole() *fsm.FSM {
+	return fsm.NewFSM(roleSeeking, fsm.Events{
+		{Name: eventFound, Src: []string{roleSeeking, roleFollowing}, Dst: roleFollowing},
+		{Name: eventLost, Src: []string{roleSeeking, roleFollowing}, Dst: roleSeeking},
+		{Name: eventChosen, Src: []string{roleSeeking, roleFollowing}, Dst: roleHub},
+		{Name: eventEnded, Src: []string{roleHub}, Dst: roleSeeking},
+	}, fsm.Callbacks{})
+}
+
+// readsItself reports whether the instance has to read the store itself: as a
+// hub, or because no hub speaks for the store.
+func (f *Follower) readsItself() bool {
+	return f.isHub.Load() || (f.followed.Load() == 0 && f.seeksLong()) || (f.followed.Load() > 0 && f.since(&f.followed) > followLasts)
+}
+
+// seeksLong reports whether a starting instance has looked for a hub long enough.
+func (f *Follower) seeksLong() bool { return time.Since(f.base) > claimDelay+claimSpread }
+
+// role is the task that finds a hub, follows it, or is one.
+type role struct {
+	*Follower
+	inbox    chan<- any
+	machine  *fsm.FSM
+	lease    string
+	claimAt  time.Time // claimAt is when the instance tries to become its zone's hub; zero while there is one.
+	versions map[hemlocktally.InstanceID]string
+	looked   time.Time
+}
+
+func (f *Follower) runRole(ctx context.Context, inbox chan<- any) {
+	r := &role{Follower: f, inbox: inbox, machine: newRole(), versions: map[hemlocktally.InstanceID]string{}}
+	for ctx.Err() == nil && !f.leaving.Load() {
+		switch r.machine.Current() {
+		case roleHub:
+			r.keep(ctx)
+		default:
+			r.seek(ctx)
+		}
+	}
+	if r.lease != "" {
+		f.isHub.Store(false)
+		f.revoke(ctx, r.lease)
+	}
+	// A leaving instance still follows, so that it serves by what is in force.
+	for ctx.Err() == nil {
+		if !r.followAny(ctx) {
+			sleep(ctx, seekPause)
+		}
+	}
+}
+
+// fire changes the role and logs it.
+func (r *role) fire(ctx context.Context, event string, fields logger.Fields) {
+	before := r.machine.Current()
+	if err := r.machine.Event(ctx, event); err != nil && r.machine.Current() == before {
+		return // The role stays as it is.
+	}
+	r.isHub.Store(r.machine.Current() == roleHub)
+	r.wakeFeeds.signal()
+	fields["From"], fields["To"] = before, r.machine.Current()
+	r.Log.Log(logger.EventRole, fields)
+}
+
+// seek follows a hub that answers, and stands for the place of its zone where
+// that is free.
+func (r *role) seek(ctx context.Context) {
+	r.findHubs(ctx)
+	r.stand(ctx)
+	if r.machine.Current() == roleHub {
+		return
+	}
+	if r.followAny(ctx) {
+		r.fire(ctx, eventFound, logger.Fields{})
+		return
+	}
+	r.fire(ctx, eventLost, logger.Fields{})
+	sleepUntil(ctx, spread(seekPause), r.wakeFeeds.wait())
+}
+
+// findHubs reads the list of hubs by a cheap call until one is known.
+func (r *role) findHubs(ctx context.Context) {
+	if len(r.Picture().Hubs) > 0 || r.readsItself() || time.Since(r.looked) < claimDelay {
+		return
+	}
+	r.looked = time.Now()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	all, err := r.Directory.Snapshot(ctx, r.Interpreter.HubPrefix(), true)
+	if err != nil {
+		r.failed(ctx, r.inbox, feed{kind: hemlocktally.EntryHub, prefix: r.Interpreter.HubPrefix()}, 0, err)
+		return
+	}
+	if len(all.Entries) == 0 {
+		return
+	}
+	published := r.published.wait()
+	send(ctx, r.inbox, SnapshotMsg{Kind: hemlocktally.EntryHub, Entries: all.Entries})
+	sleepUntil(ctx, seekPause, published)
+}
+
+// stand tries to take the place of the zone's hub, after a delay that is shorter
+// for strong instances.
+func (r *role) stand(ctx context.Context) {
+	hub, taken := r.Picture().Hubs[r.Self.Zone]
+	mine := taken && hub.ID == r.Self.ID
+	if taken && !mine {
+		r.claimAt = time.Time{}
+		return
+	}
+	if r.claimAt.IsZero() {
+		delay := time.Duration((1 - min(1, r.Self.Weight)) * float64(claimDelay+time.Duration(rand.Float64()*float64(claimSpread))))
+		if mine {
+			delay = 0 // It is the place of this instance's earlier life.
+		}
+		r.claimAt = time.Now().Add(delay)
+	}
+	if time.Now().Before(r.claimAt) {
+		return
+	}
+	r.claimAt = time.Time{}
+	if r.takenMeanwhile(ctx) {
+		return
+	}
+	lease, err := r.claim(ctx)
+	var conflict *hemlocktally.ConflictError
+	switch {
+	case err == nil:
+		r.lease = lease
+		r.fire(ctx, eventChosen, logger.Fields{"Lease": lease})
+	case errors.As(err, &conflict):
+		send(ctx, r.inbox, ChangesMsg{Kind: hemlocktally.EntryHub, Entries: []hemlocktally.DirectoryEntry{{Entry: conflict.Present}}})
+	default:
+		r.Log.Log(logger.EventRegistrationFailed, logger.Fields{"Instance": r.Self.ID, "Cause": err.Error()})
+	}
+}
+
+// takenMeanwhile reads the list of hubs anew: that costs less than a claim that
+// comes too late.
+func (r *role) takenMeanwhile(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	all, err := r.Directory.Snapshot(ctx, r.Interpreter.HubPrefix(), false)
+	if err != nil {
+		r.failed(ctx, r.inbox, feed{kind: hemlocktally.EntryHub, prefix: r.Interpreter.HubPrefix()}, 0, err)
+		return true
+	}
+	r.answered()
+	send(ctx, r.inbox, SnapshotMsg{Kind: hemlocktally.EntryHub, Entries: all.Entries})
+	return slices.ContainsFunc(all.Entries, func(e hemlocktally.DirectoryEntry) bool {
+		return e.Key == r.Interpreter.HubPrefix()+string(r.Self.Zone) && !r.isOwn(e.Entry)
+	})
+}
+
+// claim writes the key of the zone's hub under a new lease.
+func (r *role) claim(ctx context.Context) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	lease, err := r.Directory.Grant(ctx, hubTTL)
+	if err != nil {
+		return "", err
+	}
+	value, err := json.Marshal(r.Self)
+	if err != nil {
+		return "", err
+	}
+	entry := hemlocktally.Entry{Key: r.Interpreter.HubPrefix() + string(r.Self.Zone), Value: value, Lease: lease.ID}
+	_, err = r.Directory.Swap(ctx, entry)
+	var conflict *hemlocktally.ConflictError
+	if errors.As(err, &conflict) && r.isOwn(conflict.Present) {
+		entry.Version = conflict.Present.Version
+		_, err = r.Directory.Swap(ctx, entry)
+	}
+	if err != nil {
+		r.revoke(ctx, lease.ID)
+		return "", err
+	}
+	r.answered()
+	return lease.ID, nil
+}
+
+// isOwn reports whether the key was written by an earlier life of the instance.
+func (r *role) isOwn(present hemlocktally.Entry) bool {
+	var hub Hub
+	return json.Unmarshal(present.Value, &hub) == nil && hub.ID == r.Self.ID
+}
+
+// keep renews the hub's place once.
+func (r *role) keep(ctx context.Context) {
+	sleepUntil(ctx, renewInterval, nil)
+	if r.leaving.Load() || ctx.Err() != nil {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	err := r.Directory.Renew(bounded, r.lease)
+	var absent *hemlocktally.AbsentError
+	switch {
+	case err == nil:
+		r.answered()
+	case errors.As(err, &absent):
+		r.lease = ""
+		r.fire(ctx, eventEnded, logger.Fields{})
+	default:
+		r.Log.Log(logger.EventRegistrationFailed, logger.Fields{"Instance": r.Self.ID, "Cause": err.Error()})
+	}
+}
+
+// revoke ends a lease, so that the others need not wait for its end.
+func (f *Follower) revoke(ctx context.Context, lease string) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), revokeTimeout)
+	defer cancel()
+	if err := f.Directory.Revoke(ctx, lease); err != nil {
+		f.Log.Log(logger.EventRegistrationFailed, logger.Fields{"Instance": f.Self.ID, "Cause": err.Error()})
+	}
+}
+
+// hubs lists the other hubs, the one of the own zone first.
+func (r *role) hubs() []Hub {
+	var list []Hub
+	for _, hub := range r.Picture().Hubs {
+		if hub.ID != r.Self.ID {
+			list = append(list, hub)
+		}
+	}
+	slices.SortFunc(list, func(a, b Hub) int {
+		if (a.Zone == r.Self.Zone) != (b.Zone == r.Self.Zone) {
+			if a.Zone == r.Self.Zone {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.ID, b.ID)
+	})
+	return list
+}
+
+// followAny asks the hubs in turn until one in touch with the store answers.
+// While none is in touch, the answer of one that is not is better than none.
+func (r *role) followAny(ctx context.Context) bool {
+	heard := false
+	for _, hub := range r.hubs() {
+		touch, ok := r.sync(ctx, hub)
+		heard = heard || ok
+		if touch {
+			return true
+		}
+	}
+	if heard && r.since(&r.followed) > outageLook {
+		// The store seems to be out for all hubs. Looks of the instances' own are
+		// spread, for each is a priced call.
+		sleep(ctx, spread(seekPause))
+	}
+	return heard
+}
--- a/follower/state.go
+++ b/follower/state.go
@@ -14,8 +14,10 @@
 // again; what is still missing then is gone.
 const returnGrace = 2200 * time.Millisecond
 
-// Member is an instance's own registration, in JSON.
-type Member struct {
+// Hub is the registration of an instance that reads the store for others, in
+// JSON. There is one a zone.
+type Hub struct {
+	ID          hemlocktally.InstanceID
 	Incarnation string
 	Zone        hemlocktally.ZoneName
 	PeerAddress string  // PeerAddress is IP:port.
@@ -27,8 +29,12 @@
 type Picture struct {
 	Configuration *hemlocktally.Configuration
 	Targets       map[hemlocktally.ServiceName][]hemlocktally.Registration
-	Members       map[hemlocktally.InstanceID]Member
+	Hubs          map[hemlocktally.ZoneName]Hub
 	TargetsAt     time.Time // TargetsAt is when the targets were last read; zero means never.
+	// Relayed holds the entries that hubs pass on, as they stand in the store.
+	Relayed []hemlocktally.Entry
+	// Version changes whenever Relayed does.
+	Version uint64
 }
 
 // Messages to the state.
@@ -69,10 +75,11 @@
 		Target  hemlocktally.TargetName
 		State   string
 	}
-	// MemberChange says that an instance came or is gone.
-	MemberChange struct {
-		Member hemlocktally.InstanceID
-		Joined bool
+	// HubChange says which instance reads for others in a zone; none where Hub is
+	// empty.
+	HubChange struct {
+		Zone hemlocktally.ZoneName
+		Hub  hemlocktally.InstanceID
 	}
 )
 
@@ -90,7 +97,9 @@
 	config    *hemlocktally.Configuration
 	stops     map[hemlocktally.ZoneName]bool
 	targets   map[hemlocktally.TargetName]hemlocktally.Registration
-	members   map[hemlocktally.InstanceID]Member
+	hubs      map[hemlocktally.ZoneName]Hub
+	relayed   map[string]hemlocktally.Entry
+	version   uint64
 	targetsAt time.Time
 	feeds     map[hemlocktally.EntryKind]*feedState
 }
@@ -130,7 +139,8 @@
 		s.feeds = map[hemlocktally.EntryKind]*feedState{}
 		s.stops = map[hemlocktally.ZoneName]bool{}
 		s.targets = map[hemlocktally.TargetName]hemlocktally.Registration{}
-		s.members = map[hemlocktally.InstanceID]Member{}
+		s.hubs = map[hemlocktally.ZoneName]Hub{}
+		s.relayed = map[string]hemlocktally.Entry{}
 	}
 	f := s.feeds[kind]
 	if f == nil {
@@ -177,9 +187,9 @@
 		for name := range s.targets {
 			keys = append(keys, s.Interpreter.TargetPrefix()+string(name))
 		}
-	case hemlocktally.EntryMember:
-		for id := range s.members {
-			keys = append(keys, s.Interpreter.MemberPrefix()+string(id))
+	case hemlocktally.EntryHub:
+		for zone := range s.hubs {
+			keys = append(keys, s.Interpreter.HubPrefix()+string(zone))
 		}
 	case hemlocktally.EntryDeclaration, hemlocktally.EntryZoneStop:
 		for zone := range s.stops {
@@ -200,9 +210,11 @@
 			f.missing[entry.Key] = true
 			return nil
 		}
+		s.unrelay(entry.Key)
 		return s.remove(kind, name)
 	}
 	delete(f.missing, entry.Key)
+	s.relay(kind, entry.Entry)
 	switch kind {
 	case hemlocktally.EntryDeclaration:
 		return s.declare(entry)
@@ -210,8 +222,8 @@
 		return s.stopZone(hemlocktally.ZoneName(name), true)
 	case hemlocktally.EntryTarget:
 		return s.register(entry, hemlocktally.TargetName(name))
-	case hemlocktally.EntryMember:
-		return s.join(entry, hemlocktally.InstanceID(name))
+	case hemlocktally.EntryHub:
+		return s.join(entry, hemlocktally.ZoneName(name))
 	case hemlocktally.EntryForeign:
 	}
 	return nil
@@ -225,6 +237,7 @@
 	var notes []any
 	for _, key := range slices.Sorted(maps.Keys(f.missing)) {
 		kind, name := s.Interpreter.Kind(key)
+		s.unrelay(key)
 		notes = append(notes, s.remove(kind, name)...)
 	}
 	clear(f.missing)
@@ -242,12 +255,12 @@
 		}
 		delete(s.targets, hemlocktally.TargetName(name))
 		return []any{TargetChange{Service: known.Service, Target: known.Target.Name, State: targetRemoved}}
-	case hemlocktally.EntryMember:
-		if _, ok := s.members[hemlocktally.InstanceID(name)]; !ok {
+	case hemlocktally.EntryHub:
+		if _, ok := s.hubs[hemlocktally.ZoneName(name)]; !ok {
 			return nil
 		}
-		delete(s.members, hemlocktally.InstanceID(name))
-		return []any{MemberChange{Member: hemlocktally.InstanceID(name)}}
+		delete(s.hubs, hemlocktally.ZoneName(name))
+		return []any{HubChange{Zone: hemlocktally.ZoneName(name)}}
 	case hemlocktally.EntryDeclaration, hemlocktally.EntryForeign:
 	}
 	return nil
@@ -295,17 +308,34 @@
 	return nil
 }
 
-func (s *State) join(entry hemlocktally.DirectoryEntry, id hemlocktally.InstanceID) []any {
-	var member Member
-	if err := json.Unmarshal(entry.Value, &member); err != nil {
+func (s *State) join(entry hemlocktally.DirectoryEntry, zone hemlocktally.ZoneName) []any {
+	var hub Hub
+	if err := json.Unmarshal(entry.Value, &hub); err != nil {
 		return []any{BadEntry{Key: entry.Key, Cause: err}}
 	}
-	_, known := s.members[id]
-	s.members[id] = member
-	if known {
+	known := s.hubs[zone]
+	s.hubs[zone] = hub
+	if known.Incarnation == hub.Incarnation {
 		return nil
 	}
-	return []any{MemberChange{Member: id, Joined: true}}
+	return []any{HubChange{Zone: zone, Hub: hub.ID}}
+}
+
+// relay keeps an entry for others. Targets are read by whoever places work.
+func (s *State) relay(kind hemlocktally.EntryKind, entry hemlocktally.Entry) {
+	known, ok := s.relayed[entry.Key]
+	if kind == hemlocktally.EntryTarget || kind == hemlocktally.EntryForeign || (ok && known.Version >= entry.Version) {
+		return
+	}
+	s.relayed[entry.Key] = entry
+	s.version++
+}
+
+func (s *State) unrelay(key string) {
+	if _, ok := s.relayed[key]; ok {
+		delete(s.relayed, key)
+		s.version++
+	}
 }
 
 // Picture returns a copy of all that is followed.
@@ -318,9 +348,12 @@
 		config.Zones = append(config.Zones, hemlocktally.AvailabilityZone{Name: zone, Out: true})
 	}
 	p := &Picture{
-		Configuration: &config, Members: maps.Clone(s.members), TargetsAt: s.targetsAt,
+		Configuration: &config, Hubs: maps.Clone(s.hubs), TargetsAt: s.targetsAt, Version: s.version,
 		Targets: map[hemlocktally.ServiceName][]hemlocktally.Registration{},
 	}
+	for _, key := range slices.Sorted(maps.Keys(s.relayed)) {
+		p.Relayed = append(p.Relayed, s.relayed[key])
+	}
 	for _, r := range s.targets {
 		p.Targets[r.Service] = append(p.Targets[r.Service], r)
 	}
--- a/instance.go
+++ b/instance.go
@@ -40,6 +40,9 @@
 	Revision uint64
 	Members  []Instance
 	Frozen   bool // Frozen is set while the store does not answer.
+	// Instances is how many instances there are, where Members does not list all
+	// of them; zero means that it does.
+	Instances int
 }
 
 // Find returns the member with the given ID.
--- a/logger/membership_events.go
+++ b/logger/membership_events.go
@@ -88,16 +88,28 @@
 		Meaning: "A target came, started anew, is draining, or left the platform's list.",
 		Action:  "None, unless many leave at once without planned work.",
 	}
-	EventMemberListed = Event{
-		Number: 4015, Name: "member listed", Level: logrus.InfoLevel,
-		Fields:  []string{"Member", "Joined"},
-		Meaning: "Another instance registered itself, or its registration ended.",
-		Action:  "None, where it was planned; else look at that instance.",
+	EventHubListed = Event{
+		Number: 4015, Name: "hub listed", Level: logrus.InfoLevel,
+		Fields:  []string{"Zone", "Hub"},
+		Meaning: "Another instance reads the store for its zone from now on; none where Hub is empty.",
+		Action:  "None, where it was planned; else look at the hub before.",
+	}
+	EventRole = Event{
+		Number: 4017, Name: "role changed", Level: logrus.InfoLevel,
+		Fields:  []string{"From", "To", "Lease"},
+		Meaning: "The instance found or lost a hub that it follows, or became or ceased to be one.",
+		Action:  "None, unless instances stay Seeking: then no hub answers them.",
+	}
+	EventHubSilent = Event{
+		Number: 4018, Name: "hub does not answer", Level: logrus.InfoLevel,
+		Fields:  []string{"Hub", "Cause"},
+		Meaning: "A question to a hub failed; the instance asks the next one, and reads the store itself where none answers.",
+		Action:  "Look at the hub where this goes on.",
 	}
 	EventRegistrationFailed = Event{
-		Number: 4016, Name: "instance not registered", Level: logrus.WarnLevel,
+		Number: 4016, Name: "hub not registered", Level: logrus.WarnLevel,
 		Fields:  []string{"Instance", "Cause"},
-		Meaning: "The instance's own key could not be written or renewed; it tries again. Meanwhile others may take its services over.",
+		Meaning: "The instance's key as a hub could not be written, renewed or ended; it tries again. Meanwhile another may take its place.",
 		Action:  "Look at the store, and at the link to it.",
 	}
 )
@@ -105,5 +117,5 @@
 var membershipEvents = []Event{
 	EventStoreDown, EventStoreBack, EventRegistered, EventMemberState, EventLeaseRelayed, EventConfigurationInForce,
 	EventConfigurationDivergent, EventConfigurationStale, EventProvisionalStop, EventProvisionalSettled,
-	EventConfigurationRestored, EventEntryUnusable, EventZoneStop, EventTargetListed, EventMemberListed, EventRegistrationFailed,
+	EventConfigurationRestored, EventEntryUnusable, EventZoneStop, EventTargetListed, EventHubListed, EventRegistrationFailed, EventRole, EventHubSilent,
 }
--- a/placer/client.go
+++ b/placer/client.go
@@ -20,6 +20,8 @@
 	endTimeout  = 150 * time.Millisecond
 	avoidFirst  = time.Second // avoidFirst is how long an owner that did not answer is not asked.
 	avoidMost   = 4 * time.Second
+	aloneWait   = 60 * time.Millisecond // aloneWait is how long an instance that decides alone waits for the list of targets.
+	aloneLook   = 5 * time.Millisecond
 	ownersAsked = 2 // ownersAsked is how many owners in line are asked before the instance decides alone.
 )
 
@@ -34,6 +36,9 @@
 	Alone  *Server // Alone decides while no owner answers.
 	HTTP   *http.Client
 	Log    logger.Logger
+	// NeedTargets asks for the list of targets, which an instance that decides
+	// alone may not have; it may be nil.
+	NeedTargets func()
 
 	asked atomic.Uint64
 	mu    sync.Mutex
@@ -102,9 +107,21 @@
 		}
 		c.Log.Log(logger.EventOwnerSilent, logger.Fields{"Owner": owner.ID, "Cause": err.Error()})
 	}
+	c.awaitTargets(ctx, ask.Request.Service)
 	return c.Alone.Ask(ctx, ask)
 }
 
+// awaitTargets waits a moment until the instance knows targets itself.
+func (c *Client) awaitTargets(ctx context.Context, service hemlocktally.ServiceName) {
+	if c.NeedTargets == nil {
+		return
+	}
+	c.NeedTargets()
+	for end := time.Now().Add(aloneWait); !c.Alone.Able(service) && time.Now().Before(end) && ctx.Err() == nil; {
+		time.Sleep(aloneLook)
+	}
+}
+
 func (c *Client) askPeer(ctx context.Context, p *peer, owner hemlocktally.InstanceID, ask AskMsg) (any, error) {
 	asked := time.Now()
 	bounded, cancel := context.WithTimeout(ctx, firstAsk)
--- a/placer/client_test.go
+++ b/placer/client_test.go
@@ -37,6 +37,9 @@
 	server.Configure(map[hemlocktally.ServiceName]placer.TargetsMsg{"s": {
 		Service: hemlocktally.Service{Name: "s", ProbePath: "/"}, Targets: targets,
 	}})
+	for len(targets) > 0 && !server.Able("s") {
+		time.Sleep(time.Millisecond)
+	}
 	listener := httptest.NewServer(messenger.NewPlacementServer(server))
 	t.Cleanup(listener.Close)
 	return server, hemlocktally.Instance{
--- a/placer/server.go
+++ b/placer/server.go
@@ -79,7 +79,7 @@
 func (s *Server) Able(service hemlocktally.ServiceName) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.leaving && len(s.latest[service].Targets) > 0
+	return s.ctx != nil && !s.leaving && len(s.latest[service].Targets) > 0
 }
 
 // Configure tells each service its targets.
