Early return of shed calls; call lines for troubled calls; more of the retry budget

Cause: while targets shed (srv_grey shed all) half of the answers say that nothing ran, and a refused caller was told to come back in a second: past every objective. Event 2004 names each call that was not answered promptly at once. Ruled out: lack of capacity in these seconds (a calm target is free).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -125,8 +125,7 @@
 	b.owner = &placer.Server{Self: self, Epoch: epoch, Bounds: bounds, Loads: loads, Log: b.Log, Needed: b.follower.NeedTargets}
 	// An instance that decides alone is one of many: it keeps to a small part of
 	// the fleet's budget and leaves cold targets to the owner.
-	const alonePart = 0.05
-	bounds.ColdShare, bounds.RetrySlack, bounds.RetryRatio = 0, bounds.RetrySlack*alonePart, bounds.RetryRatio/2
+	bounds.ColdShare, bounds.RetryRatio = 0, bounds.RetryRatio/2
 	b.alone = &placer.Server{Self: self, Epoch: epoch + "A", Bounds: bounds, Loads: loads, Log: b.Log, Needed: b.follower.NeedTargets, Alone: true}
 	b.turns = &placer.Client{
 		Self: self, Zone: hemlocktally.ZoneName(s.Instance.Zone), Epoch: epoch, View: b.follower, Server: b.owner, Alone: b.alone,
@@ -143,13 +142,14 @@
 	for _, zone := range p.Configuration.Zones {
 		out[zone.Name] = zone.Out
 	}
+	instances := int(b.follower.View().Instances)
 	services := make(map[hemlocktally.ServiceName]placer.TargetsMsg, len(p.Targets))
 	for name, targets := range p.Targets {
-		services[name] = placer.TargetsMsg{Targets: targets, Out: out, Revision: p.Configuration.Revision}
+		services[name] = placer.TargetsMsg{Targets: targets, Out: out, Revision: p.Configuration.Revision, Instances: instances}
 	}
 	for _, service := range p.Configuration.Services {
 		msg := services[service.Name]
-		msg.Service, msg.Out, msg.Revision = service, out, p.Configuration.Revision
+		msg.Service, msg.Out, msg.Revision, msg.Instances = service, out, p.Configuration.Revision, instances
 		services[service.Name] = msg
 	}
 	b.owner.Configure(services)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -92,6 +92,7 @@
 	if d.Recorder != nil {
 		d.Recorder.Record(c.record)
 	}
+	d.noteTrouble(c)
 	if c.broken {
 		// The caller's connection is cut, so that a partial answer can't look whole.
 		panic(http.ErrAbortHandler)
--- a/dispatcher/refusal.go
+++ b/dispatcher/refusal.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -32,16 +33,29 @@
 	}
 }
 
-// retryAfter is the advice to a caller whose call did not run for want of a
-// target.
-const retryAfter = time.Second
+// Advice to a caller whose call did not run.
+const (
+	// adviceElsewhere is for a call that another target or instance may take right
+	// now: one that targets turned away, or whose target could not be reached.
+	adviceElsewhere = 20 * time.Millisecond
+	adviceStarting  = 200 * time.Millisecond // adviceStarting is for an instance that is not ready yet.
+	adviceLater     = time.Second
+	adviceSpread    = 0.5 // adviceSpread is the part of the advice that is random, so that not all come at once.
+)
 
 // adviceFor returns when the caller should come back; zero means no advice.
 func adviceFor(refused *hemlocktally.RefusedError) time.Duration {
-	if refused.Outcome == hemlocktally.OutcomeNotRun && statusOf(refused) >= http.StatusInternalServerError {
-		return retryAfter
+	if refused.Outcome != hemlocktally.OutcomeNotRun || statusOf(refused) < http.StatusInternalServerError {
+		return 0
+	}
+	advice := adviceLater
+	switch refused.Reason {
+	case hemlocktally.ReasonTargetFailed, hemlocktally.ReasonRetryBudget:
+		advice = adviceElsewhere
+	case hemlocktally.ReasonStarting, hemlocktally.ReasonNoTarget, hemlocktally.ReasonLeaving:
+		advice = adviceStarting
 	}
-	return 0
+	return time.Duration(float64(advice) * (1 + adviceSpread*(rand.Float64()-0.5)))
 }
 
 // writeRefusal answers with a refusal and returns its status.
--- /dev/null
+++ b/dispatcher/trouble.go
@@ -0,0 +1,50 @@
+package dispatcher
+
+import (
+	"fmt"
+	"strings"
+
+	"hemlocktally"
+	"hemlocktally/logger"
+)
+
+// noteTrouble logs a call that was refused, failed, repeated or late. Calm calls
+// are counted and timed only.
+func (d *Dispatcher) noteTrouble(c *call) {
+	r := &c.record
+	late := c.contract.Objective > 0 && r.Total > c.contract.Objective
+	if r.Outcome == hemlocktally.OutcomeDone && len(r.Attempts) <= 1 && !late && !c.broken {
+		return
+	}
+	d.Log.Log(logger.EventCallTroubled, logger.Fields{
+		"Call": r.Call, "Contract": r.Contract, "Service": r.Service, "Revision": r.Revision, "Outcome": r.Outcome, "Reason": r.Reason,
+		"Detail": r.Detail, "Status": r.Status, "Total": r.Total.String(), "Queue": r.Granting.String(),
+		"Objective": c.contract.Objective.String(), "Attempts": attemptsText(r.Attempts),
+	})
+}
+
+var (
+	kindNames    = [...]string{hemlocktally.AttemptFirst: "First", hemlocktally.AttemptRetry: "Retry", hemlocktally.AttemptHedge: "Hedge"}
+	outcomeNames = [...]string{
+		hemlocktally.AttemptDone: "Done", hemlocktally.AttemptUnused: "Unused", hemlocktally.AttemptRefused: "Refused",
+		hemlocktally.AttemptFailed: "Failed", hemlocktally.AttemptTimedOut: "TimedOut", hemlocktally.AttemptCancelled: "Cancelled",
+	}
+)
+
+// attemptsText lists the attempts of a call in one line.
+func attemptsText(attempts []hemlocktally.AttemptRecord) string {
+	var b strings.Builder
+	for i, a := range attempts {
+		if i > 0 {
+			b.WriteString("; ")
+		}
+		fmt.Fprintf(&b, "%s %s by %s at %s: %s after %s", kindNames[a.Kind], a.Target, a.Owner, a.Started, outcomeNames[a.Outcome], a.Took)
+		if a.Alone {
+			b.WriteString(" alone")
+		}
+		if a.Detail != "" {
+			b.WriteString(" (" + a.Detail + ")")
+		}
+	}
+	return b.String()
+}
--- a/follower/role.go
+++ b/follower/role.go
@@ -65,6 +65,8 @@
 	inbox    chan<- any
 	machine  *fsm.FSM
 	lease    string
+	renewed  time.Time // renewed is when the place was last renewed.
+	failing  bool      // failing is set after a failed renewal or claim.
 	claimAt  time.Time // claimAt is when the instance tries to become its zone's hub; zero while there is one.
 	versions map[hemlocktally.InstanceID]string
 	looked   time.Time
@@ -168,12 +170,12 @@
 	var conflict *hemlocktally.ConflictError
 	switch {
 	case err == nil:
-		r.lease = lease
+		r.lease, r.renewed, r.failing = lease, time.Now(), false
 		r.fire(ctx, eventChosen, logger.Fields{"Lease": lease})
 	case errors.As(err, &conflict):
 		send(ctx, r.inbox, ChangesMsg{Kind: hemlocktally.EntryHub, Entries: []hemlocktally.DirectoryEntry{{Entry: conflict.Present}}})
 	default:
-		r.Log.Log(logger.EventRegistrationFailed, logger.Fields{"Instance": r.Self.ID, "Cause": err.Error()})
+		r.noteFailure(err)
 	}
 }
 
@@ -240,12 +242,39 @@
 	switch {
 	case err == nil:
 		r.answered()
+		r.renewed, r.failing = time.Now(), false
 	case errors.As(err, &absent):
-		r.lease = ""
-		r.fire(ctx, eventEnded, logger.Fields{})
+		r.end(ctx)
 	default:
+		r.noteFailure(err)
+		if time.Since(r.renewed) > hubTTL && r.othersInTouch(ctx) {
+			r.end(ctx)
+		}
+	}
+}
+
+// end gives the hub's place up.
+func (r *role) end(ctx context.Context) {
+	r.lease, r.failing = "", false
+	r.fire(ctx, eventEnded, logger.Fields{})
+}
+
+// othersInTouch reports whether another hub hears the store, while this one does
+// not: then its place is taken over by an instance that does. While no hub
+// hears the store, all keep their places.
+func (r *role) othersInTouch(ctx context.Context) bool {
+	return slices.ContainsFunc(r.hubs(), func(hub Hub) bool {
+		touch, _ := r.sync(ctx, hub)
+		return touch
+	})
+}
+
+// noteFailure logs the first failure of a row.
+func (r *role) noteFailure(err error) {
+	if !r.failing {
 		r.Log.Log(logger.EventRegistrationFailed, logger.Fields{"Instance": r.Self.ID, "Cause": err.Error()})
 	}
+	r.failing = true
 }
 
 // revoke ends a lease, so that the others need not wait for its end.
--- a/logger/entry_events.go
+++ b/logger/entry_events.go
@@ -22,6 +22,14 @@
 		Meaning: "The instance is no longer ready; it still serves until the platform's balancer has seen that.",
 		Action:  "None, where it was planned.",
 	}
+	EventCallTroubled = Event{
+		Number: 2004, Name: "call refused, failed, repeated or late", Level: logrus.InfoLevel,
+		Fields: []string{
+			"Call", "Contract", "Service", "Revision", "Outcome", "Reason", "Detail", "Status", "Total", "Queue", "Objective", "Attempts",
+		},
+		Meaning: "One line for each call that was not answered promptly by its first attempt. Attempts lists kind, target, outcome and time of each.",
+		Action:  "None for a single call; `hemlocktally explain` joins the lines of several instances.",
+	}
 )
 
-var entryEvents = []Event{EventEntryInvariant, EventClaimUnfinished, EventSettling}
+var entryEvents = []Event{EventEntryInvariant, EventClaimUnfinished, EventSettling, EventCallTroubled}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -32,6 +32,9 @@
 		Targets  []hemlocktally.Registration
 		Out      map[hemlocktally.ZoneName]bool // Out holds the zones that are out of service.
 		Revision hemlocktally.Revision
+		// Instances is how many instances there seem to be: one that decides alone
+		// keeps to its part of the slack.
+		Instances int
 	}
 	// AskMsg asks for a turn. The same ticket asks again until it is answered.
 	AskMsg struct {
--- a/placer/state.go
+++ b/placer/state.go
@@ -27,6 +27,8 @@
 	work     map[hemlocktally.ContractName]*estimate
 	mean     float64 // mean is the moving mean of the reported paces.
 	granted  uint64
+	// instances is how many instances there seem to be.
+	instances int
 }
 
 // waiter is a question in the queue.
@@ -44,6 +46,7 @@
 	keepPlace     = 80 * time.Millisecond // keepPlace is how long a waiter keeps its place after its last answer.
 	turnGrace     = 100 * time.Millisecond
 	outlierFactor = 4
+	fewestAlone   = 16 // fewestAlone is how many instances are taken to decide alone at the least.
 )
 
 // estimate is a moving mean of a contract's work at the usual pace, in seconds.
@@ -88,7 +91,7 @@
 func (s *State) Waiting() int { return len(s.queue) }
 
 func (s *State) configure(msg TargetsMsg, now time.Time) {
-	s.service, s.revision = msg.Service, msg.Revision
+	s.service, s.revision, s.instances = msg.Service, msg.Revision, msg.Instances
 	present := make(map[hemlocktally.TargetName]bool, len(msg.Targets))
 	for _, r := range msg.Targets {
 		present[r.Target.Name] = true
@@ -127,7 +130,7 @@
 	}
 	if msg.Request.Kind == hemlocktally.AttemptFirst {
 		s.spent.call(now, s.Bounds.RetryWindow)
-	} else if !s.spent.may(now, s.Bounds) {
+	} else if !s.spent.may(now, s.ownBounds()) {
 		return []any{RefuseCmd{Ticket: msg.Ticket, Error: notRun(hemlocktally.ReasonRetryBudget, "the budget for sending once more is spent", 0)}}
 	}
 	if refused := s.admit(msg, now); refused != nil {
@@ -139,6 +142,16 @@
 	return nil
 }
 
+// ownBounds are the bounds of this decider: one that decides alone is one of
+// many.
+func (s *State) ownBounds() Bounds {
+	bounds := s.Bounds
+	if s.Alone {
+		bounds.RetrySlack /= float64(max(fewestAlone, s.instances))
+	}
+	return bounds
+}
+
 // goesBefore orders waiters by priority, then by their objective.
 func goesBefore(a, b *waiter) int {
 	if c := cmp.Compare(b.msg.Request.Priority, a.msg.Request.Priority); c != 0 {
