Placer: admit what can still be prompt; faults rank a target and cost no time

Change: refused at arrival is what would start with less than 1.4 times the usual work left; faults and suspicion rank targets but are no part of the expected time. Ruled out: too little capacity in seconds 14 to 20 (targets idle 40% of the time). Tests: TestOverloadKeepsTheQueueShort, TestSheddingTargetsAreNotWaitedFor.

--- a/placer/choice.go
+++ b/placer/choice.go
@@ -21,6 +21,7 @@
 	farPenalty   = 10 * time.Millisecond // farPenalty is added for a target in another zone.
 	nearlyFull   = 1.3                   // nearlyFull is how much longer work takes with the last slot taken.
 	late         = 1.1                   // late is the multiple of the usual work below which no prompt answer is hoped for.
+	promptMargin = 1.4                   // promptMargin is the multiple of the usual work that has to be left for a prompt answer to be likely.
 	worstFaulty  = 0.75
 	coldValidity = 100 * time.Millisecond // coldValidity is how long a turn on a cold target may be begun.
 	leastAdvice  = 50 * time.Millisecond  // leastAdvice is the shortest advice when to come back.
@@ -31,6 +32,7 @@
 type candidate struct {
 	t        *tally
 	expected time.Duration
+	cost     time.Duration // cost ranks it: what is expected, with what speaks against the target.
 	near     bool
 	fresh    bool
 }
@@ -56,12 +58,17 @@
 
 // lateness is 1 for a waiter whose answer can't be prompt any more, else 0.
 func (s *State) lateness(w *waiter, now time.Time) int {
-	if now.Add(s.usual(w.msg.Request.Contract)).After(w.msg.Request.Objective) {
+	if now.Add(s.likely(w.msg.Request.Contract)).After(w.msg.Request.Objective) {
 		return 1
 	}
 	return 0
 }
 
+// likely is the time that has to be left for a prompt answer to be likely.
+func (s *State) likely(contract hemlocktally.ContractName) time.Duration {
+	return time.Duration(promptMargin * float64(s.usual(contract)))
+}
+
 // placeOne tries to answer one waiter.
 func (s *State) placeOne(w *waiter, now time.Time) (bool, []any) {
 	r := w.msg.Request
@@ -115,14 +122,19 @@
 		}
 		c := candidate{t: t, near: t.target.Zone == w.msg.Zone, fresh: !t.suspect && t.age(now) >= 0 && t.age(now) <= freshFor}
 		c.expected = s.expect(t, w.msg.Request.Contract, now)
+		c.cost = c.expected
+		if t.suspect {
+			c.cost *= outlierFactor
+		}
+		c.cost = time.Duration(float64(c.cost) / (1 - math.Min(worstFaulty, t.faulty)))
 		if !c.near {
-			c.expected += farPenalty
+			c.cost += farPenalty
 		}
 		list = append(list, c)
 	}
 	slices.SortStableFunc(list, func(a, b candidate) int {
-		if a.expected != b.expected {
-			return int(a.expected - b.expected)
+		if a.cost != b.cost {
+			return cmp.Compare(a.cost, b.cost)
 		}
 		return a.t.usedAt.Compare(b.t.usedAt)
 	})
@@ -145,10 +157,6 @@
 	if t.cold(now) {
 		factor *= coldSlowdown
 	}
-	if t.suspect {
-		factor *= outlierFactor
-	}
-	factor /= 1 - math.Min(worstFaulty, t.faulty)
 	return time.Duration(float64(s.usual(contract)) * factor)
 }
 
@@ -159,7 +167,7 @@
 		return candidate{}, false
 	}
 	for _, c := range candidates {
-		if c.near && float64(c.expected) <= comfort*float64(left) {
+		if c.near && float64(c.cost) <= comfort*float64(left) {
 			return c, true
 		}
 	}
@@ -236,7 +244,8 @@
 	}
 	usual := s.usual(msg.Request.Contract)
 	wait := time.Duration(float64(ahead) * float64(usual) * s.mean / float64(max(1, slots)))
-	if now.Add(wait + usual).After(msg.Request.Deadline) {
+	inTime := msg.Request.Objective.Add(-s.likely(msg.Request.Contract))
+	if now.Add(wait + usual).After(msg.Request.Deadline) || (wait > 0 && now.Add(wait).After(inTime)) {
 		return notRun(hemlocktally.ReasonShed, "the calls that go before it take all the time it has", s.advice(wait))
 	}
 	return nil
--- a/placer/state_test.go
+++ b/placer/state_test.go
@@ -310,3 +310,35 @@
 		})
 	})
 }
+
+// While the targets of a service shed half of their calls, a shed answer costs
+// no time: the next call is placed at once and not held for a better target.
+func TestSheddingTargetsAreNotWaitedFor(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(target("x", "a"), target("y", "a"))
+	for range 20 {
+		d.report("x", 1)
+		d.report("y", 1)
+		got := grants(d.update(d.request()))
+		c.Assert(got, qt.HasLen, 1)
+		d.update(EndMsg{Result: hemlocktally.GrantResult{
+			Grant: got[0], Outcome: hemlocktally.AttemptRefused, Latency: time.Millisecond, Load: &hemlocktally.Load{Pace: 1},
+		}})
+	}
+}
+
+// A burst over all capacity: whoever is let in is still prompt, the others are
+// told at once.
+func TestOverloadKeepsTheQueueShort(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(target("x", "a"))
+	d.report("x", 1)
+	refused := 0
+	for range 20 {
+		refused += len(refusals(d.update(d.request())))
+	}
+	usual := d.state.usual("c")
+	wait := time.Duration(float64(d.state.Waiting()) * float64(usual) * d.state.mean / 2)
+	c.Assert(refused > 0, qt.IsTrue)
+	c.Assert(wait <= 250*time.Millisecond, qt.IsTrue, qt.Commentf("%d wait for %s", d.state.Waiting(), wait))
+}
