Stand-ins of the platform's store and targets; fleet, store and parser tests; settings check FILE

The owner learns how much longer work takes with a target's last slot taken. Ruled out: sharing the older Platform stand-in, whose calls are another protocol.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -142,7 +142,7 @@
 	for _, zone := range p.Configuration.Zones {
 		out[zone.Name] = zone.Out
 	}
-	instances := int(b.follower.View().Instances)
+	instances := b.follower.View().Instances
 	services := make(map[hemlocktally.ServiceName]placer.TargetsMsg, len(p.Targets))
 	for name, targets := range p.Targets {
 		services[name] = placer.TargetsMsg{Targets: targets, Out: out, Revision: p.Configuration.Revision, Instances: instances}
@@ -167,8 +167,10 @@
 		listener *net.Listener
 		address  string
 	}{
-		{&l.callers, b.Settings.Listen.Callers}, {&l.ready, b.Settings.Listen.Ready},
-		{&l.peers, b.Settings.Listen.Peers}, {&l.metrics, b.Settings.Listen.Metrics},
+		{&l.callers, b.Settings.Listen.Callers},
+		{&l.ready, b.Settings.Listen.Ready},
+		{&l.peers, b.Settings.Listen.Peers},
+		{&l.metrics, b.Settings.Listen.Metrics},
 	} {
 		if open.address == "" {
 			continue
--- /dev/null
+++ b/balancer/fleet_test.go
@@ -0,0 +1,331 @@
+package balancer_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hemlocktally/balancer"
+	"hemlocktally/imitator"
+	"hemlocktally/platform"
+)
+
+// fleet is instances on loopback in front of stand-in targets, by the platform's
+// protocol.
+type fleet struct {
+	t         *testing.T
+	directory *imitator.Directory
+	upstreams []*imitator.Upstream
+	instances []*instance
+	client    *http.Client
+	store     string
+}
+
+// instance is one balancer of the fleet.
+type instance struct {
+	settings balancer.Settings
+	stop     context.CancelFunc
+	done     chan error
+}
+
+const testDocument = `{"version":"r%d","resources":[
+ {"resourceType":"routes","metadata":{"name":"read"},"spec":{"hostname":"h","prefix":"/read/","routeType":"safe","timeout":"2000ms","targetLatency":"500ms","priority":1,"service":"s","maxAttempts":2}},
+ {"resourceType":"routes","metadata":{"name":"pay"},"spec":{"hostname":"h","prefix":"/pay/","routeType":"unsafe","timeout":"2000ms","targetLatency":"500ms","priority":0,"service":"s","maxAttempts":2}}%s,
+ {"resourceType":"services","metadata":{"name":"s"},"spec":{"healthPath":"/health","maxConnections":220,"coldPerS":6.5}}]}`
+
+const addedRoute = `,{"resourceType":"routes","metadata":{"name":"new"},"spec":{"hostname":"h","prefix":"/new/","routeType":"safe","service":"s"}}`
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	return l
+}
+
+// freeAddress returns an address that was free a moment ago.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l := listen(t)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func startFleet(t *testing.T, zones ...string) *fleet {
+	t.Helper()
+	f := &fleet{t: t, directory: &imitator.Directory{}, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	run := func(task func(context.Context) error) { group.Go(func() { _ = task(ctx) }) }
+	store := listen(t)
+	f.store = store.Addr().String()
+	run(func(ctx context.Context) error { return f.directory.Serve(ctx, store) })
+	for i := range 6 {
+		u := &imitator.Upstream{
+			ID: fmt.Sprintf("i-%d", i), Service: "s", Zone: zones[i%len(zones)], Slots: 2, Queue: 4, Work: 15 * time.Millisecond,
+		}
+		l := listen(t)
+		f.upstreams = append(f.upstreams, u)
+		run(func(ctx context.Context) error { return u.Start(ctx, l, f.directory) })
+	}
+	f.directory.Put("op/config", fmt.Sprintf(testDocument, 4, ""))
+	for i, zone := range zones {
+		f.instances = append(f.instances, f.start(fmt.Sprintf("e-%d", i), zone))
+	}
+	t.Cleanup(func() {
+		for _, i := range f.instances {
+			i.stop()
+		}
+		f.client.CloseIdleConnections()
+		for _, i := range f.instances {
+			qt.Check(t, <-i.done, qt.IsNil)
+		}
+		cancel()
+		group.Wait()
+	})
+	for _, i := range f.instances {
+		f.awaitReady(i)
+	}
+	return f
+}
+
+func (f *fleet) start(id, zone string) *instance {
+	settings := balancer.Settings{
+		Instance: balancer.InstanceSettings{ID: id, Zone: zone, Weight: 1},
+		Listen:   balancer.ListenSettings{Callers: freeAddress(f.t), Ready: freeAddress(f.t), Peers: freeAddress(f.t)},
+		Platform: balancer.PlatformSettings{Store: f.store},
+		Bounds:   balancer.BoundSettings{RetryRatio: 0.2, RetrySlack: 56},
+	}.WithDefaults()
+	ctx, stop := context.WithCancel(context.Background())
+	i := &instance{settings: settings, stop: stop, done: make(chan error, 1)}
+	transport := balancer.Transport()
+	b := &balancer.Balancer{
+		Settings: settings, Platform: platform.Translator{},
+		Directory: &platform.Store{Address: f.store, HTTP: &http.Client{Transport: transport}},
+	}
+	go func() {
+		err := b.Run(ctx)
+		transport.CloseIdleConnections()
+		i.done <- err
+	}()
+	return i
+}
+
+func (f *fleet) ready(i *instance) bool {
+	response, err := f.client.Get("http://" + i.settings.Listen.Ready + "/readiness")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode == http.StatusOK
+}
+
+func (f *fleet) awaitReady(i *instance) {
+	f.t.Helper()
+	for end := time.Now().Add(20 * time.Second); !f.ready(i); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatalf("%s is not ready", i.settings.Instance.ID)
+		}
+	}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (f *fleet) call(i *instance, method, path, id string) answer {
+	request, err := http.NewRequest(method, "http://"+i.settings.Listen.Callers+path, strings.NewReader(id))
+	if err != nil {
+		return answer{err: err}
+	}
+	request.Host = "h"
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Deadline-Ms", "2000")
+	response, err := f.client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
+
+// runs counts how often each request ran, over all targets.
+func (f *fleet) runs() map[string]int {
+	all := map[string]int{}
+	for _, u := range f.upstreams {
+		for id, n := range u.Runs() {
+			all[id] += n
+		}
+	}
+	return all
+}
+
+func TestAnswersAreWholeAndTheirOwn(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := startFleet(t, "a", "b", "c")
+	var group sync.WaitGroup
+	for worker := range 6 {
+		group.Go(func() {
+			for n := range 20 {
+				id := fmt.Sprintf("r-%d-%d", worker, n)
+				got := f.call(f.instances[worker%3], http.MethodPost, "/pay/x", id)
+				c.Check(got.err, qt.IsNil)
+				c.Check(got.status, qt.Equals, http.StatusOK)
+				c.Check(strings.HasSuffix(got.body, "answers "+id+": "+id), qt.IsTrue, qt.Commentf("%s", got.body))
+				c.Check(got.header.Get("Response-Seal"), qt.Equals, strconv.Itoa(len(got.body)))
+			}
+		})
+	}
+	group.Wait()
+	for id, n := range f.runs() {
+		c.Check(n, qt.Equals, 1, qt.Commentf("%s", id))
+	}
+	c.Check(f.call(f.instances[0], http.MethodGet, "/none/x", "q").status, qt.Equals, http.StatusNotFound)
+}
+
+// Unrepeatable work whose answer is lost or foreign is never run again, and
+// never said not to have run.
+func TestLostAndForeignAnswersOfUnrepeatableWork(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := startFleet(t, "a", "b")
+	for n, faults := range []imitator.UpstreamFaults{{LoseAnswer: true}, {Foreign: true}} {
+		for _, u := range f.upstreams {
+			u.SetFaults(faults)
+		}
+		id := fmt.Sprintf("pay-%d", n)
+		got := f.call(f.instances[0], http.MethodPost, "/pay/x", id)
+		c.Check(got.status, qt.Equals, http.StatusBadGateway)
+		c.Check(f.runs()[id], qt.Equals, 1)
+	}
+}
+
+func TestShedWorkIsRefusedAsNotRun(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := startFleet(t, "a", "b")
+	for _, u := range f.upstreams {
+		u.SetFaults(imitator.UpstreamFaults{Shed: true})
+	}
+	got := f.call(f.instances[0], http.MethodPost, "/pay/x", "pay")
+	c.Check(got.status, qt.Equals, http.StatusServiceUnavailable)
+	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	c.Check(err, qt.IsNil)
+	c.Check(after < 0.1, qt.IsTrue)
+	c.Check(f.runs(), qt.HasLen, 0)
+}
+
+// A change reaches every instance, also those that follow a hub, and while
+// watches hear nothing.
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := startFleet(t, "a", "a", "b")
+	f.directory.SetFaults(imitator.DirectoryFaults{Deaf: true})
+	f.directory.Put("op/config", fmt.Sprintf(testDocument, 9, addedRoute))
+	time.Sleep(time.Second)
+	f.directory.DropHistory()
+	f.directory.SetFaults(imitator.DirectoryFaults{})
+	for _, i := range f.instances {
+		for end := time.Now().Add(4 * time.Second); f.call(i, http.MethodGet, "/new/x", "n").status != http.StatusOK; time.Sleep(50 * time.Millisecond) {
+			if time.Now().After(end) {
+				c.Fatalf("%s does not serve the new route", i.settings.Instance.ID)
+			}
+		}
+	}
+	f.directory.Put("op/config", fmt.Sprintf(testDocument, 7, ""))
+	time.Sleep(time.Second)
+	for _, i := range f.instances {
+		c.Check(f.call(i, http.MethodGet, "/new/x", "m").status, qt.Equals, http.StatusOK)
+	}
+}
+
+func TestDrainingTargetIsLeft(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := startFleet(t, "a", "b")
+	f.upstreams[0].Drain(f.directory, 2*time.Second)
+	for end := time.Now().Add(3500 * time.Millisecond); time.Now().Before(end); {
+		for _, i := range f.instances {
+			c.Check(f.call(i, http.MethodGet, "/read/x", strconv.FormatInt(time.Now().UnixNano(), 10)).status, qt.Equals, http.StatusOK)
+		}
+	}
+	c.Check(f.upstreams[0].Late(), qt.Equals, 0)
+}
+
+// A hub that stops hands its place and its services over; no call is cut.
+func TestPlannedStopsCutNoCall(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := startFleet(t, "a", "a", "b")
+	stopped := make(chan struct{})
+	var group sync.WaitGroup
+	survivor := f.instances[1]
+	for worker := range 4 {
+		group.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stopped:
+					return
+				default:
+				}
+				i := f.instances[(worker+n)%3]
+				if i != survivor && !f.ready(i) {
+					i = survivor
+				}
+				id := fmt.Sprintf("s-%d-%d", worker, n)
+				got := f.call(i, http.MethodPost, "/pay/x", id)
+				c.Check(got.err, qt.IsNil)
+				c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("%s", got.body))
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	f.instances[0].stop()
+	time.Sleep(700 * time.Millisecond)
+	f.instances[2].stop()
+	time.Sleep(3 * time.Second)
+	close(stopped)
+	group.Wait()
+	for id, n := range f.runs() {
+		c.Check(n, qt.Equals, 1, qt.Commentf("%s", id))
+	}
+}
+
+// While the store is out, what is in force stays in force, and entries that
+// lapse meanwhile are not taken for gone until they had time to come back.
+func TestOutageOfTheStoreChangesNothing(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := startFleet(t, "a", "b")
+	c.Check(f.call(f.instances[0], http.MethodGet, "/read/x", "1").status, qt.Equals, http.StatusOK)
+	f.directory.SetFaults(imitator.DirectoryFaults{Busy: true})
+	time.Sleep(time.Second)
+	for _, u := range f.upstreams {
+		f.directory.Remove("servers/" + u.ID)
+	}
+	c.Check(f.call(f.instances[1], http.MethodGet, "/read/x", "2").status, qt.Equals, http.StatusOK)
+	f.directory.SetFaults(imitator.DirectoryFaults{})
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		c.Check(f.call(f.instances[0], http.MethodGet, "/read/x", strconv.FormatInt(time.Now().UnixNano(), 10)).status, qt.Equals, http.StatusOK)
+	}
+	for _, u := range f.upstreams {
+		u.Beat(f.directory)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	c.Check(f.call(f.instances[0], http.MethodGet, "/read/x", "3").status, qt.Equals, http.StatusOK)
+}
--- a/cmd/hemlocktally/usage_test.go
+++ b/cmd/hemlocktally/usage_test.go
@@ -32,7 +32,7 @@
 	for line, want := range map[string]string{
 		"asq":                               `found "asq", expected one of serve, `,
 		"settings chekc":                    `found "chekc", expected one of check, sample`,
-		"settings check":                    `Required flag "settings" not set`,
+		"settings check":                    `expected one FILE; see hemlocktally settings check --help`,
 		"serve --bogus":                     "not defined: -bogus; see hemlocktally serve --help",
 		"demo --for soon":                   `invalid value "soon"`,
 		"ask":                               "needs a statement in quotes",
--- a/follower/feed.go
+++ b/follower/feed.go
@@ -135,7 +135,7 @@
 	for ctx.Err() == nil {
 		needed := f.targetsNeeded()
 		rested := lookedAt.IsZero() || time.Since(lookedAt) >= restingPace
-		if !needed && !(f.isHub.Load() && rested) {
+		if !needed && (!f.isHub.Load() || !rested) {
 			known = 0
 			sleepUntil(ctx, gateInterval, f.wakeFeeds.wait())
 			continue
--- /dev/null
+++ b/imitator/upstream.go
@@ -0,0 +1,223 @@
+package imitator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// UpstreamFaults are the faults of an Upstream.
+type UpstreamFaults struct {
+	Pace       float64 // Pace is how much longer work takes than usual; zero means as usual.
+	Shed       bool    // Shed turns every request away as not run.
+	LoseAnswer bool    // LoseAnswer runs requests and cuts their connections.
+	Foreign    bool    // Foreign answers with the ID of another request.
+}
+
+// Upstream imitates a target of the users' platform: it runs Slots requests at
+// once, queues a few, reports its load, registers itself in a Directory, and
+// keeps what it ran.
+type Upstream struct {
+	ID      string
+	Service string
+	Zone    string
+	Slots   int
+	Queue   int           // Queue is how many requests wait; one more is never answered.
+	Work    time.Duration // Work is how long a request takes.
+
+	mu       sync.Mutex
+	running  int
+	waiting  int
+	free     chan struct{}
+	runs     map[string]int
+	faults   UpstreamFaults
+	draining bool
+	address  string
+	sequence int
+	started  int64
+	late     int // late counts requests that came after the upstream should have been left.
+	leftBy   time.Time
+}
+
+// Start serves on the listener until the context ends, and registers.
+func (u *Upstream) Start(ctx context.Context, listener net.Listener, d *Directory) error {
+	u.mu.Lock()
+	u.address, u.started = listener.Addr().String(), time.Now().UnixMilli()
+	u.free = make(chan struct{}, u.Slots)
+	u.runs = map[string]int{}
+	u.mu.Unlock()
+	u.Beat(d)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", u.health)
+	mux.HandleFunc("/", u.work)
+	return serve(ctx, listener, mux)
+}
+
+// Beat writes the upstream's entry.
+func (u *Upstream) Beat(d *Directory) {
+	u.mu.Lock()
+	u.sequence++
+	state := "ready"
+	if u.draining {
+		state = "draining"
+	}
+	entry, err := json.Marshal(map[string]any{
+		"service": u.Service, "address": u.address, "zone": u.Zone, "version": "v1", "slots": u.Slots, "state": state,
+		"coldRemaining": "0ms", "seq": u.sequence, "born": u.started,
+	})
+	u.mu.Unlock()
+	if err == nil {
+		d.Put("servers/"+u.ID, string(entry))
+	}
+}
+
+// Drain reports that the upstream leaves. Requests that come later than the
+// bound are counted by Late.
+func (u *Upstream) Drain(d *Directory, bound time.Duration) {
+	u.mu.Lock()
+	u.draining, u.leftBy = true, time.Now().Add(bound)
+	u.mu.Unlock()
+	u.Beat(d)
+}
+
+// SetFaults puts faults in force from now on.
+func (u *Upstream) SetFaults(faults UpstreamFaults) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.faults = faults
+}
+
+// Runs returns how often each request ran, by its ID.
+func (u *Upstream) Runs() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	runs := make(map[string]int, len(u.runs))
+	for id, n := range u.runs {
+		runs[id] = n
+	}
+	return runs
+}
+
+// Late returns how many requests came after the upstream should have been left.
+func (u *Upstream) Late() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.late
+}
+
+// report writes the load header. The upstream is locked.
+func (u *Upstream) report(header http.Header) {
+	pace := 100
+	if u.faults.Pace > 0 {
+		pace = int(100 * u.faults.Pace)
+	}
+	header.Set("Server-Load", fmt.Sprintf("%d,%d,%d,%d", u.running, u.waiting, u.Slots, pace))
+}
+
+func (u *Upstream) health(w http.ResponseWriter, _ *http.Request) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	w.Header().Set("Instance-Id", u.ID)
+	u.report(w.Header())
+	if u.draining {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (u *Upstream) work(w http.ResponseWriter, r *http.Request) {
+	if wanted := r.Header.Get("Expect-Instance"); wanted != "" && wanted != u.ID {
+		w.Header().Set("Instance-Id", u.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	id := r.Header.Get("Request-Id")
+	faults, hang := u.enter()
+	switch {
+	case faults.Shed:
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case hang:
+		<-r.Context().Done()
+		return
+	}
+	if !u.run(r, id, faults) {
+		return
+	}
+	if faults.LoseAnswer {
+		panic(http.ErrAbortHandler)
+	}
+	u.answer(w, id, faults, string(body))
+}
+
+// enter counts a request in; hang is set where it finds no place in the queue.
+func (u *Upstream) enter() (faults UpstreamFaults, hang bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.leftBy.IsZero() && time.Now().After(u.leftBy) {
+		u.late++
+	}
+	return u.faults, u.running >= u.Slots && u.waiting >= u.Queue
+}
+
+// run waits for a slot and works. It reports whether the work was finished.
+func (u *Upstream) run(r *http.Request, id string, faults UpstreamFaults) bool {
+	u.count(&u.waiting, 1)
+	select {
+	case u.free <- struct{}{}:
+		u.count(&u.waiting, -1)
+	case <-r.Context().Done():
+		u.count(&u.waiting, -1)
+		return false
+	}
+	defer func() { <-u.free }()
+	u.count(&u.running, 1)
+	defer u.count(&u.running, -1)
+	u.mu.Lock()
+	u.runs[id]++
+	u.mu.Unlock()
+	took := u.Work
+	if faults.Pace > 0 {
+		took = time.Duration(faults.Pace * float64(took))
+	}
+	timer := time.NewTimer(took)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (u *Upstream) count(figure *int, by int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	*figure += by
+}
+
+func (u *Upstream) answer(w http.ResponseWriter, id string, faults UpstreamFaults, body string) {
+	if faults.Foreign {
+		id = strings.ToUpper(id) + "-other"
+	}
+	text := u.ID + " answers " + id + ": " + body
+	header := w.Header()
+	header.Set("Request-Id", id)
+	header.Set("Response-Seal", strconv.Itoa(len(text)))
+	u.mu.Lock()
+	u.report(header)
+	u.mu.Unlock()
+	_, _ = io.WriteString(w, text)
+}
--- a/logger/tally_events.go
+++ b/logger/tally_events.go
@@ -49,4 +49,5 @@
 )
 
 var tallyEvents = []Event{
-	EventInvariantBroken, EventTargetState, EventOwnerSilent, EventStandingLost, EventStandingGained, EventTargetSilent, EventTurn}
+	EventInvariantBroken, EventTargetState, EventOwnerSilent, EventStandingLost, EventStandingGained, EventTargetSilent, EventTurn,
+}
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -19,7 +19,7 @@
 	retryLook    = 25 * time.Millisecond // retryLook is the time between two rounds of questions for one waiter.
 	comfort      = 0.6                   // comfort is the part of the time left that a target in the caller's zone may take.
 	farPenalty   = 10 * time.Millisecond // farPenalty is added for a target in another zone.
-	nearlyFull   = 1.3                   // nearlyFull is how much longer work takes with the last slot taken.
+	nearlyFull   = 1.3                   // nearlyFull is how much longer work takes with the last slot taken, until that is known.
 	late         = 1.1                   // late is the multiple of the usual work below which no prompt answer is hoped for.
 	promptMargin = 1.4                   // promptMargin is the multiple of the usual work that has to be left for a prompt answer to be likely.
 	worstFaulty  = 0.75
@@ -152,7 +152,7 @@
 func (s *State) expect(t *tally, contract hemlocktally.ContractName, now time.Time) time.Duration {
 	factor := t.expectedPace(s.mean, now)
 	if t.busy(now)+1 >= t.target.SlotCount() && t.target.SlotCount() > 1 {
-		factor *= nearlyFull
+		factor *= s.fullness()
 	}
 	if t.cold(now) {
 		factor *= coldSlowdown
@@ -216,9 +216,9 @@
 	why := Why{
 		Expected: c.expected, Pace: c.t.pace, Age: c.t.age(now), Busy: c.t.busy(now), Waiting: len(s.queue) - 1,
 	}
-	pace := c.t.expectedPace(s.mean, now)
 	c.t.turns[grant.ID] = turn{
-		contract: r.Contract, deadline: r.Deadline, pace: pace,
+		contract: r.Contract, deadline: r.Deadline, pace: c.t.expectedPace(s.mean, now),
+		last: c.t.busy(now)+1 >= c.t.target.SlotCount(),
 	}
 	c.t.usedAt = now
 	return GrantCmd{Ticket: w.msg.Ticket, Grant: grant, Why: why}
@@ -245,7 +245,7 @@
 	usual := s.usual(msg.Request.Contract)
 	wait := time.Duration(float64(ahead) * float64(usual) * s.mean / float64(max(1, slots)))
 	inTime := msg.Request.Objective.Add(-s.likely(msg.Request.Contract))
-	if now.Add(wait + usual).After(msg.Request.Deadline) || (wait > 0 && now.Add(wait).After(inTime)) {
+	if now.Add(wait+usual).After(msg.Request.Deadline) || (wait > 0 && now.Add(wait).After(inTime)) {
 		return notRun(hemlocktally.ReasonShed, "the calls that go before it take all the time it has", s.advice(wait))
 	}
 	return nil
--- a/placer/client.go
+++ b/placer/client.go
@@ -141,7 +141,8 @@
 		return GrantCmd{Ticket: ask.Ticket, Grant: grantOf(out, ask, owner, asked)}, nil
 	case out.GetRefused() != "":
 		return RefuseCmd{Ticket: ask.Ticket, Error: notRun(
-			hemlocktally.Reason(out.GetRefused()), out.GetDetail(), microseconds(out.GetRetryAfterMicroseconds()))}, nil
+			hemlocktally.Reason(out.GetRefused()), out.GetDetail(), microseconds(out.GetRetryAfterMicroseconds()),
+		)}, nil
 	default:
 		return HoldCmd{Ticket: ask.Ticket}, nil
 	}
--- a/placer/state.go
+++ b/placer/state.go
@@ -25,6 +25,8 @@
 	queue    []*waiter
 	spent    retryWindow
 	work     map[hemlocktally.ContractName]*estimate
+	lastSlot estimate // lastSlot and freeSlot compare work that took a target's last slot with other work.
+	freeSlot estimate
 	mean     float64 // mean is the moving mean of the reported paces.
 	granted  uint64
 	// instances is how many instances there seem to be.
@@ -46,10 +48,12 @@
 	keepPlace     = 80 * time.Millisecond // keepPlace is how long a waiter keeps its place after its last answer.
 	turnGrace     = 100 * time.Millisecond
 	outlierFactor = 4
+	enoughSamples = 30
+	mostFullness  = 3
 	fewestAlone   = 16 // fewestAlone is how many instances are taken to decide alone at the least.
 )
 
-// estimate is a moving mean of a contract's work at the usual pace, in seconds.
+// estimate is a moving mean. Single samples count no more than a few times it.
 type estimate struct {
 	seconds float64
 	samples int
@@ -58,7 +62,10 @@
 func (e *estimate) add(sample float64) {
 	e.samples++
 	weight := max(workWeight, 1/float64(e.samples))
-	e.seconds += weight * (min(sample, outlierFactor*max(e.seconds, usualWork.Seconds())) - e.seconds)
+	if e.samples > 1 {
+		sample = min(sample, outlierFactor*e.seconds)
+	}
+	e.seconds += weight * (sample - e.seconds)
 }
 
 // Update takes one message at the given time and returns what is to be done.
@@ -180,7 +187,7 @@
 		t.heard(hemlocktally.AnswerHeader{Load: result.Load}, now)
 		t.answered(false)
 		if ok && held.pace > 0 && !t.cold(now) {
-			s.estimate(held.contract).add(result.Latency.Seconds() / held.pace)
+			s.learn(held, result.Latency.Seconds()/held.pace)
 		}
 	case hemlocktally.AttemptRefused:
 		t.answered(true)
@@ -202,6 +209,26 @@
 	}
 }
 
+// learn takes over how long work took, as a multiple of the pace.
+func (s *State) learn(held turn, seconds float64) {
+	usual := s.usual(held.contract).Seconds()
+	if held.last {
+		s.lastSlot.add(seconds / usual)
+		seconds /= s.fullness()
+	} else {
+		s.freeSlot.add(seconds / usual)
+	}
+	s.estimate(held.contract).add(seconds)
+}
+
+// fullness is how much longer work takes with a target's last slot taken.
+func (s *State) fullness() float64 {
+	if s.lastSlot.samples < enoughSamples || s.freeSlot.samples < enoughSamples {
+		return nearlyFull
+	}
+	return min(mostFullness, max(1, s.lastSlot.seconds/s.freeSlot.seconds))
+}
+
 func (s *State) estimate(contract hemlocktally.ContractName) *estimate {
 	e := s.work[contract]
 	if e == nil {
--- a/placer/tally.go
+++ b/placer/tally.go
@@ -12,6 +12,7 @@
 	contract hemlocktally.ContractName
 	deadline time.Time
 	pace     float64 // pace is what was believed of the target when the turn was given.
+	last     bool    // last is set where the turn took the target's last free slot.
 }
 
 // tally is what the owner knows of one target.
