--- a/cmd/hemlocktally/balance.go
+++ b/cmd/hemlocktally/balance.go
@@ -32,10 +32,22 @@
 	if err != nil {
 		return err
 	}
-	log, err := logger.New(os.Stdout, settings.Log.Format, settings.Log.Level)
+	lines := logger.NewWriter(os.Stdout, 0)
+	log, err := logger.New(lines, settings.Log.Format, settings.Log.Level)
 	if err != nil {
 		return err
 	}
+	log.Instance = settings.Instance.ID
+	writing, stopWriting := context.WithCancel(context.WithoutCancel(ctx))
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		lines.Run(writing, log)
+	}()
+	defer func() {
+		stopWriting()
+		<-written
+	}()
 	go noteReloads(ctx, path, log)
 	store := &platform.Store{Address: settings.Platform.Store, HTTP: &http.Client{Transport: balancer.Transport()}}
 	b := &balancer.Balancer{
--- a/logger/daemon_events.go
+++ b/logger/daemon_events.go
@@ -40,6 +40,12 @@
 		Meaning: "A reader of the metrics went away or was too slow.",
 		Action:  "None, unless it goes on.",
 	}
+	EventLinesDropped = Event{
+		Number: 1007, Name: "log lines dropped", Level: logrus.WarnLevel,
+		Fields:  []string{"Lines", "Total"},
+		Meaning: "Lines were over the budget a second, or nobody read the log.",
+		Action:  "Read the log faster, or look at what floods it; counters and histograms are complete.",
+	}
 )
 
-var daemonEvents = []Event{EventStarted, EventStopping, EventStopped, EventStopCut, EventReloaded, EventMetricsFailed}
+var daemonEvents = []Event{EventStarted, EventStopping, EventStopped, EventStopCut, EventReloaded, EventMetricsFailed, EventLinesDropped}
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -24,7 +25,8 @@
 
 // Logger writes events. Its zero value discards them.
 type Logger struct {
-	Out *logrus.Logger
+	Out      *logrus.Logger
+	Instance string // Instance stands in every line where it is set.
 }
 
 // Log writes one line of the event.
@@ -34,6 +36,9 @@
 	}
 	entry := l.Out.WithFields(fields)
 	entry = entry.WithField("Event", event.Number)
+	if l.Instance != "" {
+		entry = entry.WithField("Instance", l.Instance)
+	}
 	entry.Log(event.Level, event.Name)
 }
 
@@ -47,7 +52,7 @@
 	out.SetOutput(w)
 	out.SetLevel(parsed)
 	if format == "JSON" {
-		out.SetFormatter(&logrus.JSONFormatter{})
+		out.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	}
 	return Logger{Out: out}, nil
 }
