Outage without a flood of calls; hubs take their places anew; links are reused

Change: while hubs answer that don't hear the store, an instance asks one cheap question a second and reads itself only once that is answered; a hub whose lease lapsed takes its place again at once. The owner prefers targets to which the asking instance has an idle link.

--- a/balancer/fleet_test.go
+++ b/balancer/fleet_test.go
@@ -329,3 +329,24 @@
 	time.Sleep(1500 * time.Millisecond)
 	c.Check(f.call(f.instances[0], http.MethodGet, "/read/x", "3").status, qt.Equals, http.StatusOK)
 }
+
+// Leases lapse in an outage. The hub takes its place anew at the store's return,
+// and meanwhile the others don't all go on asking: each call is priced.
+func TestOutageBringsNoFloodOfCalls(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := startFleet(t, "a", "a", "a", "a")
+	f.directory.SetFaults(imitator.DirectoryFaults{Busy: true})
+	time.Sleep(6 * time.Second) // The hub's lease lapses meanwhile.
+	outage := f.directory.Calls()
+	f.directory.SetFaults(imitator.DirectoryFaults{})
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, i := range f.instances {
+			c.Check(f.call(i, http.MethodGet, "/read/x", strconv.FormatInt(time.Now().UnixNano(), 10)).status, qt.Equals, http.StatusOK)
+		}
+	}
+	sum := outage["range"] + outage["watch"]
+	// The hub asks about twice a second; of the three others each asks one cheap
+	// question a second.
+	c.Check(sum <= 50, qt.IsTrue, qt.Commentf("%v", outage))
+}
--- a/dispatcher/refusal.go
+++ b/dispatcher/refusal.go
@@ -38,7 +38,7 @@
 	// adviceElsewhere is for a call that another target or instance may take right
 	// now: one that targets turned away, or whose target could not be reached.
 	adviceElsewhere = 20 * time.Millisecond
-	adviceStarting  = 200 * time.Millisecond // adviceStarting is for an instance that is not ready yet.
+	adviceStarting  = 100 * time.Millisecond // adviceStarting is for an instance that is not ready yet.
 	adviceLater     = time.Second
 	adviceSpread    = 0.5 // adviceSpread is the part of the advice that is random, so that not all come at once.
 )
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -129,6 +129,7 @@
 		}
 		return false, false
 	}
+	r.mark(&r.answeredBy)
 	touch = time.Duration(out.GetStoreAgeMicroseconds())*time.Microsecond <= inTouch
 	if touch {
 		r.mark(&r.followed)
--- a/follower/role.go
+++ b/follower/role.go
@@ -35,7 +35,8 @@
 	revokeTimeout = 300 * time.Millisecond
 	inTouch       = 1300 * time.Millisecond // inTouch is how long after the store's last answer a hub speaks for it.
 	followLasts   = 900 * time.Millisecond  // followLasts is how long an answer of a hub in touch keeps an instance from reading itself.
-	outageLook    = 3 * time.Second         // outageLook is about how often an instance looks at the store itself while no hub is in touch.
+	outageLook    = time.Second             // outageLook is about how often an instance asks the store a cheap question while no hub is in touch.
+	servedLasts   = 3 * time.Second         // servedLasts is how long its answer lets the instance read the store itself.
 	seekPause     = 150 * time.Millisecond
 	claimDelay    = 400 * time.Millisecond // claimDelay holds instances with little of a core back, so that strong ones become hubs.
 	claimSpread   = 600 * time.Millisecond // claimSpread is the random part of that.
@@ -51,9 +52,20 @@
 }
 
 // readsItself reports whether the instance has to read the store itself: as a
-// hub, or because no hub speaks for the store.
+// hub, or because no hub speaks for the store. While hubs answer that don't hear
+// the store, it reads only once the store has answered a cheap question: in an
+// outage each call of each instance would be priced and bring nothing.
 func (f *Follower) readsItself() bool {
-	return f.isHub.Load() || (f.followed.Load() == 0 && f.seeksLong()) || (f.followed.Load() > 0 && f.since(&f.followed) > followLasts)
+	switch {
+	case f.isHub.Load():
+		return true
+	case f.since(&f.followed) <= followLasts:
+		return false
+	case f.since(&f.answeredBy) <= followLasts+syncTimeout:
+		return f.since(&f.served) <= servedLasts
+	default:
+		return f.followed.Load() > 0 || f.seeksLong()
+	}
 }
 
 // seeksLong reports whether a starting instance has looked for a hub long enough.
@@ -235,15 +247,13 @@
 	if r.leaving.Load() || ctx.Err() != nil {
 		return
 	}
-	bounded, cancel := context.WithTimeout(ctx, renewTimeout)
-	defer cancel()
-	err := r.Directory.Renew(bounded, r.lease)
-	var absent *hemlocktally.AbsentError
+	err := r.renew(ctx)
+	var conflict *hemlocktally.ConflictError
 	switch {
 	case err == nil:
 		r.answered()
 		r.renewed, r.failing = time.Now(), false
-	case errors.As(err, &absent):
+	case errors.As(err, &conflict):
 		r.end(ctx)
 	default:
 		r.noteFailure(err)
@@ -253,6 +263,25 @@
 	}
 }
 
+// renew keeps the hub's place. Where the lease has lapsed, as after an outage of
+// the store, the place is taken anew at once if nobody else has it: else all
+// instances would read the store at its return.
+func (r *role) renew(ctx context.Context) error {
+	if r.lease != "" {
+		bounded, cancel := context.WithTimeout(ctx, renewTimeout)
+		defer cancel()
+		err := r.Directory.Renew(bounded, r.lease)
+		var absent *hemlocktally.AbsentError
+		if !errors.As(err, &absent) {
+			return err
+		}
+		r.lease = ""
+	}
+	lease, err := r.claim(ctx)
+	r.lease = lease
+	return err
+}
+
 // end gives the hub's place up.
 func (r *role) end(ctx context.Context) {
 	r.lease, r.failing = "", false
@@ -317,10 +346,27 @@
 			return true
 		}
 	}
-	if heard && r.since(&r.followed) > outageLook {
-		// The store seems to be out for all hubs. Looks of the instances' own are
-		// spread, for each is a priced call.
-		sleep(ctx, spread(seekPause))
+	if heard && r.since(&r.followed) > followLasts {
+		r.lookCheaply(ctx)
 	}
 	return heard
 }
+
+// lookCheaply finds out whether the store answers this instance while it answers
+// no hub.
+func (r *role) lookCheaply(ctx context.Context) {
+	sleep(ctx, spread(seekPause))
+	if time.Since(r.looked) < outageLook {
+		return
+	}
+	r.looked = time.Now().Add(time.Duration(spreadBoff * rand.Float64() * float64(outageLook)))
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	all, err := r.Directory.Snapshot(ctx, r.Interpreter.HubPrefix(), true)
+	if err != nil {
+		return // The feeds log a lost store where it matters to this instance.
+	}
+	r.mark(&r.served)
+	r.wakeFeeds.signal()
+	send(ctx, r.inbox, ChangesMsg{Kind: hemlocktally.EntryHub, Entries: all.Entries})
+}
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -19,6 +19,7 @@
 	retryLook    = 25 * time.Millisecond // retryLook is the time between two rounds of questions for one waiter.
 	comfort      = 0.6                   // comfort is the part of the time left that a target in the caller's zone may take.
 	farPenalty   = 10 * time.Millisecond // farPenalty is added for a target in another zone.
+	newLink      = 25 * time.Millisecond // newLink is added where a new connection is needed: it takes time and a part of a slot.
 	nearlyFull   = 1.3                   // nearlyFull is how much longer work takes with the last slot taken, until that is known.
 	late         = 1.1                   // late is the multiple of the usual work below which no prompt answer is hoped for.
 	promptMargin = 1.4                   // promptMargin is the multiple of the usual work that has to be left for a prompt answer to be likely.
@@ -130,6 +131,9 @@
 		if !c.near {
 			c.cost += farPenalty
 		}
+		if !t.linked(w.msg.From, now) {
+			c.cost += newLink
+		}
 		list = append(list, c)
 	}
 	slices.SortStableFunc(list, func(a, b candidate) int {
@@ -217,7 +221,7 @@
 		Expected: c.expected, Pace: c.t.pace, Age: c.t.age(now), Busy: c.t.busy(now), Waiting: len(s.queue) - 1,
 	}
 	c.t.turns[grant.ID] = turn{
-		contract: r.Contract, deadline: r.Deadline, pace: c.t.expectedPace(s.mean, now),
+		contract: r.Contract, from: w.msg.From, deadline: r.Deadline, pace: c.t.expectedPace(s.mean, now),
 		last: c.t.busy(now)+1 >= c.t.target.SlotCount(),
 	}
 	c.t.usedAt = now
--- a/placer/state.go
+++ b/placer/state.go
@@ -104,7 +104,7 @@
 		present[r.Target.Name] = true
 		t := s.targets[r.Target.Name]
 		if t == nil || t.registration.Started != r.Started || t.target.Address != r.Target.Address {
-			t = &tally{turns: map[hemlocktally.GrantID]turn{}}
+			t = &tally{turns: map[hemlocktally.GrantID]turn{}, links: map[hemlocktally.InstanceID]time.Time{}}
 			s.targets[r.Target.Name] = t
 		}
 		if r.ColdFor > 0 && t.registration.ColdFor != r.ColdFor {
@@ -184,6 +184,9 @@
 	}
 	switch result.Outcome {
 	case hemlocktally.AttemptDone:
+		if ok {
+			t.links[held.from] = now
+		}
 		t.heard(hemlocktally.AnswerHeader{Load: result.Load}, now)
 		t.answered(false)
 		if ok && held.pace > 0 && !t.cold(now) {
--- a/placer/state_test.go
+++ b/placer/state_test.go
@@ -342,3 +342,22 @@
 	c.Assert(refused > 0, qt.IsTrue)
 	c.Assert(wait <= 250*time.Millisecond, qt.IsTrue, qt.Commentf("%d wait for %s", d.state.Waiting(), wait))
 }
+
+// New connections take time and slots: of two targets alike the one with a link
+// is taken.
+func TestTargetWithALinkIsPreferred(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(target("x", "a"), target("y", "a"))
+	d.report("x", 1)
+	d.report("y", 1.02)
+	first := grants(d.update(d.request()))[0]
+	for range 5 {
+		d.update(EndMsg{Result: hemlocktally.GrantResult{
+			Grant: first, Outcome: hemlocktally.AttemptDone, Latency: 100 * time.Millisecond, Load: &hemlocktally.Load{Pace: 1.02},
+		}})
+		d.report("y", 1)
+		next := grants(d.update(d.request()))[0]
+		c.Assert(next.Target.Name, qt.Equals, first.Target.Name)
+		first = next
+	}
+}
--- a/placer/tally.go
+++ b/placer/tally.go
@@ -10,6 +10,7 @@
 // turn is one turn in use.
 type turn struct {
 	contract hemlocktally.ContractName
+	from     hemlocktally.InstanceID
 	deadline time.Time
 	pace     float64 // pace is what was believed of the target when the turn was given.
 	last     bool    // last is set where the turn took the target's last free slot.
@@ -36,6 +37,8 @@
 	failures  int     // failures counts failures to reach it in a row.
 	faulty    float64 // faulty is the moving share of its answers that were failures.
 	usedAt    time.Time
+	// links holds when each instance last ended a call there: it has an idle link.
+	links map[hemlocktally.InstanceID]time.Time
 }
 
 const (
@@ -49,6 +52,7 @@
 	unknownPace   = 1.6 // unknownPace is expected of a target before any report.
 	coldSpan      = time.Second
 	elsewhereHold = time.Second
+	linkLasts     = 7 * time.Second // linkLasts is how long an instance is taken to have an idle link; links close after more than that.
 )
 
 func (t *tally) cold(now time.Time) bool { return now.Before(t.coldUntil) }
@@ -81,6 +85,12 @@
 	return len(t.coldSent) < int(math.Max(1, math.Floor(perSecond*share)))
 }
 
+// linked reports whether the instance should have an idle link to the target.
+func (t *tally) linked(instance hemlocktally.InstanceID, now time.Time) bool {
+	at, ok := t.links[instance]
+	return ok && now.Sub(at) < linkLasts
+}
+
 // expectedPace is the pace by the last report, drawn to the mean as it ages.
 func (t *tally) expectedPace(mean float64, now time.Time) float64 {
 	if t.paceAt.IsZero() {
