Placer: a missing link does not send a call to another zone

Change: the comfort of the own zone looks at the expected time and at faults; the way and the connection only rank targets.

--- a/placer/choice.go
+++ b/placer/choice.go
@@ -33,7 +33,8 @@
 type candidate struct {
 	t        *tally
 	expected time.Duration
-	cost     time.Duration // cost ranks it: what is expected, with what speaks against the target.
+	doubted  time.Duration // doubted is what is expected, with what speaks against the target.
+	cost     time.Duration // cost ranks it: also by the way and the connection to it.
 	near     bool
 	fresh    bool
 }
@@ -123,11 +124,11 @@
 		}
 		c := candidate{t: t, near: t.target.Zone == w.msg.Zone, fresh: !t.suspect && t.age(now) >= 0 && t.age(now) <= freshFor}
 		c.expected = s.expect(t, w.msg.Request.Contract, now)
-		c.cost = c.expected
+		c.doubted = time.Duration(float64(c.expected) / (1 - math.Min(worstFaulty, t.faulty)))
 		if t.suspect {
-			c.cost *= outlierFactor
+			c.doubted *= outlierFactor
 		}
-		c.cost = time.Duration(float64(c.cost) / (1 - math.Min(worstFaulty, t.faulty)))
+		c.cost = c.doubted
 		if !c.near {
 			c.cost += farPenalty
 		}
@@ -171,7 +172,7 @@
 		return candidate{}, false
 	}
 	for _, c := range candidates {
-		if c.near && float64(c.cost) <= comfort*float64(left) {
+		if c.near && float64(c.doubted) <= comfort*float64(left) {
 			return c, true
 		}
 	}
