Placer: a lost answer does not empty a service

Change: a lost answer only voids the report of the target's load, so that it is asked before it gets more; the admission counts all slots that may be used. Ruled out: rolling stops of hubs in the same seconds (the next owner answered). Test: TestLostAnswersDoNotEmptyAService, which fails without the change.

--- a/placer/choice.go
+++ b/placer/choice.go
@@ -234,7 +234,7 @@
 func (s *State) admit(msg AskMsg, now time.Time) *hemlocktally.RefusedError {
 	slots := 0
 	for _, t := range s.order {
-		if !t.out && !t.registration.Draining && !t.suspect && !t.cold(now) {
+		if t.open(now) && !t.cold(now) {
 			slots += t.target.SlotCount()
 		}
 	}
--- a/placer/state.go
+++ b/placer/state.go
@@ -198,10 +198,10 @@
 			t.holdUntil = now.Add(elsewhereHold)
 		}
 	case hemlocktally.AttemptFailed:
+		// An answer that was lost says nothing of whether the next one will be; the
+		// target is asked for its load before it gets more.
 		t.answered(true)
-		if result.Load == nil {
-			t.unreachable(now)
-		}
+		t.paceAt = time.Time{}
 	case hemlocktally.AttemptUnused:
 		if result.Unreachable {
 			t.unreachable(now)
--- a/placer/state_test.go
+++ b/placer/state_test.go
@@ -361,3 +361,19 @@
 		first = next
 	}
 }
+
+// Answers get lost on their way while targets work: that is no reason to leave
+// the targets alone, or to take the service for full.
+func TestLostAnswersDoNotEmptyAService(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(target("x", "a"), target("y", "a"))
+	for range 10 {
+		got := grants(d.update(d.request()))
+		got = append(got, grants(d.report("x", 1))...)
+		got = append(got, grants(d.report("y", 1))...)
+		got = append(got, grants(d.wait(probeWait))...)
+		c.Assert(got, qt.HasLen, 1)
+		d.update(EndMsg{Result: hemlocktally.GrantResult{Grant: got[0], Outcome: hemlocktally.AttemptFailed, Latency: 90 * time.Millisecond}})
+		d.wait(20 * time.Millisecond)
+	}
+}
