Follower: a hub that has not caught up does not speak for the store

At the store's return a hub renews its lease before it has read what it missed; its followers took its older entries for the state. Change: while the feed of operators' decisions has failed and not caught up, the hub answers as out of touch; after a failure it reads everything at once. Ruled out: an older answer of the store (reads were linearizable). Test: TestHubThatIsBehindIsNotInTouch, which fails without the change.

--- a/follower/feed.go
+++ b/follower/feed.go
@@ -67,7 +67,9 @@
 		}
 		msg, revision, err := f.look(ctx, fd, known)
 		if err != nil {
-			known = f.failed(ctx, inbox, fd, known, err)
+			f.noteBehind(fd, true)
+			f.failed(ctx, inbox, fd, known, err)
+			known = 0 // Reading everything shows at once what was missed; a watch may wait first.
 			sleep(ctx, spread(pause))
 			pause = min(2*pause, longestBoff)
 			continue
@@ -75,10 +77,18 @@
 		f.answered()
 		pause, known = firstBackoff, revision
 		send(ctx, inbox, msg)
+		f.noteBehind(fd, false)
 		sleep(ctx, fd.pace)
 	}
 }
 
+// noteBehind keeps a hub from speaking for the store by its renewed lease alone.
+func (f *Follower) noteBehind(fd feed, behind bool) {
+	if fd.kind == hemlocktally.EntryDeclaration {
+		f.behind.Store(behind)
+	}
+}
+
 func spread(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 - spreadBoff + 2*spreadBoff*rand.Float64()))
 }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -49,6 +49,7 @@
 	isHub      atomic.Bool
 	leaving    atomic.Bool
 	storeOut   atomic.Bool
+	behind     atomic.Bool // behind is set while the feed of operators' decisions has failed and not caught up.
 	wakeFeeds  *broadcast
 	followers  followers
 	hubClients hubClients
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"net/http"
 	"strings"
@@ -14,6 +15,7 @@
 
 	"hemlocktally"
 	"hemlocktally/follower"
+	"hemlocktally/messenger"
 	"hemlocktally/platform"
 )
 
@@ -27,7 +29,8 @@
 	mu       sync.Mutex
 	entries  []hemlocktally.DirectoryEntry
 	revision uint64
-	muted    bool // muted lets a watch that waits miss every change.
+	failing  string // failing is a prefix whose calls fail.
+	muted    bool   // muted lets a watch that waits miss every change.
 }
 
 func (d *directory) put(key, value string) {
@@ -51,7 +54,29 @@
 	return found
 }
 
+// fail lets the calls of a prefix fail, or no longer.
+func (d *directory) fail(prefix string, fail bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failing = ""
+	if fail {
+		d.failing = prefix
+	}
+}
+
+func (d *directory) fails(prefix string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.failing == prefix {
+		return errors.New("the store does not answer")
+	}
+	return nil
+}
+
 func (d *directory) Snapshot(_ context.Context, prefix string, _ bool) (hemlocktally.Snapshot, error) {
+	if err := d.fails(prefix); err != nil {
+		return hemlocktally.Snapshot{}, err
+	}
 	entries := d.since(prefix, 0)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -59,6 +84,9 @@
 }
 
 func (d *directory) Follow(ctx context.Context, prefix string, after uint64, wait time.Duration) (hemlocktally.Snapshot, error) {
+	if err := d.fails(prefix); err != nil {
+		return hemlocktally.Snapshot{}, err
+	}
 	d.mu.Lock()
 	muted := d.muted
 	d.mu.Unlock()
@@ -115,3 +143,34 @@
 	}
 	qt.Assert(t, f.Current().Revision, qt.Equals, revision)
 }
+
+// After an outage a hub renews its lease before it has read what it missed; until
+// then it must not speak for the store, or its followers would go back.
+func TestHubThatIsBehindIsNotInTouch(t *testing.T) {
+	c := qt.New(t)
+	d := &directory{}
+	d.put("op/config", version("4"))
+	f := &follower.Follower{Self: follower.Hub{ID: "i", Zone: "a", Weight: 1}, HTTP: http.DefaultClient, Directory: d, Interpreter: platform.Translator{}}
+	f.Prepare()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.Run(ctx) }()
+	await(t, f, 4)
+	age := func() time.Duration {
+		out, err := f.Sync(ctx, &messenger.SyncRequest{Instance: "j"})
+		c.Assert(err, qt.IsNil)
+		return time.Duration(out.GetStoreAgeMicroseconds()) * time.Microsecond
+	}
+	for end := time.Now().Add(5 * time.Second); len(f.View().Members) == 0 && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.Assert(age() < time.Second, qt.IsTrue)
+	d.fail("op/", true)
+	time.Sleep(3 * time.Second) // The watch that waits has ended by now; leases are renewed all the while.
+	c.Assert(age() > 2*time.Second, qt.IsTrue)
+	d.fail("op/", false)
+	time.Sleep(1500 * time.Millisecond)
+	c.Assert(age() < time.Second, qt.IsTrue)
+	cancel()
+	c.Assert(<-done, qt.IsNil)
+}
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -54,9 +54,11 @@
 }
 
 func (f *Follower) answerSync(p *Picture, version string, count int) (*messenger.SyncResponse, error) {
-	out := &messenger.SyncResponse{
-		Version: version, StoreAgeMicroseconds: f.since(&f.heard).Microseconds(), Followers: int64(count),
+	age := f.since(&f.heard)
+	if f.behind.Load() {
+		age = max(age, 2*inTouch)
 	}
+	out := &messenger.SyncResponse{Version: version, StoreAgeMicroseconds: age.Microseconds(), Followers: int64(count)}
 	if p == nil {
 		return out, nil
 	}
