Placer: no choice by an old list of targets; owners hand their knowledge on

An instance that places work again after a pause chose by the list that it had read before the pause (up to 8 s old on a hub). Change: a choice waits up to 0.25 s for a list no older than 1.4 s, unless the store can't be read; looks at the targets end after 0.3 s without changes. Test: TestOldListIsReadAnewBeforeAChoice. Traced: the next owner learns nothing of warm targets when the one before it leaves soon after, so it holds them cold for over a second.

--- a/allocator/ledger.go
+++ b/allocator/ledger.go
@@ -72,9 +72,17 @@
 	l.heard[owner] = now
 }
 
-func (l *Ledger) learn(owner hemlocktally.InstanceID, service hemlocktally.ServiceName, warm []hemlocktally.TargetName) {
+// learn takes over an owner's word on its targets. Of targets of which it has
+// heard nothing itself, as one that has just taken over, the word before stays:
+// else two changes of the owner in a row would leave no target known as warm.
+func (l *Ledger) learn(owner hemlocktally.InstanceID, service hemlocktally.ServiceName, warm, unheard []hemlocktally.TargetName) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	for _, known := range l.known[service].warm {
+		if slices.Contains(unheard, known) {
+			warm = append(warm, known)
+		}
+	}
 	if l.known == nil {
 		l.known = map[hemlocktally.ServiceName]knowledge{}
 	}
--- /dev/null
+++ b/allocator/ledger_test.go
@@ -0,0 +1,49 @@
+package allocator
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hemlocktally"
+	"hemlocktally/messenger"
+)
+
+// Two planned stops in a row: the owner in between has heard nothing of its
+// targets when it tells what it knows. That must not wipe out what the owner
+// before it knew.
+func TestOwnerThatHeardNothingRetractsNothing(t *testing.T) {
+	c := qt.New(t)
+	var l Ledger
+	now := time.Now()
+	l.learn("first", "s", []hemlocktally.TargetName{"x", "y"}, nil)
+	l.hear("first", now)
+	l.learn("second", "s", nil, []hemlocktally.TargetName{"x", "z"})
+	l.hear("second", now)
+	c.Assert(l.warm("s", now), qt.DeepEquals, []hemlocktally.TargetName{"x"})
+	l.learn("second", "s", nil, nil)
+	c.Assert(l.warm("s", now), qt.HasLen, 0)
+}
+
+func TestOnlyTargetsNeverHeardAreUnheard(t *testing.T) {
+	c := qt.New(t)
+	s := State{}
+	now := time.Now()
+	s.Update(ConfigurationMsg{Service: hemlocktally.Service{Name: "s", Targets: []hemlocktally.Target{
+		{Name: "x", Address: "x", Zone: "a"}, {Name: "y", Address: "y", Zone: "a"},
+	}}}, now)
+	c.Assert(s.unheardTargets(), qt.HasLen, 2)
+	s.byName["x"].heardAt = now
+	c.Assert(s.unheardTargets(), qt.DeepEquals, []hemlocktally.TargetName{"y"})
+}
+
+// The owner that leaves knows its targets best: the next one must get its word
+// also where no other member was told in time.
+func TestOwnerThatLeavesTellsItsOwnKnowledge(t *testing.T) {
+	c := qt.New(t)
+	s := &Server{Self: "first", Ledger: &Ledger{}, owners: map[hemlocktally.ServiceName]*Owner{"s": {}}}
+	s.owners["s"].board.Store(&board{warm: []hemlocktally.TargetName{"x"}})
+	out := s.exchange("second", &messenger.ServiceStates{Service: "s", AgeMicroseconds: -1}, time.Now())
+	c.Assert(out.Warm, qt.DeepEquals, []string{"x"})
+}
--- a/allocator/owner.go
+++ b/allocator/owner.go
@@ -54,6 +54,7 @@
 type board struct {
 	version  uint64
 	warm     []hemlocktally.TargetName
+	unheard  []hemlocktally.TargetName
 	needs    bool // needs is set while a target is cold, so that the standing counts.
 	inFlight int
 	askedAt  time.Time // askedAt is the time of the last request.
@@ -240,7 +241,7 @@
 	for _, t := range r.state.targets {
 		inFlight += len(t.inFlight)
 	}
-	r.board.Store(&board{version: r.version, warm: r.state.warmTargets(), needs: needs, inFlight: inFlight, askedAt: r.askedAt})
+	r.board.Store(&board{version: r.version, warm: r.state.warmTargets(), unheard: r.state.unheardTargets(), needs: needs, inFlight: inFlight, askedAt: r.askedAt})
 	r.effects.wake()
 }
 
--- a/allocator/recaller.go
+++ b/allocator/recaller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"hemlocktally"
@@ -219,6 +220,9 @@
 		for _, target := range shown.warm {
 			states.Warm = append(states.Warm, string(target))
 		}
+		for _, target := range shown.unheard {
+			states.Unheard = append(states.Unheard, string(target))
+		}
 		request.Services = append(request.Services, states)
 	}
 	return request, versions
@@ -307,15 +311,37 @@
 	name := hemlocktally.ServiceName(states.Service)
 	out := &messenger.ServiceStates{Service: states.Service}
 	if states.AgeMicroseconds < 0 {
-		for _, target := range s.Ledger.warm(name, now) {
+		for _, target := range s.knownWarm(name, now) {
 			out.Warm = append(out.Warm, string(target))
 		}
 		return out
 	}
-	warm := make([]hemlocktally.TargetName, 0, len(states.Warm))
-	for _, target := range states.Warm {
-		warm = append(warm, hemlocktally.TargetName(target))
-	}
-	s.Ledger.learn(asker, name, warm)
+	s.Ledger.learn(asker, name, targetNames(states.Warm), targetNames(states.Unheard))
 	return out
 }
+
+// knownWarm returns the targets known as warm here: as the owner before, which
+// may be leaving, or by the owner's word.
+func (s *Server) knownWarm(service hemlocktally.ServiceName, now time.Time) []hemlocktally.TargetName {
+	warm := slices.Clone(s.Ledger.warm(service, now))
+	s.mu.Lock()
+	owner := s.owners[service]
+	s.mu.Unlock()
+	if owner == nil {
+		return warm
+	}
+	for _, target := range owner.board.Load().warm {
+		if !slices.Contains(warm, target) {
+			warm = append(warm, target)
+		}
+	}
+	return warm
+}
+
+func targetNames(texts []string) []hemlocktally.TargetName {
+	names := make([]hemlocktally.TargetName, 0, len(texts))
+	for _, text := range texts {
+		names = append(names, hemlocktally.TargetName(text))
+	}
+	return names
+}
--- a/allocator/status.go
+++ b/allocator/status.go
@@ -43,6 +43,17 @@
 	return status
 }
 
+// unheardTargets names the targets of which this owner has heard nothing.
+func (s *State) unheardTargets() []hemlocktally.TargetName {
+	var names []hemlocktally.TargetName
+	for _, t := range s.targets {
+		if t.cold() && t.heardAt.IsZero() && !t.out {
+			names = append(names, t.target.Name)
+		}
+	}
+	return names
+}
+
 // warmTargets names the targets that take their full load.
 func (s *State) warmTargets() []hemlocktally.TargetName {
 	var names []hemlocktally.TargetName
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -122,11 +122,11 @@
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: s.Bounds.RetryWindow, RetrySlack: s.Bounds.RetrySlack,
 		ColdShare: coldShare, ProbesPerSecond: s.Bounds.ProbesPerSecond,
 	}
-	b.owner = &placer.Server{Self: self, Epoch: epoch, Bounds: bounds, Loads: loads, Log: b.Log, Needed: b.follower.NeedTargets}
+	b.owner = &placer.Server{Self: self, Epoch: epoch, Bounds: bounds, Loads: loads, Log: b.Log, Needed: b.follower.NeedTargets, Known: b.follower.TargetsKnown}
 	// An instance that decides alone is one of many: it keeps to a small part of
 	// the fleet's budget and leaves cold targets to the owner.
 	bounds.ColdShare, bounds.RetryRatio = 0, bounds.RetryRatio/2
-	b.alone = &placer.Server{Self: self, Epoch: epoch + "A", Bounds: bounds, Loads: loads, Log: b.Log, Needed: b.follower.NeedTargets, Alone: true}
+	b.alone = &placer.Server{Self: self, Epoch: epoch + "A", Bounds: bounds, Loads: loads, Log: b.Log, Needed: b.follower.NeedTargets, Known: b.follower.TargetsKnown, Alone: true}
 	b.turns = &placer.Client{
 		Self: self, Zone: hemlocktally.ZoneName(s.Instance.Zone), Epoch: epoch, View: b.follower, Server: b.owner, Alone: b.alone,
 		HTTP: peers, Log: b.Log, NeedTargets: b.follower.NeedTargets,
--- a/follower/feed.go
+++ b/follower/feed.go
@@ -16,13 +16,13 @@
 	// operatorWait is how long a watch of operators' decisions waits: one that
 	// waits while the store drops its history may miss changes without a word.
 	operatorWait = 2200 * time.Millisecond
-	hubWait      = 10 * time.Second        // hubWait is how long a watch of the hubs waits.
-	rarePace     = 250 * time.Millisecond  // rarePace is the least time between two watches of rare changes.
-	targetPace   = 700 * time.Millisecond  // targetPace is the time between two looks at the targets while they are needed.
-	targetWait   = time.Second             // targetWait is how long a look at the targets waits for a change.
-	alonePace    = 1500 * time.Millisecond // alonePace is that time for an instance that is no hub and decides alone.
-	restingPace  = 8 * time.Second         // restingPace is how often a hub reads the targets that nobody needs.
-	callTimeout  = 800 * time.Millisecond  // callTimeout bounds a call that does not wait.
+	hubWait      = 10 * time.Second       // hubWait is how long a watch of the hubs waits.
+	rarePace     = 250 * time.Millisecond // rarePace is the least time between two watches of rare changes.
+	targetPace   = 700 * time.Millisecond // targetPace is the time between two looks at the targets while they are needed.
+	targetWait   = 300 * time.Millisecond // targetWait is how long a look at the targets waits for a change.
+	alonePace    = time.Second            // alonePace is that time for an instance that is no hub and decides alone.
+	restingPace  = 8 * time.Second        // restingPace is how often a hub reads the targets that nobody needs.
+	callTimeout  = 800 * time.Millisecond // callTimeout bounds a call that does not wait.
 	firstBackoff = 100 * time.Millisecond
 	longestBoff  = time.Second
 	spreadBoff   = 0.3 // spreadBoff is the part of a pause that is random.
@@ -154,12 +154,14 @@
 		msg, revision, err := f.look(ctx, fd, known)
 		lookedAt = time.Now()
 		if err != nil {
+			f.unreadable.Store(true)
 			known = f.failed(ctx, inbox, fd, known, err)
 			sleep(ctx, spread(pause))
 			pause = min(2*pause, longestBoff)
 			continue
 		}
 		f.answered()
+		f.unreadable.Store(false)
 		pause, known = firstBackoff, revision
 		send(ctx, inbox, msg)
 		switch {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -49,6 +49,7 @@
 	isHub      atomic.Bool
 	leaving    atomic.Bool
 	storeOut   atomic.Bool
+	unreadable atomic.Bool // unreadable is set while the list of targets can't be read.
 	behind     atomic.Bool // behind is set while the feed of operators' decisions has failed and not caught up.
 	wakeFeeds  *broadcast
 	followers  followers
@@ -116,6 +117,12 @@
 	}
 }
 
+// TargetsKnown returns when the targets were last read, and whether they can be
+// read now.
+func (f *Follower) TargetsKnown() (at time.Time, readable bool) {
+	return f.Picture().TargetsAt, !f.unreadable.Load()
+}
+
 func (f *Follower) targetsNeeded() bool { return int64(time.Since(f.base)) < f.needed.Load() }
 
 // since returns how long ago a time noted by mark was; very long where it never
--- a/placer/client_test.go
+++ b/placer/client_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -68,3 +69,31 @@
 		c.Assert(grant.Target.Name, qt.Equals, hemlocktally.TargetName("x"))
 	}
 }
+
+// A target leaves while the instance places no work and reads no list. Its next
+// choice must not go by the old list.
+func TestOldListIsReadAnewBeforeAChoice(t *testing.T) {
+	c := qt.New(t)
+	registration := func(name string) hemlocktally.Registration {
+		return hemlocktally.Registration{Service: "s", Target: hemlocktally.Target{
+			Name: hemlocktally.TargetName(name), Address: "127.0.0.1:1", Zone: "a", Slots: 2,
+		}}
+	}
+	server, _ := instance(t, "self", registration("left"))
+	var at atomic.Int64
+	at.Store(time.Now().Add(-time.Minute).UnixNano())
+	server.Known = func() (time.Time, bool) { return time.Unix(0, at.Load()), true }
+	server.Needed = func() {
+		go func() {
+			time.Sleep(20 * time.Millisecond)
+			server.Configure(map[hemlocktally.ServiceName]placer.TargetsMsg{"s": {
+				Service: hemlocktally.Service{Name: "s", ProbePath: "/"}, Targets: []hemlocktally.Registration{registration("stays")},
+			}})
+			at.Store(time.Now().UnixNano())
+		}()
+	}
+	client := &placer.Client{Self: "self", Zone: "a", View: view{[]hemlocktally.Instance{{ID: "self", State: hemlocktally.InstanceServing}}}, Server: server}
+	grant, err := client.Acquire(context.Background(), hemlocktally.GrantRequest{Service: "s", Contract: "c", Deadline: time.Now().Add(time.Second)})
+	c.Assert(err, qt.IsNil)
+	c.Assert(grant.Target.Name, qt.Equals, hemlocktally.TargetName("stays"))
+}
--- a/placer/server.go
+++ b/placer/server.go
@@ -27,6 +27,9 @@
 	Alone bool
 	// Needed is called whenever the server is asked; it may be nil.
 	Needed func()
+	// Known returns when the list of targets was last read, and whether it can be
+	// read at all now; nil means that the list is always new.
+	Known func() (at time.Time, readable bool)
 
 	mu       sync.Mutex
 	ctx      context.Context //nolint:containedctx // The tasks end with the run, not with one question.
@@ -41,6 +44,11 @@
 	idleTick     = 500 * time.Millisecond
 	probeTimeout = 60 * time.Millisecond // probeTimeout bounds a question about load, a new connection included.
 	holdAnswer   = 20 * time.Millisecond // holdAnswer is how long a question is kept before it is told to ask again.
+	// listLasts is how old the list of targets may be for a choice: targets that
+	// leave have to be left within two seconds.
+	listLasts = 1400 * time.Millisecond
+	listWait  = 250 * time.Millisecond // listWait is how long a question waits for a newer list.
+	listLook  = 2 * time.Millisecond
 )
 
 // serviceTask owns the state of one service.
@@ -131,6 +139,7 @@
 	if s.Needed != nil {
 		s.Needed()
 	}
+	s.awaitList(ctx)
 	msg.Hold = time.Now().Add(holdAnswer)
 	q := question{AskMsg: msg, answer: make(chan any, 1)}
 	task.tell(q)
@@ -151,6 +160,21 @@
 	return RefuseCmd{Ticket: msg.Ticket, Error: notRun(hemlocktally.ReasonCallerCancelled, "the question was withdrawn", 0)}
 }
 
+// awaitList waits for a new list of targets where the one at hand is old: an
+// instance that has placed no work for a while reads it rarely or not at all.
+// While the store does not answer, the old list has to do.
+func (s *Server) awaitList(ctx context.Context) {
+	if s.Known == nil {
+		return
+	}
+	for end := time.Now().Add(listWait); ctx.Err() == nil; time.Sleep(listLook) {
+		at, readable := s.Known()
+		if now := time.Now(); !readable || now.Sub(at) < listLasts || now.After(end) {
+			return
+		}
+	}
+}
+
 // End gives a turn back.
 func (s *Server) End(result hemlocktally.GrantResult) {
 	if task := s.task(result.Grant.Service); task != nil {
