Placer: second attempts leave room for those after a failure; a slow store holds no call up

Change: second attempts use half of the budget, and a quarter where the first one's target, asked anew, is calm; after one wait in vain no call waits for 2 s. Ruled out: free targets missing (the owner refused by the budget). Test: TestSecondAttemptBesideACalmTargetIsRefused.

--- a/placer/choice.go
+++ b/placer/choice.go
@@ -24,6 +24,7 @@
 	late         = 1.1                   // late is the multiple of the usual work below which no prompt answer is hoped for.
 	promptMargin = 1.4                   // promptMargin is the multiple of the usual work that has to be left for a prompt answer to be likely.
 	worstFaulty  = 0.75
+	calmPace     = 1.6                    // calmPace is the pace below which a target counts as calm.
 	coldValidity = 100 * time.Millisecond // coldValidity is how long a turn on a cold target may be begun.
 	leastAdvice  = 50 * time.Millisecond  // leastAdvice is the shortest advice when to come back.
 	mostAdvice   = 2 * time.Second
@@ -89,8 +90,8 @@
 	if now.Before(w.probeBy) && s.awaits(candidates) {
 		return false, nil
 	}
-	if !best.fresh && w.probed == 0 {
-		if asked := s.probe(candidates, best, now); len(asked) > 0 {
+	if first := s.first(r); w.probed == 0 && (!best.fresh || (first != nil && !first.fresh(now))) {
+		if asked := s.probe(candidates, best, first, now); len(asked) > 0 {
 			w.probed++
 			w.probeBy = now.Add(probeWait)
 			return false, asked
@@ -104,14 +105,38 @@
 		}
 		w.probed++
 		w.probeBy = now.Add(probeWait)
-		return false, s.probe(candidates, best, now)
+		return false, s.probe(candidates, best, nil, now)
 	}
-	if r.Kind == hemlocktally.AttemptHedge && best.expected > left {
-		return true, []any{RefuseCmd{Ticket: w.msg.Ticket, Error: notRun(hemlocktally.ReasonShed, "no target would be in time for a second attempt", 0)}}
+	if r.Kind == hemlocktally.AttemptHedge {
+		if refused := s.refuseHedge(r, best, now); refused != nil {
+			return true, []any{RefuseCmd{Ticket: w.msg.Ticket, Error: refused}}
+		}
 	}
 	return true, []any{s.give(w, best, now)}
 }
 
+// refuseHedge refuses a second attempt that would be too late, and one whose
+// first runs on a calm target unless the budget is hardly used.
+func (s *State) refuseHedge(r hemlocktally.GrantRequest, best candidate, now time.Time) *hemlocktally.RefusedError {
+	if best.expected > r.Objective.Sub(now) {
+		return notRun(hemlocktally.ReasonShed, "no target would be in time for a second attempt", 0)
+	}
+	first := s.first(r)
+	calm := first != nil && first.fresh(now) && first.pace < calmPace
+	if calm && !s.spent.room(now, s.ownBounds(), calmShare) {
+		return notRun(hemlocktally.ReasonRetryBudget, "the first attempt goes on at a calm target", 0)
+	}
+	return nil
+}
+
+// first is the target of the attempt that a second one stands beside.
+func (s *State) first(r hemlocktally.GrantRequest) *tally {
+	if r.Kind != hemlocktally.AttemptHedge || len(r.Exclude) == 0 {
+		return nil
+	}
+	return s.targets[r.Exclude[len(r.Exclude)-1]]
+}
+
 // candidates lists the targets that may take the call now, best first.
 func (s *State) candidates(w *waiter, now time.Time) []candidate {
 	var list []candidate
@@ -122,7 +147,7 @@
 		if t.cold(now) && (s.Alone || !t.coldRoom(s.coldRate(), s.Bounds.ColdShare, now)) {
 			continue
 		}
-		c := candidate{t: t, near: t.target.Zone == w.msg.Zone, fresh: !t.suspect && t.age(now) >= 0 && t.age(now) <= freshFor}
+		c := candidate{t: t, near: t.target.Zone == w.msg.Zone, fresh: t.fresh(now)}
 		c.expected = s.expect(t, w.msg.Request.Contract, now)
 		c.doubted = time.Duration(float64(c.expected) / (1 - math.Min(worstFaulty, t.faulty)))
 		if t.suspect {
@@ -184,8 +209,9 @@
 	return slices.ContainsFunc(candidates, func(c candidate) bool { return c.t.probing })
 }
 
-// probe asks the best candidate and the next ones whose reports are old.
-func (s *State) probe(candidates []candidate, best candidate, now time.Time) []any {
+// probe asks the best candidate and the next ones whose reports are old, and
+// before them the target of a first attempt that is slow.
+func (s *State) probe(candidates []candidate, best candidate, first *tally, now time.Time) []any {
 	if s.service.ProbePath == "" {
 		return nil
 	}
@@ -197,7 +223,12 @@
 		t.probing, t.askedAt = true, now
 		commands = append(commands, ProbeCmd{Target: t.target, Path: s.service.ProbePath})
 	}
-	ask(best.t)
+	if first != nil && !first.fresh(now) {
+		ask(first)
+	}
+	if !best.fresh {
+		ask(best.t)
+	}
 	for _, near := range []bool{true, false} {
 		for _, c := range candidates {
 			if c.near == near && !c.fresh {
@@ -226,6 +257,9 @@
 		last: c.t.busy(now)+1 >= c.t.target.SlotCount(),
 	}
 	c.t.usedAt = now
+	if r.Kind != hemlocktally.AttemptFirst {
+		s.spent.repeat(now)
+	}
 	return GrantCmd{Ticket: w.msg.Ticket, Grant: grant, Why: why}
 }
 
--- a/placer/retry.go
+++ b/placer/retry.go
@@ -23,21 +23,20 @@
 	r.calls = append(trim(r.calls, now, window), now)
 }
 
-// may reports whether one more repeat is within the budget, and counts it.
-func (r *retryWindow) may(now time.Time, b Bounds) bool {
+// room reports whether one more repeat is within a share of the budget.
+func (r *retryWindow) room(now time.Time, b Bounds, share float64) bool {
 	r.calls, r.repeats = trim(r.calls, now, b.RetryWindow), trim(r.repeats, now, b.RetryWindow)
 	part := settledPart
 	if r.since.IsZero() || now.Sub(r.since) < b.RetryWindow {
 		part = newPart
 	}
-	allowed := part * (b.RetryRatio*float64(len(r.calls)) + b.RetrySlack)
-	if float64(len(r.repeats)+1) > allowed {
-		return false
-	}
-	r.repeats = append(r.repeats, now)
-	return true
+	allowed := share * part * (b.RetryRatio*float64(len(r.calls)) + b.RetrySlack)
+	return float64(len(r.repeats)+1) <= allowed
 }
 
+// repeat counts one repeat.
+func (r *retryWindow) repeat(now time.Time) { r.repeats = append(r.repeats, now) }
+
 // trim drops the times that lie before the window.
 func trim(times []time.Time, now time.Time, window time.Duration) []time.Time {
 	i := 0
--- a/placer/server.go
+++ b/placer/server.go
@@ -36,6 +36,7 @@
 	services map[hemlocktally.ServiceName]*serviceTask
 	latest   map[hemlocktally.ServiceName]TargetsMsg
 	leaving  bool
+	noWait   time.Time // noWait is until when no question waits for a newer list.
 }
 
 const (
@@ -47,7 +48,8 @@
 	// listLasts is how old the list of targets may be for a choice: targets that
 	// leave have to be left within two seconds.
 	listLasts = 1400 * time.Millisecond
-	listWait  = 250 * time.Millisecond // listWait is how long a question waits for a newer list.
+	listWait  = 100 * time.Millisecond // listWait is how long a question waits for a newer list.
+	listPause = 2 * time.Second        // listPause is how long no question waits after one has waited in vain, as with a slow store.
 	listLook  = 2 * time.Millisecond
 )
 
@@ -169,12 +171,23 @@
 	}
 	for end := time.Now().Add(listWait); ctx.Err() == nil; time.Sleep(listLook) {
 		at, readable := s.Known()
-		if now := time.Now(); !readable || now.Sub(at) < listLasts || now.After(end) {
+		now := time.Now()
+		if !readable || now.Sub(at) < listLasts || s.waitedInVain(now, end) {
 			return
 		}
 	}
 }
 
+// waitedInVain reports whether a question has waited, or another one lately.
+func (s *Server) waitedInVain(now, end time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.After(end) {
+		s.noWait = now.Add(listPause)
+	}
+	return now.Before(s.noWait)
+}
+
 // End gives a turn back.
 func (s *Server) End(result hemlocktally.GrantResult) {
 	if task := s.task(result.Grant.Service); task != nil {
--- a/placer/state.go
+++ b/placer/state.go
@@ -50,7 +50,9 @@
 	outlierFactor = 4
 	enoughSamples = 30
 	mostFullness  = 3
-	fewestAlone   = 16 // fewestAlone is how many instances are taken to decide alone at the least.
+	hedgeShare    = 0.5
+	calmShare     = 0.25 // calmShare is the part for second attempts whose first one runs on a calm target.
+	fewestAlone   = 16   // fewestAlone is how many instances are taken to decide alone at the least.
 )
 
 // estimate is a moving mean. Single samples count no more than a few times it.
@@ -135,9 +137,10 @@
 			return nil
 		}
 	}
-	if msg.Request.Kind == hemlocktally.AttemptFirst {
+	switch {
+	case msg.Request.Kind == hemlocktally.AttemptFirst:
 		s.spent.call(now, s.Bounds.RetryWindow)
-	} else if !s.spent.may(now, s.ownBounds()) {
+	case !s.spent.room(now, s.ownBounds(), budgetShare(msg.Request.Kind)):
 		return []any{RefuseCmd{Ticket: msg.Ticket, Error: notRun(hemlocktally.ReasonRetryBudget, "the budget for sending once more is spent", 0)}}
 	}
 	if refused := s.admit(msg, now); refused != nil {
@@ -149,6 +152,15 @@
 	return nil
 }
 
+// budgetShare is the part of the retry budget that a kind of attempt may use:
+// second attempts beside a slow one leave room for those after a failure.
+func budgetShare(kind hemlocktally.AttemptKind) float64 {
+	if kind == hemlocktally.AttemptHedge {
+		return hedgeShare
+	}
+	return 1
+}
+
 // ownBounds are the bounds of this decider: one that decides alone is one of
 // many.
 func (s *State) ownBounds() Bounds {
--- a/placer/state_test.go
+++ b/placer/state_test.go
@@ -178,10 +178,14 @@
 	d.wait(10 * time.Second)
 	refused := 0
 	for range 100 {
+		d.report("x", 1)
 		again := d.request()
 		again.Request.Kind = hemlocktally.AttemptRetry
 		commands := d.update(again)
 		refused += len(refusals(commands))
+		for _, grant := range grants(commands) {
+			d.update(EndMsg{Result: hemlocktally.GrantResult{Grant: grant, Outcome: hemlocktally.AttemptCancelled}})
+		}
 		d.update(LeaveMsg{Ticket: again.Ticket})
 	}
 	c.Assert(100-refused <= 56, qt.IsTrue, qt.Commentf("%d of 100 repeats were allowed", 100-refused))
@@ -377,3 +381,25 @@
 		d.wait(20 * time.Millisecond)
 	}
 }
+
+// A second attempt beside one that runs on a calm target is a waste of the
+// budget that lost answers need.
+func TestSecondAttemptBesideACalmTargetIsRefused(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(target("x", "a"), target("y", "a"))
+	d.state.Bounds.RetrySlack = 12
+	hedge := func() AskMsg {
+		ask := d.request()
+		ask.Request.Kind = hemlocktally.AttemptHedge
+		ask.Request.Exclude = []hemlocktally.TargetName{"x"}
+		return ask
+	}
+	d.report("x", 1)
+	d.report("y", 1)
+	c.Assert(refusals(d.update(hedge())), qt.HasLen, 1)
+	d.wait(100 * time.Millisecond)
+	asked := d.update(hedge())
+	c.Assert(probed(asked)[0], qt.Equals, hemlocktally.TargetName("x"))
+	commands := append(d.report("x", 7), d.report("y", 1)...)
+	c.Assert(grants(commands), qt.HasLen, 1)
+}
--- a/placer/tally.go
+++ b/placer/tally.go
@@ -107,6 +107,11 @@
 	return now.Sub(t.paceAt)
 }
 
+// fresh reports whether the last report is new enough to give a turn by it.
+func (t *tally) fresh(now time.Time) bool {
+	return !t.suspect && t.age(now) >= 0 && t.age(now) <= freshFor
+}
+
 // heard takes over what an answer says of the target.
 func (t *tally) heard(answer hemlocktally.AnswerHeader, now time.Time) {
 	t.failures, t.suspect = 0, false
