--- a/balancer/soak_test.go
+++ b/balancer/soak_test.go
@@ -308,7 +308,6 @@
 	}
 	s.version.Store(4)
 	s.directory.Put("op/config", fmt.Sprintf(testDocument, 4, ""))
-	group.Go(func() { s.keepUp(ctx) })
 	for i := range *soakSize {
 		ip := ownIP()
 		p := &process{id: fmt.Sprintf("e-%d", i), zone: zones[i%3], callers: ip + ":8080", ready: ip + ":8081"}
@@ -320,6 +319,7 @@
 		s.processes = append(s.processes, p)
 		p.start(t)
 	}
+	group.Go(func() { s.keepUp(ctx) })
 }
 
 // keepUp lets the targets write their entries, and looks who is ready.
