--- a/placer/choice.go
+++ b/placer/choice.go
@@ -237,8 +237,12 @@
 		return nil
 	}
 	var commands []any
+	pause := probePause
+	if s.Bounds.ProbesPerSecond > 0 {
+		pause = max(pause, time.Duration(float64(time.Second)/s.Bounds.ProbesPerSecond))
+	}
 	ask := func(t *tally) {
-		if t.probing || now.Sub(t.askedAt) < probePause || len(commands) >= probesAtOnce {
+		if t.probing || now.Sub(t.askedAt) < pause || len(commands) >= probesAtOnce {
 			return
 		}
 		t.probing, t.askedAt = true, now
--- a/placer/state_test.go
+++ b/placer/state_test.go
@@ -403,3 +403,23 @@
 	commands := append(d.report("x", 7), d.report("y", 1)...)
 	c.Assert(grants(commands), qt.HasLen, 1)
 }
+
+// Measuring never costs more than its budget, however many calls come.
+func TestQuestionsToATargetKeepTheirBudget(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(target("x", "a"))
+	d.state.Bounds.ProbesPerSecond = 10
+	asked := 0
+	for range 200 {
+		ask := d.request()
+		commands := d.update(ask)
+		asked += len(probed(commands))
+		d.update(LoadMsg{Target: "x", Answer: hemlocktally.AnswerHeader{}}) // It tells nothing.
+		commands = append(commands, d.wait(10*time.Millisecond)...)
+		for _, grant := range grants(commands) {
+			d.update(EndMsg{Result: hemlocktally.GrantResult{Grant: grant, Outcome: hemlocktally.AttemptCancelled}})
+		}
+		d.update(LeaveMsg{Ticket: ask.Ticket})
+	}
+	c.Assert(asked > 0 && asked <= 20, qt.IsTrue, qt.Commentf("%d questions in two seconds", asked))
+}
