Tests: the platform's names stay in platform and its stand-ins

Change: imitator.Document, Declare, StopZone, Lapse, SetCall and Sealed write and read them; the soak's proxy and processes have files of their own. What is checked stays. Ruled out: moving the tests into platform/ (they test the whole path).

--- a/balancer/fleet_test.go
+++ b/balancer/fleet_test.go
@@ -39,12 +39,16 @@
 	done     chan error
 }
 
-const testDocument = `{"version":"r%d","resources":[
- {"resourceType":"routes","metadata":{"name":"read"},"spec":{"hostname":"h","prefix":"/read/","routeType":"safe","timeout":"2000ms","targetLatency":"500ms","priority":1,"service":"s","maxAttempts":2}},
- {"resourceType":"routes","metadata":{"name":"pay"},"spec":{"hostname":"h","prefix":"/pay/","routeType":"unsafe","timeout":"2000ms","targetLatency":"500ms","priority":0,"service":"s","maxAttempts":2}}%s,
- {"resourceType":"services","metadata":{"name":"s"},"spec":{"healthPath":"/health","maxConnections":220,"coldPerS":6.5}}]}`
+// document is the operator's document of a version, with more routes.
+func document(version int, more ...imitator.Route) string {
+	routes := []imitator.Route{
+		{Name: "read", Prefix: "/read/", Repeatable: true, Timeout: "2000ms", Objective: "500ms", Rank: 1, Attempts: 2},
+		{Name: "pay", Prefix: "/pay/", Timeout: "2000ms", Objective: "500ms", Attempts: 2},
+	}
+	return imitator.Document(version, "s", append(routes, more...)...)
+}
 
-const addedRoute = `,{"resourceType":"routes","metadata":{"name":"new"},"spec":{"hostname":"h","prefix":"/new/","routeType":"safe","service":"s"}}`
+var addedRoute = imitator.Route{Name: "new", Prefix: "/new/", Repeatable: true}
 
 func listen(t *testing.T) net.Listener {
 	t.Helper()
@@ -81,7 +85,7 @@
 		f.upstreams = append(f.upstreams, u)
 		run(func(ctx context.Context) error { return u.Start(ctx, l, f.directory) })
 	}
-	f.directory.Put("op/config", fmt.Sprintf(testDocument, 4, ""))
+	f.directory.Declare(document(4))
 	for i, zone := range zones {
 		f.instances = append(f.instances, f.start(fmt.Sprintf("e-%d", i), zone))
 	}
@@ -126,7 +130,7 @@
 }
 
 func (f *fleet) ready(i *instance) bool {
-	response, err := f.client.Get("http://" + i.settings.Listen.Ready + "/readiness")
+	response, err := f.client.Get("http://" + i.settings.Listen.Ready + "/")
 	if err != nil {
 		return false
 	}
@@ -156,9 +160,7 @@
 	if err != nil {
 		return answer{err: err}
 	}
-	request.Host = "h"
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("Deadline-Ms", "2000")
+	imitator.SetCall(request, id, 2000)
 	response, err := f.client.Do(request)
 	if err != nil {
 		return answer{err: err}
@@ -192,7 +194,7 @@
 				c.Check(got.err, qt.IsNil)
 				c.Check(got.status, qt.Equals, http.StatusOK)
 				c.Check(strings.HasSuffix(got.body, "answers "+id+": "+id), qt.IsTrue, qt.Commentf("%s", got.body))
-				c.Check(got.header.Get("Response-Seal"), qt.Equals, strconv.Itoa(len(got.body)))
+				c.Check(imitator.Sealed(got.header, got.body), qt.IsTrue)
 			}
 		})
 	}
@@ -242,7 +244,7 @@
 	c := qt.New(t)
 	f := startFleet(t, "a", "a", "b")
 	f.directory.SetFaults(imitator.DirectoryFaults{Deaf: true})
-	f.directory.Put("op/config", fmt.Sprintf(testDocument, 9, addedRoute))
+	f.directory.Declare(document(9, addedRoute))
 	time.Sleep(time.Second)
 	f.directory.DropHistory()
 	f.directory.SetFaults(imitator.DirectoryFaults{})
@@ -253,7 +255,7 @@
 			}
 		}
 	}
-	f.directory.Put("op/config", fmt.Sprintf(testDocument, 7, ""))
+	f.directory.Declare(document(7))
 	time.Sleep(time.Second)
 	for _, i := range f.instances {
 		c.Check(f.call(i, http.MethodGet, "/new/x", "m").status, qt.Equals, http.StatusOK)
@@ -322,7 +324,7 @@
 	f.directory.SetFaults(imitator.DirectoryFaults{Busy: true})
 	time.Sleep(time.Second)
 	for _, u := range f.upstreams {
-		f.directory.Remove("servers/" + u.ID)
+		f.directory.Lapse(u.ID)
 	}
 	c.Check(f.call(f.instances[1], http.MethodGet, "/read/x", "2").status, qt.Equals, http.StatusOK)
 	f.directory.SetFaults(imitator.DirectoryFaults{})
--- a/balancer/soak_test.go
+++ b/balancer/soak_test.go
@@ -6,11 +6,8 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
-	"os/exec"
-	"os/signal"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -23,10 +20,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"hemlocktally/balancer"
 	"hemlocktally/imitator"
-	"hemlocktally/logger"
-	"hemlocktally/platform"
 )
 
 var (
@@ -38,185 +32,6 @@
 // regressionSeeds failed once; each stays with what was wrong.
 var regressionSeeds = []uint64{}
 
-// settingsEnv names the settings of a process that the soak started: the test
-// program itself, run again as one instance.
-const settingsEnv = "HEMLOCKTALLY_SOAK_SETTINGS"
-
-func TestMain(m *testing.M) {
-	if path := os.Getenv(settingsEnv); path != "" {
-		os.Exit(runInstance(path))
-	}
-	os.Exit(m.Run())
-}
-
-// runInstance is one instance as a process of its own.
-func runInstance(path string) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
-	defer stop()
-	signal.Ignore(syscall.SIGHUP) // The command checks the settings again; the instance goes on.
-	settings, err := balancer.Load(path)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	log, err := logger.New(os.Stdout, "JSON", "info")
-	if err != nil {
-		return 1
-	}
-	log.Instance = settings.Instance.ID
-	b := &balancer.Balancer{Settings: settings, Platform: platform.Translator{}, Log: log, Directory: &platform.Store{
-		Address: settings.Platform.Store, HTTP: &http.Client{Transport: balancer.Transport()},
-	}}
-	if err := b.Run(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return 0
-}
-
-// link is a loopback proxy in front of one address whose traffic can be delayed,
-// reset or silenced.
-type link struct {
-	listener net.Listener
-	to       string
-	mu       sync.Mutex
-	delay    time.Duration
-	silent   bool // silent forwards nothing from the far end, as a cut of one way.
-	conns    map[net.Conn]bool
-}
-
-func newLink(t *testing.T, to string) *link {
-	t.Helper()
-	l := &link{listener: listen(t), to: to, conns: map[net.Conn]bool{}}
-	t.Cleanup(func() { _ = l.listener.Close(); l.reset() })
-	go func() {
-		for {
-			near, err := l.listener.Accept()
-			if err != nil {
-				return
-			}
-			go l.join(near)
-		}
-	}()
-	return l
-}
-
-func (l *link) address() string { return l.listener.Addr().String() }
-
-func (l *link) set(delay time.Duration, silent bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.delay, l.silent = delay, silent
-}
-
-// reset breaks all connections.
-func (l *link) reset() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for conn := range l.conns {
-		_ = conn.Close()
-	}
-	l.conns = map[net.Conn]bool{}
-}
-
-func (l *link) join(near net.Conn) {
-	far, err := net.Dial("tcp", l.to)
-	if err != nil {
-		_ = near.Close()
-		return
-	}
-	l.mu.Lock()
-	l.conns[near], l.conns[far] = true, true
-	l.mu.Unlock()
-	var group sync.WaitGroup
-	group.Go(func() { l.copy(far, near, false) })
-	group.Go(func() { l.copy(near, far, true) })
-	group.Wait()
-	l.mu.Lock()
-	delete(l.conns, near)
-	delete(l.conns, far)
-	l.mu.Unlock()
-}
-
-func (l *link) copy(to, from net.Conn, back bool) {
-	defer func() { _ = to.Close() }()
-	buffer := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(buffer)
-		if n > 0 {
-			l.mu.Lock()
-			delay, silent := l.delay, l.silent && back
-			l.mu.Unlock()
-			time.Sleep(delay)
-			if silent {
-				continue
-			}
-			if _, err := to.Write(buffer[:n]); err != nil {
-				return
-			}
-		}
-		if err != nil {
-			return
-		}
-	}
-}
-
-// process is one instance as the soak sees it.
-type process struct {
-	id, zone, settings string
-	callers, ready     string
-	store              *link
-	mu                 sync.Mutex
-	command            *exec.Cmd
-	ended              chan struct{} // ended is closed when the process is gone.
-	life               int           // life counts its starts.
-	disturbed          time.Time     // disturbed is until when faults excuse cut calls.
-	isReady            atomic.Bool
-	stopping           bool
-}
-
-func (p *process) start(t *testing.T) {
-	t.Helper()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.life++
-	p.stopping = false
-	p.command = exec.Command(os.Args[0])
-	p.command.Env = append(os.Environ(), settingsEnv+"="+p.settings)
-	logs, err := os.OpenFile(p.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	qt.Assert(t, err, qt.IsNil)
-	p.command.Stdout, p.command.Stderr = logs, logs
-	qt.Assert(t, p.command.Start(), qt.IsNil)
-	command, ended := p.command, make(chan struct{})
-	p.ended = ended
-	go func() {
-		_ = command.Wait()
-		_ = logs.Close()
-		close(ended)
-	}()
-}
-
-func (p *process) signal(s syscall.Signal) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	_ = p.command.Process.Signal(s)
-}
-
-// disturb excuses what the instance does for a while.
-func (p *process) disturb(span time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if until := time.Now().Add(span); until.After(p.disturbed) {
-		p.disturbed = until
-	}
-}
-
-func (p *process) calm(now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return now.After(p.disturbed)
-}
-
 // soak is one run from one seed.
 type soak struct {
 	t         *testing.T
@@ -307,7 +122,7 @@
 		group.Go(func() { _ = u.Start(ctx, l, s.directory) })
 	}
 	s.version.Store(4)
-	s.directory.Put("op/config", fmt.Sprintf(testDocument, 4, ""))
+	s.directory.Declare(document(4))
 	for i := range *soakSize {
 		ip := ownIP()
 		p := &process{id: fmt.Sprintf("e-%d", i), zone: zones[i%3], callers: ip + ":8080", ready: ip + ":8081"}
@@ -393,19 +208,19 @@
 		s.change()
 	case 11:
 		zone := []string{"a", "b", "c"}[s.random.IntN(3)]
-		s.directory.Put("op/evacuate/"+zone, "{}")
-		after(func() { s.directory.Remove("op/evacuate/" + zone) })
+		s.directory.StopZone(zone, true)
+		after(func() { s.directory.StopZone(zone, false) })
 	}
 }
 
 // change writes a new configuration with one more route.
 func (s *soak) change() {
 	next := s.version.Load() + 1 + int64(s.random.IntN(3))
-	var routes strings.Builder
+	var routes []imitator.Route
 	for v := int64(5); v <= next; v++ {
-		fmt.Fprintf(&routes, `,{"resourceType":"routes","metadata":{"name":"v%d"},"spec":{"hostname":"h","prefix":"/v%d/","routeType":"safe","service":"s"}}`, v, v)
+		routes = append(routes, imitator.Route{Name: fmt.Sprintf("v%d", v), Prefix: fmt.Sprintf("/v%d/", v), Repeatable: true})
 	}
-	s.directory.Put("op/config", fmt.Sprintf(testDocument, next, routes.String()))
+	s.directory.Declare(document(int(next), routes...))
 	s.version.Store(next)
 }
 
@@ -462,9 +277,7 @@
 	if err != nil {
 		return 0, "", err
 	}
-	request.Host = "h"
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("Deadline-Ms", "2000")
+	imitator.SetCall(request, id, 2000)
 	response, err := client.Do(request)
 	if err != nil {
 		return 0, "", err
