--- a/outcome.go
+++ b/outcome.go
@@ -20,7 +20,6 @@
 	ReasonNoContract      Reason = "NoContract"
 	ReasonBadRequest      Reason = "BadRequest"
 	ReasonTooLarge        Reason = "TooLarge"
-	ReasonHeaderTooLarge  Reason = "HeaderTooLarge"
 	ReasonUnauthorized    Reason = "Unauthorized"
 	ReasonDeadline        Reason = "Deadline"
 	ReasonQueueFull       Reason = "QueueFull"
