Placer: nothing is chosen by a list that stays old

Change: a list over 2 s old that could be read is not chosen by: the question goes on to the next hub, and one that is decided alone waits 150 ms and is then refused as not run. While the store can't be read the old list has to do, as before. Ruled out: hubs that are cut off (node_cut met four small instances, no hub). Test: TestListThatStaysOldIsNotChosenBy, which fails without the change.

--- a/placer/client_test.go
+++ b/placer/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -97,3 +98,24 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(grant.Target.Name, qt.Equals, hemlocktally.TargetName("stays"))
 }
+
+// A list that stays old although it could be read may name targets that left long
+// ago: then nothing is chosen. While the store is out, the old list has to do.
+func TestListThatStaysOldIsNotChosenBy(t *testing.T) {
+	c := qt.New(t)
+	server, _ := instance(t, "self", hemlocktally.Registration{Service: "s", Target: hemlocktally.Target{
+		Name: "left", Address: "127.0.0.1:1", Zone: "a", Slots: 2,
+	}})
+	var readable atomic.Bool
+	readable.Store(true)
+	server.Known = func() (time.Time, bool) { return time.Now().Add(-time.Minute), readable.Load() }
+	client := &placer.Client{Self: "self", Zone: "a", View: view{[]hemlocktally.Instance{{ID: "self", State: hemlocktally.InstanceServing}}}, Server: server}
+	request := hemlocktally.GrantRequest{Service: "s", Contract: "c", Deadline: time.Now().Add(5 * time.Second)}
+	_, err := client.Acquire(context.Background(), request)
+	var refused *hemlocktally.RefusedError
+	c.Assert(errors.As(err, &refused), qt.IsTrue)
+	c.Assert(refused.Outcome, qt.Equals, hemlocktally.OutcomeNotRun)
+	readable.Store(false)
+	_, err = client.Acquire(context.Background(), request)
+	c.Assert(err, qt.IsNil)
+}
--- a/placer/server.go
+++ b/placer/server.go
@@ -48,9 +48,12 @@
 	// listLasts is how old the list of targets may be for a choice: targets that
 	// leave have to be left within two seconds.
 	listLasts = 1400 * time.Millisecond
-	listWait  = 30 * time.Millisecond // listWait is how long a question waits for a newer list: less than an asker waits for its answer.
-	listPause = 2 * time.Second       // listPause is how long no question waits after one has waited in vain, as with a slow store.
-	listLook  = 2 * time.Millisecond
+	// listOldest is how old the list may be at all while it can be read.
+	listOldest = 2 * time.Second
+	listWait   = 30 * time.Millisecond  // listWait is how long a question waits for a newer list: less than an asker waits for its answer.
+	aloneList  = 150 * time.Millisecond // aloneList is how long one that is decided alone waits.
+	listPause  = 2 * time.Second        // listPause is how long no question waits after one has waited in vain, as with a slow store.
+	listLook   = 2 * time.Millisecond
 )
 
 // serviceTask owns the state of one service.
@@ -138,10 +141,9 @@
 	if task == nil {
 		return RefuseCmd{Ticket: msg.Ticket, Error: notRun(hemlocktally.ReasonStarting, "the instance is starting", leastAdvice)}
 	}
-	if s.Needed != nil {
-		s.Needed()
+	if !s.prepare(ctx) {
+		return RefuseCmd{Ticket: msg.Ticket, Error: notRun(hemlocktally.ReasonNoTarget, "the list of targets is too old to choose by", leastAdvice)}
 	}
-	s.awaitList(ctx)
 	msg.Hold = time.Now().Add(holdAnswer)
 	q := question{AskMsg: msg, answer: make(chan any, 1)}
 	task.tell(q)
@@ -162,6 +164,20 @@
 	return RefuseCmd{Ticket: msg.Ticket, Error: notRun(hemlocktally.ReasonCallerCancelled, "the question was withdrawn", 0)}
 }
 
+// prepare readies the list of targets for a choice. It reports whether one may be
+// made: a list that is old although it could be read may name targets that left.
+func (s *Server) prepare(ctx context.Context) bool {
+	if s.Needed != nil {
+		s.Needed()
+	}
+	s.awaitList(ctx)
+	if s.Known == nil {
+		return true
+	}
+	at, readable := s.Known()
+	return !readable || time.Since(at) < listOldest
+}
+
 // awaitList waits for a new list of targets where the one at hand is old: an
 // instance that has placed no work for a while reads it rarely or not at all.
 // While the store does not answer, the old list has to do.
@@ -169,7 +185,11 @@
 	if s.Known == nil {
 		return
 	}
-	for end := time.Now().Add(listWait); ctx.Err() == nil; time.Sleep(listLook) {
+	wait := listWait
+	if s.Alone {
+		wait = aloneList
+	}
+	for end := time.Now().Add(wait); ctx.Err() == nil; time.Sleep(listLook) {
 		at, readable := s.Known()
 		now := time.Now()
 		if !readable || now.Sub(at) < listLasts || s.waitedInVain(now, end) {
