--- a/balancer/soak_process_test.go
+++ b/balancer/soak_process_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -49,6 +50,11 @@
 	b := &balancer.Balancer{Settings: settings, Platform: platform.Translator{}, Log: log, Directory: &platform.Store{
 		Address: settings.Platform.Store, HTTP: &http.Client{Transport: balancer.Transport()},
 	}}
+	go func() {
+		// The soak holds the other end: its end, however it comes, is the instance's.
+		_, _ = io.Copy(io.Discard, os.Stdin)
+		os.Exit(1)
+	}()
 	if err := b.Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
@@ -81,6 +87,8 @@
 	logs, err := os.OpenFile(p.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	qt.Assert(t, err, qt.IsNil)
 	p.command.Stdout, p.command.Stderr = logs, logs
+	_, err = p.command.StdinPipe()
+	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, p.command.Start(), qt.IsNil)
 	command, ended := p.command, make(chan struct{})
 	p.ended = ended
--- a/runner/operators_test.go
+++ b/runner/operators_test.go
@@ -92,7 +92,9 @@
 	for _, daemon := range fleet.Daemons {
 		answer := ask(c, daemon, "show Refusals where Reason = NoContract")
 		c.Assert(answer.Rows, qt.HasLen, 1)
-		c.Check(column(answer.Topic, answer.Rows[0], "Count"), qt.Equals, "3")
+		// The calls themselves tell who made one too many.
+		calls := ask(c, daemon, "show Calls where Outcome = NotRun limit 20")
+		c.Check(column(answer.Topic, answer.Rows[0], "Count"), qt.Equals, "3", qt.Commentf("%v", calls.Rows))
 		c.Check(column(answer.Topic, answer.Rows[0], "Outcome"), qt.Equals, "NotRun")
 		c.Check(answer.Unreached(), qt.HasLen, 0)
 	}
