Settings: one check of addresses, the standard library's defaults

Cause: read once more: balancer/settings.go wrote loader's isAddress and setDefault again, and logger.Writer had a field and a String method that nothing used. Change: loader.IsAddress serves both; cmp.Or gives the defaults; the unused parts are gone. Behaviour is the same, no test changed.

--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -1,8 +1,8 @@
 package balancer
 
 import (
+	"cmp"
 	"errors"
-	"net/netip"
 	"slices"
 	"strconv"
 	"time"
@@ -60,23 +60,16 @@
 
 // WithDefaults returns the settings with a default in place of each zero value.
 func (s Settings) WithDefaults() Settings {
-	setDefault(&s.Instance.Weight, 1)
-	setDefault(&s.Bounds.StopTimeout, defaultStopTimeout)
-	setDefault(&s.Bounds.RetryRatio, defaultRetryRatio)
-	setDefault(&s.Bounds.RetryWindow, defaultRetryWindow)
-	setDefault(&s.Bounds.ProbesPerSecond, defaultProbesPerSecond)
-	setDefault(&s.Log.Format, "Text")
-	setDefault(&s.Log.Level, "info")
+	s.Instance.Weight = cmp.Or(s.Instance.Weight, 1)
+	s.Bounds.StopTimeout = cmp.Or(s.Bounds.StopTimeout, defaultStopTimeout)
+	s.Bounds.RetryRatio = cmp.Or(s.Bounds.RetryRatio, defaultRetryRatio)
+	s.Bounds.RetryWindow = cmp.Or(s.Bounds.RetryWindow, defaultRetryWindow)
+	s.Bounds.ProbesPerSecond = cmp.Or(s.Bounds.ProbesPerSecond, defaultProbesPerSecond)
+	s.Log.Format = cmp.Or(s.Log.Format, "Text")
+	s.Log.Level = cmp.Or(s.Log.Level, "info")
 	return s
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Load reads and checks a settings file. It returns a
 // *hemlocktally.SettingError for each key that can't work, joined.
 func Load(path string) (Settings, error) {
@@ -102,11 +95,11 @@
 	}{
 		{"Instance", "ID", s.Instance.ID, "a name that no other instance has", s.Instance.ID != ""},
 		{"Instance", "Zone", s.Instance.Zone, "the name of an availability zone", s.Instance.Zone != ""},
-		{"Listen", "Callers", s.Listen.Callers, address, isAddress(s.Listen.Callers)},
-		{"Listen", "Ready", s.Listen.Ready, address, isAddress(s.Listen.Ready)},
-		{"Listen", "Peers", s.Listen.Peers, address, isAddress(s.Listen.Peers)},
-		{"Listen", "Metrics", s.Listen.Metrics, address + ", or nothing", s.Listen.Metrics == "" || isAddress(s.Listen.Metrics)},
-		{"Platform", "Store", s.Platform.Store, address, isAddress(s.Platform.Store)},
+		{"Listen", "Callers", s.Listen.Callers, address, loader.IsAddress(s.Listen.Callers)},
+		{"Listen", "Ready", s.Listen.Ready, address, loader.IsAddress(s.Listen.Ready)},
+		{"Listen", "Peers", s.Listen.Peers, address, loader.IsAddress(s.Listen.Peers)},
+		{"Listen", "Metrics", s.Listen.Metrics, address + ", or nothing", s.Listen.Metrics == "" || loader.IsAddress(s.Listen.Metrics)},
+		{"Platform", "Store", s.Platform.Store, address, loader.IsAddress(s.Platform.Store)},
 		{"Bounds", "RetryRatio", strconv.FormatFloat(s.Bounds.RetryRatio, 'g', -1, 64), "a share from 0 to 1", s.Bounds.RetryRatio <= 1},
 		{"Log", "Format", s.Log.Format, "Text, JSON", s.Log.Format == "Text" || s.Log.Format == "JSON"},
 		{"Log", "Level", s.Log.Level, "debug, info, warning, error", slices.Contains(levels, s.Log.Level)},
@@ -117,8 +110,3 @@
 	}
 	return errors.Join(bad...)
 }
-
-func isAddress(text string) bool {
-	_, err := netip.ParseAddrPort(text)
-	return err == nil
-}
--- a/loader/declaration.go
+++ b/loader/declaration.go
@@ -174,7 +174,7 @@
 		r.fail(section.Name(), "", name, "SERVICE/NAME with a declared service")
 		return
 	}
-	if !isAddress(s.Address) {
+	if !IsAddress(s.Address) {
 		r.fail(section.Name(), "Address", s.Address, "an IP address with a port, such as 10.0.0.7:9000")
 	}
 	if !slices.Contains(r.declaration.Zones, hemlocktally.ZoneName(s.AvailabilityZone)) {
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -162,9 +162,9 @@
 	return []settingCheck{
 		{"Instance", "ID", s.Instance.ID, "a name that no other instance has", s.Instance.ID != ""},
 		{"Instance", "Zone", s.Instance.Zone, "the name of an availability zone", s.Instance.Zone != ""},
-		{"Listen", "Callers", s.Listen.Callers, address, isAddress(s.Listen.Callers)},
-		{"Listen", "Peers", s.Listen.Peers, address, isAddress(s.Listen.Peers)},
-		{"Listen", "Operators", s.Listen.Operators, address, isAddress(s.Listen.Operators)},
+		{"Listen", "Callers", s.Listen.Callers, address, IsAddress(s.Listen.Callers)},
+		{"Listen", "Peers", s.Listen.Peers, address, IsAddress(s.Listen.Peers)},
+		{"Listen", "Operators", s.Listen.Operators, address, IsAddress(s.Listen.Operators)},
 		{"Platform", "Store", s.Platform.Store, "a URL such as http://127.0.0.1:7000", isURL(s.Platform.Store)},
 		{"Platform", "InstanceList", s.Platform.InstanceList, "a URL such as http://127.0.0.1:7000", isURL(s.Platform.InstanceList)},
 		{"Routing", "Policy", s.Routing.Policy, strings.Join(Policies, ", "), slices.Contains(Policies, s.Routing.Policy)},
@@ -210,7 +210,8 @@
 	return "a secret that is too short"
 }
 
-func isAddress(text string) bool {
+// IsAddress reports whether the text is an IP address with a port.
+func IsAddress(text string) bool {
 	_, err := netip.ParseAddrPort(text)
 	return err == nil
 }
--- a/logger/writer.go
+++ b/logger/writer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"sync/atomic"
 	"time"
@@ -22,21 +21,21 @@
 // lines beyond the budget, and those that find the queue full because nobody
 // reads, are dropped and counted. Run writes them.
 type Writer struct {
-	Out            io.Writer
-	LinesPerSecond float64 // LinesPerSecond is the budget; zero means 400.
+	Out io.Writer
 
 	queue   chan []byte
 	limiter *rate.Limiter
 	dropped atomic.Uint64
 }
 
-// NewWriter returns a writer in front of another.
+// NewWriter returns a writer in front of another. A budget of zero means 400
+// lines a second.
 func NewWriter(out io.Writer, linesPerSecond float64) *Writer {
 	if linesPerSecond <= 0 {
 		linesPerSecond = defaultLinesPerSecond
 	}
 	return &Writer{
-		Out: out, LinesPerSecond: linesPerSecond, queue: make(chan []byte, queuedLines),
+		Out: out, queue: make(chan []byte, queuedLines),
 		limiter: rate.NewLimiter(rate.Limit(linesPerSecond), int(linesPerSecond)),
 	}
 }
@@ -98,6 +97,3 @@
 		w.dropped.Add(1)
 	}
 }
-
-// String names the budget.
-func (w *Writer) String() string { return fmt.Sprintf("%g lines a second", w.LinesPerSecond) }
