Acceptor: what arrived during a pause is read, also after the deadline

Where the pause is longer than the time that callers have for their headers (5 s), the server's deadline is past when it goes on, and it ends the connection without a look at what arrived: net/http reads the first 14 bytes for HTTP/2, fails on the rest and answers 400 or resets. Change: connections of callers get one last chance of 50 ms after a deadline that was in the future when it was set; a deadline in the past still ends a read at once. Ruled out: the listener closing with an unread request (all cut calls were accepted; those of the last 5 s of a 9 s pause were answered); the settle time.

--- a/runner/runner.go
+++ b/runner/runner.go
@@ -15,6 +15,7 @@
 	"github.com/zeebo/errs"
 
 	"hemlocktally"
+	"hemlocktally/acceptor"
 	"hemlocktally/allocator"
 	"hemlocktally/claimer"
 	"hemlocktally/commander"
@@ -50,7 +51,7 @@
 			l.Close()
 			return Listeners{}, Error.Wrap(err)
 		}
-		*open.listener = listener
+		*open.listener = acceptor.Listener{Listener: listener}
 	}
 	return l, nil
 }
