Allocator: the next owner uses what it was told itself

On a busy machine the others answer late, and all targets counted as cold for over a second. Change: each round of questions hands the owner the word that this instance was given. Ruled out: that the word does not reach the next owner in time (a changed view makes a round of questions, which carries it).

--- a/allocator/ledger_test.go
+++ b/allocator/ledger_test.go
@@ -47,3 +47,24 @@
 	out := s.exchange("second", &messenger.ServiceStates{Service: "s", AgeMicroseconds: -1}, time.Now())
 	c.Assert(out.Warm, qt.DeepEquals, []string{"x"})
 }
+
+// An instance that takes a service over was told of its targets by the owner
+// before. On a busy machine no member answers it within a second.
+func TestNextOwnerUsesWhatItWasTold(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	ledger := &Ledger{}
+	ledger.learn("first", "s", []hemlocktally.TargetName{"x"}, nil)
+	ledger.hear("first", now)
+	s := &Server{Self: "second", Ledger: ledger}
+	owner := &Owner{inbox: make(chan any, 8), done: make(chan struct{})}
+	s.askMembers(t.Context(), rankingOf(s.view()), map[hemlocktally.ServiceName]*Owner{"s": owner}, now)
+	state := State{}
+	state.Update(ConfigurationMsg{Service: hemlocktally.Service{Name: "s", Targets: []hemlocktally.Target{
+		{Name: "x", Address: "x", Zone: "a"}, {Name: "y", Address: "y", Zone: "a"},
+	}}}, now)
+	for len(owner.inbox) > 0 {
+		state.Update(<-owner.inbox, now)
+	}
+	c.Check(state.warmTargets(), qt.DeepEquals, []hemlocktally.TargetName{"x"})
+}
--- a/allocator/recaller.go
+++ b/allocator/recaller.go
@@ -93,7 +93,7 @@
 func (s *Server) askMembers(ctx context.Context, view ranking, owners map[hemlocktally.ServiceName]*Owner, now time.Time) {
 	for _, member := range view.Members {
 		if member.ID == s.Self {
-			s.tellRecalled(ctx, owners, s.Self, now, s.Ledger.turnsOf(s.Self, everyService), nil)
+			s.tellRecalled(ctx, owners, s.Self, now, s.Ledger.turnsOf(s.Self, everyService), s.toldHere(owners, now))
 			continue
 		}
 		if member.State == hemlocktally.InstanceGone || s.Peers == nil || !s.begin(member.ID) {
@@ -110,6 +110,18 @@
 	}
 }
 
+// toldHere returns what earlier owners told this instance. An owner that has
+// just taken over must not wait for other members to repeat it.
+func (s *Server) toldHere(owners map[hemlocktally.ServiceName]*Owner, now time.Time) []*messenger.ServiceStates {
+	var states []*messenger.ServiceStates
+	for name := range owners {
+		if warm := s.Ledger.warm(name, now); len(warm) > 0 {
+			states = append(states, &messenger.ServiceStates{Service: string(name), Warm: textsOf(warm)})
+		}
+	}
+	return states
+}
+
 func everyService(hemlocktally.ServiceName) bool { return true }
 
 // begin marks a member as being asked; it returns false where it already is.
@@ -217,12 +229,7 @@
 		} else {
 			versions[name] = shown.version
 		}
-		for _, target := range shown.warm {
-			states.Warm = append(states.Warm, string(target))
-		}
-		for _, target := range shown.unheard {
-			states.Unheard = append(states.Unheard, string(target))
-		}
+		states.Warm, states.Unheard = textsOf(shown.warm), textsOf(shown.unheard)
 		request.Services = append(request.Services, states)
 	}
 	return request, versions
@@ -311,9 +318,7 @@
 	name := hemlocktally.ServiceName(states.Service)
 	out := &messenger.ServiceStates{Service: states.Service}
 	if states.AgeMicroseconds < 0 {
-		for _, target := range s.knownWarm(name, now) {
-			out.Warm = append(out.Warm, string(target))
-		}
+		out.Warm = textsOf(s.knownWarm(name, now))
 		return out
 	}
 	s.Ledger.learn(asker, name, targetNames(states.Warm), targetNames(states.Unheard))
@@ -345,3 +350,11 @@
 	}
 	return names
 }
+
+func textsOf(names []hemlocktally.TargetName) []string {
+	texts := make([]string, 0, len(names))
+	for _, name := range names {
+		texts = append(texts, string(name))
+	}
+	return texts
+}
