--- a/cmd/hemlocktally/report.go
+++ b/cmd/hemlocktally/report.go
@@ -17,13 +17,15 @@
 func reportCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "report",
-		Usage: "write plots and tables of what the fleet or the bench recorded",
+		Usage: "write plots and tables of what a fleet, the bench or the journal recorded",
 		Description: "Writes report.md and plots in PNG into the directory --out.\n" +
 			"Examples:\n  hemlocktally report --out report --at 127.0.0.1:8082\n" +
-			"  hemlocktally report --out report --bench out/bench.csv",
+			"  hemlocktally report --out report --bench out/bench.csv\n" +
+			"  hemlocktally report --out report --journal journal",
 		Flags: operatorFlags(
 			&cli.StringFlag{Name: "out", Usage: "the `DIRECTORY` to write into", Value: "report"},
 			&cli.StringFlag{Name: "bench", Usage: "report on the bench's CSV `FILE` in place of a fleet"},
+			&cli.StringFlag{Name: "journal", Usage: "report on the measured rounds in the `DIRECTORY` in place of a fleet"},
 		),
 		Action: report,
 	}
@@ -75,6 +77,12 @@
 		defer func() { _ = file.Close() }()
 		return reporter.ReadBench(file)
 	}
+	if path := c.String("journal"); path != "" {
+		if _, err := os.Stat(path); err != nil {
+			return nil, &usageError{fmt.Errorf("--journal: %w", err)}
+		}
+		return reporter.ReadRounds(os.DirFS(path))
+	}
 	client, err := newOperatorClient(c)
 	if err != nil {
 		return nil, err
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -1,5 +1,5 @@
 // Package reporter makes reports for people: plots in PNG and tables in
-// Markdown, from the histograms of a fleet or from the bench's CSV file.
+// Markdown, from the histograms of a fleet, the bench's CSV file or the journal.
 package reporter
 
 import (
