--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -6,10 +6,8 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"net"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -23,7 +21,6 @@
 	"hemlocktally/dispatcher"
 	"hemlocktally/follower"
 	"hemlocktally/logger"
-	"hemlocktally/messenger"
 	"hemlocktally/placer"
 	"hemlocktally/prober"
 	"hemlocktally/recorder"
@@ -47,6 +44,8 @@
 	// StoreCalls counts the calls to the store by operation, for the metrics; it
 	// may be nil.
 	StoreCalls func() map[string]uint64
+	// LinesDropped counts the log lines that were dropped; it may be nil.
+	LinesDropped func() uint64
 
 	follower *follower.Follower
 	owner    *placer.Server // owner decides for the services that the instance owns.
@@ -74,6 +73,7 @@
 	bodyLimit       = 64 << 20                // bodyLimit bounds a caller's body where the configuration names no limit.
 	holdBack        = 256 << 10               // holdBack is how much of an answer is held until it is whole.
 	settleTime      = 2200 * time.Millisecond // settleTime is how long new calls come after an instance is no longer ready.
+	epochLength     = 8                       // epochLength is how much of the incarnation's random part tells turns of two lives apart; each turn names it.
 	stopReserve     = 500 * time.Millisecond  // stopReserve is kept of the time for a planned stop.
 )
 
@@ -95,9 +95,9 @@
 	group.Add(func() error { return b.serveCallers(ctx, listeners.callers) }, func(error) {})
 	for _, task := range []func(context.Context) error{
 		b.follower.Run, b.owner.Run, b.alone.Run, b.links.Run,
-		func(ctx context.Context) error { return serve(ctx, listeners.ready, b.readiness()) },
-		func(ctx context.Context) error { return serve(ctx, listeners.peers, b.peerHandler()) },
-		func(ctx context.Context) error { return serve(ctx, listeners.metrics, b.metricsHandler()) },
+		func(ctx context.Context) error { return serve(ctx, listeners.ready, plainServer(b.readiness())) },
+		func(ctx context.Context) error { return b.servePeers(ctx, listeners.peers) },
+		func(ctx context.Context) error { return serve(ctx, listeners.metrics, plainServer(b.metricsHandler())) },
 	} {
 		group.Add(func() error { return task(inner) }, func(error) { cancel() })
 	}
@@ -107,14 +107,15 @@
 // assemble makes the parts.
 func (b *Balancer) assemble() {
 	s := b.Settings
-	epoch := ulid.Make().String()
+	incarnation := ulid.Make().String()
+	epoch := incarnation[len(incarnation)-epochLength:]
 	self := hemlocktally.InstanceID(s.Instance.ID)
 	b.recorder = &recorder.Recorder{}
-	peers := &http.Client{Transport: transport(peerLinks, peerIdleTime, peerDial)}
+	peers := &http.Client{Transport: peerTransport()}
 	b.follower = &follower.Follower{
 		Directory: b.Directory, Interpreter: b.Platform, Log: b.Log, Changed: b.pictureChanged, HTTP: peers,
 		Self: follower.Hub{
-			ID: self, Incarnation: epoch, Zone: hemlocktally.ZoneName(s.Instance.Zone), PeerAddress: s.Listen.Peers, Weight: s.Instance.Weight,
+			ID: self, Incarnation: incarnation, Zone: hemlocktally.ZoneName(s.Instance.Zone), PeerAddress: s.Listen.Peers, Weight: s.Instance.Weight,
 		},
 	}
 	b.follower.Prepare()
@@ -185,14 +186,17 @@
 	return l, nil
 }
 
+func plainServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTime}
+}
+
 // serve answers on a listener until the context ends. Without a listener it
 // only waits.
-func serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
+func serve(ctx context.Context, listener net.Listener, server *http.Server) error {
 	if listener == nil {
 		<-ctx.Done()
 		return nil
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTime}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -214,42 +218,6 @@
 	})
 }
 
-func (b *Balancer) peerHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle(messenger.PlacementPathPrefix, messenger.NewPlacementServer(b.owner))
-	mux.Handle(messenger.RelayPathPrefix, messenger.NewRelayServer(b.follower))
-	return mux
-}
-
-func (b *Balancer) metricsHandler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if err := b.recorder.WriteMetrics(w, b.gauges()); err != nil {
-			b.Log.Log(logger.EventMetricsFailed, logger.Fields{"Cause": err.Error()})
-		}
-	})
-}
-
-// gauges are the values that are exposed besides the histograms of calls.
-func (b *Balancer) gauges() []recorder.Gauge {
-	p := b.follower.Picture()
-	gauges := []recorder.Gauge{
-		{Name: "revision", Help: "Revision of the configuration in force.", Type: "gauge", Value: float64(p.Configuration.Revision)},
-		{Name: "hubs", Help: "Hubs in the view.", Type: "gauge", Value: float64(len(b.follower.View().Members))},
-		{Name: "instances", Help: "Instances that there seem to be.", Type: "gauge", Value: float64(b.follower.View().Instances)},
-		{Name: "targets_age_seconds", Help: "Age of the list of targets.", Type: "gauge", Value: time.Since(p.TargetsAt).Seconds()},
-	}
-	if b.StoreCalls == nil {
-		return gauges
-	}
-	calls := b.StoreCalls()
-	for _, operation := range slices.Sorted(maps.Keys(calls)) {
-		gauges = append(gauges, recorder.Gauge{
-			Name: "store_calls_" + operation + "_total", Help: "Calls to the store.", Type: "counter", Value: float64(calls[operation]),
-		})
-	}
-	return gauges
-}
-
 // handler is the entry path.
 func (b *Balancer) handler() http.Handler {
 	entry := &dispatcher.Dispatcher{
--- /dev/null
+++ b/balancer/metrics.go
@@ -0,0 +1,86 @@
+package balancer
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"hemlocktally/logger"
+	"hemlocktally/placer"
+	"hemlocktally/recorder"
+)
+
+// statsTimeout bounds the wait for the figures of all services.
+const statsTimeout = 200 * time.Millisecond
+
+// The types of exposed values.
+const (
+	typeGauge   = "gauge"
+	typeCounter = "counter"
+)
+
+func (b *Balancer) metricsHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), statsTimeout)
+		defer cancel()
+		if err := b.recorder.WriteMetrics(w, b.gauges(ctx)); err != nil {
+			b.Log.Log(logger.EventMetricsFailed, logger.Fields{"Cause": err.Error()})
+		}
+	})
+}
+
+func (b *Balancer) gauges(ctx context.Context) []recorder.Gauge {
+	p := b.follower.Picture()
+	ages := b.follower.Ages()
+	gauges := []recorder.Gauge{
+		{Name: "revision", Help: "Revision of the configuration in force.", Type: typeGauge, Value: float64(p.Configuration.Revision)},
+		{Name: "hubs", Help: "Hubs in the view.", Type: typeGauge, Value: float64(len(b.follower.View().Members))},
+		{Name: "instances", Help: "Instances that there seem to be.", Type: typeGauge, Value: float64(b.follower.View().Instances)},
+		{Name: "targets_age_seconds", Help: "Age of the list of targets.", Type: typeGauge, Value: time.Since(p.TargetsAt).Seconds()},
+		{Name: "store_age_seconds", Help: "Time since the store last answered this instance itself.", Type: typeGauge, Value: ages.Store.Seconds()},
+		{Name: "hub_age_seconds", Help: "Time since a hub in touch with the store last answered this instance.", Type: typeGauge, Value: ages.Hub.Seconds()},
+	}
+	gauges = append(gauges, serviceGauges("owner", b.owner.Stats(ctx))...)
+	gauges = append(gauges, serviceGauges("alone", b.alone.Stats(ctx))...)
+	if b.LinesDropped != nil {
+		gauges = append(gauges, recorder.Gauge{
+			Name: "log_lines_dropped_total", Help: "Log lines over the budget, or that nobody read.", Type: typeCounter, Value: float64(b.LinesDropped()),
+		})
+	}
+	if b.StoreCalls == nil {
+		return gauges
+	}
+	calls := b.StoreCalls()
+	for _, operation := range slices.Sorted(maps.Keys(calls)) {
+		gauges = append(gauges, recorder.Gauge{
+			Name: "store_calls_" + operation + "_total", Help: "Calls to the store.", Type: typeCounter, Value: float64(calls[operation]),
+		})
+	}
+	return gauges
+}
+
+// serviceGauges are the figures of the services that this instance decides for
+// in a role, as their owner or alone.
+func serviceGauges(role string, list []placer.Stats) []recorder.Gauge {
+	var gauges []recorder.Gauge
+	for _, figure := range []struct {
+		name, help, kind string
+		of               func(placer.Stats) float64
+	}{
+		{"waiting", "Calls that wait for a turn.", typeGauge, func(s placer.Stats) float64 { return float64(s.Waiting) }},
+		{"turns", "Turns in use.", typeGauge, func(s placer.Stats) float64 { return float64(s.Turns) }},
+		{"targets", "Targets known.", typeGauge, func(s placer.Stats) float64 { return float64(s.Targets) }},
+		{"granted_total", "Turns given.", typeCounter, func(s placer.Stats) float64 { return float64(s.Granted) }},
+		{"probes_total", "Questions to targets about their load.", typeCounter, func(s placer.Stats) float64 { return float64(s.Probes) }},
+		{"retry_budget_used", "Part of the window's retry budget that is spent.", typeGauge, func(s placer.Stats) float64 { return s.BudgetUsed }},
+	} {
+		for _, stats := range list {
+			gauges = append(gauges, recorder.Gauge{
+				Name: role + "_" + figure.name, Help: figure.help, Type: figure.kind, Service: stats.Service, Value: figure.of(stats),
+			})
+		}
+	}
+	return gauges
+}
--- /dev/null
+++ b/balancer/metrics_test.go
@@ -0,0 +1,50 @@
+package balancer
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"hemlocktally/follower"
+	"hemlocktally/placer"
+	"hemlocktally/recorder"
+)
+
+// Each service has a row of its own under one head, and what was dropped shows.
+func TestMetricsTellWhatTheInstanceHolds(t *testing.T) {
+	c := qt.New(t)
+	b := &Balancer{
+		follower: &follower.Follower{}, owner: &placer.Server{}, alone: &placer.Server{}, recorder: &recorder.Recorder{},
+		LinesDropped: func() uint64 { return 7 },
+	}
+	b.follower.Prepare()
+	w := httptest.NewRecorder()
+	b.metricsHandler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	c.Check(w.Body.String(), qt.Contains, "hemlocktally_log_lines_dropped_total 7\n")
+	c.Check(w.Body.String(), qt.Contains, "# TYPE hemlocktally_hub_age_seconds gauge\n")
+	list := serviceGauges("owner", []placer.Stats{{Service: "a", Probes: 3}, {Service: "b", Probes: 4}})
+	w = httptest.NewRecorder()
+	c.Assert(b.recorder.WriteMetrics(w, list), qt.IsNil)
+	c.Check(w.Body.String(), qt.Contains, "# TYPE hemlocktally_owner_probes_total counter\n"+
+		"hemlocktally_owner_probes_total{service=\"a\"} 3\nhemlocktally_owner_probes_total{service=\"b\"} 4\n")
+}
+
+// The page for the people on call names each value that is exposed.
+func TestMetricsAreDocumented(t *testing.T) {
+	c := qt.New(t)
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	c.Assert(err, qt.IsNil)
+	b := &Balancer{
+		follower: &follower.Follower{}, owner: &placer.Server{}, alone: &placer.Server{},
+		LinesDropped: func() uint64 { return 0 }, StoreCalls: func() map[string]uint64 { return map[string]uint64{"*": 1} },
+	}
+	b.follower.Prepare()
+	gauges := append(b.gauges(t.Context()), serviceGauges("owner", []placer.Stats{{}})...)
+	for _, g := range append(gauges, serviceGauges("alone", []placer.Stats{{}})...) {
+		c.Check(strings.Contains(string(page), "`"+g.Name+"`"), qt.IsTrue, qt.Commentf(g.Name))
+	}
+}
--- a/cmd/hemlocktally/balance.go
+++ b/cmd/hemlocktally/balance.go
@@ -51,7 +51,7 @@
 	go noteReloads(ctx, path, log)
 	store := &platform.Store{Address: settings.Platform.Store, HTTP: &http.Client{Transport: balancer.Transport()}}
 	b := &balancer.Balancer{
-		Settings: settings, Platform: platform.Translator{}, Log: log, Directory: store, StoreCalls: store.Calls,
+		Settings: settings, Platform: platform.Translator{}, Log: log, Directory: store, StoreCalls: store.Calls, LinesDropped: lines.Dropped,
 	}
 	return b.Run(ctx)
 }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -135,6 +135,15 @@
 	return f.Picture().TargetsAt, !f.unreadable.Load()
 }
 
+// Ages are the times since this instance last heard of the fleet.
+type Ages struct {
+	Store time.Duration // Store is for an answer of the store to this instance itself.
+	Hub   time.Duration // Hub is for an answer of a hub in touch with the store.
+}
+
+// Ages returns how old what the instance believes is at the most.
+func (f *Follower) Ages() Ages { return Ages{Store: f.since(&f.heard), Hub: f.since(&f.followed)} }
+
 func (f *Follower) targetsNeeded() bool { return int64(time.Since(f.base)) < f.needed.Load() }
 
 // since returns how long ago a time noted by mark was; very long where it never
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -246,6 +246,7 @@
 			return
 		}
 		t.probing, t.askedAt = true, now
+		s.probes++
 		commands = append(commands, ProbeCmd{Target: t.target, Path: s.service.ProbePath})
 	}
 	if first != nil && !first.fresh(now) {
--- a/placer/retry.go
+++ b/placer/retry.go
@@ -25,13 +25,27 @@
 
 // room reports whether one more repeat is within a share of the budget.
 func (r *retryWindow) room(now time.Time, b Bounds, share float64) bool {
+	allowed := share * r.allowed(now, b)
+	return float64(len(r.repeats)+1) <= allowed
+}
+
+// allowed is how many repeats the window may hold.
+func (r *retryWindow) allowed(now time.Time, b Bounds) float64 {
 	r.calls, r.repeats = trim(r.calls, now, b.RetryWindow), trim(r.repeats, now, b.RetryWindow)
 	part := settledPart
 	if r.since.IsZero() || now.Sub(r.since) < b.RetryWindow {
 		part = newPart
 	}
-	allowed := share * part * (b.RetryRatio*float64(len(r.calls)) + b.RetrySlack)
-	return float64(len(r.repeats)+1) <= allowed
+	return part * (b.RetryRatio*float64(len(r.calls)) + b.RetrySlack)
+}
+
+// used is the part of the budget that is spent.
+func (r *retryWindow) used(now time.Time, b Bounds) float64 {
+	allowed := r.allowed(now, b)
+	if allowed <= 0 {
+		return 0
+	}
+	return float64(len(r.repeats)) / allowed
 }
 
 // repeat counts one repeat.
--- a/placer/server.go
+++ b/placer/server.go
@@ -237,6 +237,10 @@
 }
 
 func (t *serviceTask) step(ctx context.Context, msg any) {
+	if call, ok := msg.(statsCall); ok {
+		call.answer <- t.state.Stats(time.Now())
+		return
+	}
 	if q, ok := msg.(question); ok {
 		t.waiting[q.Ticket] = q.answer
 		msg = q.AskMsg
--- a/placer/state.go
+++ b/placer/state.go
@@ -29,6 +29,7 @@
 	freeSlot estimate
 	mean     float64 // mean is the moving mean of the reported paces.
 	granted  uint64
+	probes   uint64
 	// instances is how many instances there seem to be.
 	instances int
 }
--- a/placer/state_test.go
+++ b/placer/state_test.go
@@ -423,3 +423,19 @@
 	}
 	c.Assert(asked > 0 && asked <= 20, qt.IsTrue, qt.Commentf("%d questions in two seconds", asked))
 }
+
+// The figures that are exposed are those that the decisions are made by.
+func TestStatsTellWhatWasDecided(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(target("t0", "a"), target("t1", "a"))
+	d.state.Bounds = Bounds{RetrySlack: 100, RetryWindow: 10 * time.Second}
+	d.report("t0", 1)
+	c.Assert(grants(d.update(d.request())), qt.HasLen, 1)
+	stats := d.state.Stats(d.now)
+	c.Check(stats.Targets, qt.Equals, 2)
+	c.Check(stats.Turns, qt.Equals, 1)
+	c.Check(stats.Granted, qt.Equals, uint64(1))
+	c.Check(stats.BudgetUsed, qt.Equals, 0.0)
+	d.state.spent.repeat(d.now)
+	c.Check(d.state.Stats(d.now).BudgetUsed, qt.Equals, 1/(newPart*100))
+}
--- a/recorder/exposition.go
+++ b/recorder/exposition.go
@@ -22,10 +22,18 @@
 
 // Gauge is a value that an instance exposes besides its histograms.
 type Gauge struct {
-	Name  string // Name is the exposed name after the common prefix.
-	Help  string
-	Type  string // Type is counter or gauge.
-	Value float64
+	Name    string // Name is the exposed name after the common prefix.
+	Help    string
+	Type    string                   // Type is counter or gauge.
+	Service hemlocktally.ServiceName // Service labels a value that each service has; empty for others. Those of one name stand in a row.
+	Value   float64
+}
+
+func (g Gauge) labels() string {
+	if g.Service == "" {
+		return ""
+	}
+	return "{service=" + quote(string(g.Service)) + "}"
 }
 
 // WriteMetrics writes everything in the text exposition format that common
@@ -35,9 +43,11 @@
 	writeHistograms(out, r.Distributions())
 	writeRefusals(out, r.Refusals())
 	r.writeAttempts(out)
-	for _, g := range gauges {
-		writeHead(out, g.Name, g.Type, g.Help)
-		printf(out, "hemlocktally_%s %g\n", g.Name, g.Value)
+	for i, g := range gauges {
+		if i == 0 || gauges[i-1].Name != g.Name {
+			writeHead(out, g.Name, g.Type, g.Help)
+		}
+		printf(out, "hemlocktally_%s%s %g\n", g.Name, g.labels(), g.Value)
 	}
 	return Error.Wrap(out.Flush())
 }
