--- a/placer/choice.go
+++ b/placer/choice.go
@@ -89,6 +89,9 @@
 	if !now.Add(usual / 2).Before(r.Deadline) {
 		return w.refuse(notRun(hemlocktally.ReasonDeadline, "too little time is left for the work", s.advice(usual)))
 	}
+	if now.Before(w.probeBy) && awaits(room, r.Exclude) {
+		return false, nil
+	}
 	candidates := s.candidates(w, room, now)
 	best, ok := pick(candidates, r.Objective.Sub(now))
 	switch {
@@ -114,13 +117,10 @@
 }
 
 // learnFirst reports whether the choice waits for answers about load: those that
-// are on their way, those that it asks for now because its reports are old, and
-// those that may show a better target while a prompt answer is still possible.
+// it asks for now because its reports are old, and those that may show a better
+// target while a prompt answer is still possible.
 func (s *State) learnFirst(w *waiter, candidates []candidate, best candidate, now time.Time) (waits bool, asked []any) {
 	r := w.msg.Request
-	if now.Before(w.probeBy) && s.awaits(candidates) {
-		return true, nil
-	}
 	if first := s.first(r); w.probed == 0 && (!best.fresh || (first != nil && !first.fresh(now))) {
 		if asked := s.probe(candidates, best, first, now); len(asked) > 0 {
 			w.awaitProbes(now)
@@ -210,11 +210,11 @@
 		}
 		list = append(list, c)
 	}
-	slices.SortStableFunc(list, func(a, b candidate) int {
+	slices.SortFunc(list, func(a, b candidate) int {
 		if a.cost != b.cost {
 			return cmp.Compare(a.cost, b.cost)
 		}
-		return a.t.usedAt.Compare(b.t.usedAt)
+		return cmp.Or(a.t.usedAt.Compare(b.t.usedAt), cmp.Compare(a.t.target.Name, b.t.target.Name))
 	})
 	return list
 }
@@ -252,9 +252,10 @@
 	return candidates[0], true
 }
 
-// awaits reports whether a candidate is being asked for its load.
-func (s *State) awaits(candidates []candidate) bool {
-	return slices.ContainsFunc(candidates, func(c candidate) bool { return c.t.probing })
+// awaits reports whether a target that may take the call is being asked for its
+// load.
+func awaits(room []*tally, exclude []hemlocktally.TargetName) bool {
+	return slices.ContainsFunc(room, func(t *tally) bool { return t.probing && !slices.Contains(exclude, t.target.Name) })
 }
 
 // probe asks the best candidate and the next ones whose reports are old, and
--- a/placer/state.go
+++ b/placer/state.go
@@ -30,6 +30,7 @@
 	mean     float64 // mean is the moving mean of the reported paces.
 	granted  uint64
 	probes   uint64
+	lapsedAt time.Time
 	examined uint64 // examined counts the targets that choices looked at.
 	// instances is how many instances there seem to be.
 	instances int
@@ -49,6 +50,7 @@
 	meanWeight    = 0.02
 	keepPlace     = 80 * time.Millisecond // keepPlace is how long a waiter keeps its place after its last answer.
 	turnGrace     = 100 * time.Millisecond
+	lapseInterval = 5 * time.Millisecond // lapseInterval is the time between two looks for turns that are over: a busy owner has thousands of messages a second.
 	outlierFactor = 4
 	enoughSamples = 30
 	mostFullness  = 3
@@ -292,10 +294,13 @@
 // lapse frees turns whose deadline is over, and the places of waiters that did
 // not ask again.
 func (s *State) lapse(now time.Time) {
-	for _, t := range s.order {
-		for id, held := range t.turns {
-			if now.After(held.deadline.Add(turnGrace)) {
-				delete(t.turns, id)
+	if now.Sub(s.lapsedAt) >= lapseInterval {
+		s.lapsedAt = now
+		for _, t := range s.order {
+			for id, held := range t.turns {
+				if now.After(held.deadline.Add(turnGrace)) {
+					delete(t.turns, id)
+				}
 			}
 		}
 	}
