--- a/follower/role.go
+++ b/follower/role.go
@@ -335,8 +335,8 @@
 func (r *role) followAny(ctx context.Context) bool {
 	heard := false
 	hold := syncHold
-	if r.disowned.Load() {
-		hold = disownLasts / 2
+	if r.disowned.Load() && r.since(&r.followed) <= followLasts {
+		hold = disownLasts / 2 // Only until the store itself is asked; an outage may last.
 	}
 	for _, hub := range r.hubs() {
 		touch, ok := r.sync(ctx, hub, hold)
