Dialer: a write held back by a bound is the cause that is told

Change: the link remembers the bound and tells it. Ruled out: a byte that left (none was sent, none arrived at the target).

--- a/dialer/link.go
+++ b/dialer/link.go
@@ -25,6 +25,7 @@
 // connection is closed.
 func (l *link) reserve(request hemlocktally.LinkRequest) bool {
 	l.conn.sent.Store(false)
+	l.conn.late.Store(nil)
 	l.conn.bounds.Store(&bounds{startBy: request.StartBy, fence: request.Fence})
 	if l.taken.IsZero() {
 		l.taken = time.Now()
@@ -40,8 +41,14 @@
 
 // RoundTrip sends the request once. A client connection of net/http, unlike its
 // Transport, never sends a request again on another connection.
+// Its error may name the end of the connection and not the write that was held
+// back and ended it; the latter is the cause.
 func (l *link) RoundTrip(request *http.Request) (*http.Response, error) {
-	return l.client.RoundTrip(request)
+	response, err := l.client.RoundTrip(request)
+	if late := l.conn.late.Load(); err != nil && late != nil {
+		return nil, late
+	}
+	return response, err
 }
 
 // Sent reports whether a byte of the request was handed to the connection.
@@ -82,6 +89,7 @@
 type trackedConn struct {
 	net.Conn
 	sent   atomic.Bool
+	late   atomic.Pointer[hemlocktally.FenceError] // late is the bound that held a write back.
 	bounds atomic.Pointer[bounds]
 	heard  atomic.Pointer[time.Time]
 }
@@ -93,7 +101,7 @@
 }
 
 // check returns a *hemlocktally.FenceError where a write is too late.
-func (b *bounds) check(begun bool, now time.Time) error {
+func (b *bounds) check(begun bool, now time.Time) *hemlocktally.FenceError {
 	if !b.fence.IsZero() && !now.Before(b.fence) {
 		return &hemlocktally.FenceError{Fence: b.fence}
 	}
@@ -106,8 +114,9 @@
 // Write checks the bounds at the last moment before the bytes leave the process.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	if b := c.bounds.Load(); b != nil {
-		if err := b.check(c.sent.Load(), time.Now()); err != nil {
-			return 0, err
+		if late := b.check(c.sent.Load(), time.Now()); late != nil {
+			c.late.Store(late)
+			return 0, late
 		}
 	}
 	c.sent.Store(true)
