--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -1,4 +1,4 @@
-// Package acceptor accepts callers' connections.
+// Package acceptor accepts the connections of callers and of other instances.
 package acceptor
 
 import (
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -108,12 +108,19 @@
 // Await waits for the first configuration while the instance starts. It
 // implements hemlocktally.Awaiter.
 func (f *Follower) Await(ctx context.Context) {
-	for time.Since(f.base) < startSpan && ctx.Err() == nil {
-		published := f.published.wait()
-		if f.Informed() {
+	f.whileStarting(ctx, f.published, func() bool { return !f.Informed() })
+}
+
+// whileStarting waits while the condition holds, shortly after the start. The
+// signal tells of changes to it.
+func (f *Follower) whileStarting(ctx context.Context, signal *broadcast, holds func() bool) {
+	for ctx.Err() == nil {
+		woken := signal.wait()
+		left := startSpan - time.Since(f.base)
+		if left <= 0 || !holds() {
 			return
 		}
-		sleepUntil(ctx, startSpan-time.Since(f.base), published)
+		sleepUntil(ctx, left, woken)
 	}
 }
 
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -64,20 +64,10 @@
 // awaitPlace keeps a question that reaches an instance shortly after its start
 // until it is a hub, if it was one before: all others ask it at that moment.
 func (f *Follower) awaitPlace(ctx context.Context) {
-	for !f.isHub.Load() && f.returning() && ctx.Err() == nil {
-		woken := f.wakeFeeds.wait()
-		if f.isHub.Load() {
-			return
-		}
-		sleepUntil(ctx, startSpan-time.Since(f.base), woken)
-	}
-}
-
-// returning reports whether the instance has just started and may still get the
-// place of its earlier life back.
-func (f *Follower) returning() bool {
-	hub, taken := f.Picture().Hubs[f.Self.Zone]
-	return time.Since(f.base) < startSpan && !f.leaving.Load() && (!taken || hub.ID == f.Self.ID)
+	f.whileStarting(ctx, f.wakeFeeds, func() bool {
+		hub, taken := f.Picture().Hubs[f.Self.Zone]
+		return !f.isHub.Load() && !f.leaving.Load() && (!taken || hub.ID == f.Self.ID)
+	})
 }
 
 func (f *Follower) versionOf(p *Picture) string {
--- a/placer/state.go
+++ b/placer/state.go
@@ -297,11 +297,7 @@
 	if now.Sub(s.lapsedAt) >= lapseInterval {
 		s.lapsedAt = now
 		for _, t := range s.order {
-			for id, held := range t.turns {
-				if now.After(held.deadline.Add(turnGrace)) {
-					delete(t.turns, id)
-				}
-			}
+			maps.DeleteFunc(t.turns, func(_ hemlocktally.GrantID, held turn) bool { return now.After(held.deadline.Add(turnGrace)) })
 		}
 	}
 	s.queue = slices.DeleteFunc(s.queue, func(w *waiter) bool { return now.After(w.msg.Hold.Add(keepPlace)) })
