A hangup during a planned stop no longer ends the process

On SIGTERM the task that notes reloads ended and let go of SIGHUP (signal.Stop), which gave the signal its default action back: the next SIGHUP ended the process in the middle of its stop, with all its calls.

Ruled out: the end of pipelined connections (the server closes only after an answer, and waits before it does), the time limit of the stop (6 s).

`serve` checks its settings at SIGHUP too; it ended at once before.

--- a/cmd/hemlocktally/balance.go
+++ b/cmd/hemlocktally/balance.go
@@ -4,8 +4,6 @@
 	"context"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -48,7 +46,7 @@
 		stopWriting()
 		<-written
 	}()
-	go noteReloads(ctx, path, log)
+	noteReloads(func() error { _, err := balancer.Load(path); return err }, path, log)
 	store := &platform.Store{Address: settings.Platform.Store, HTTP: &http.Client{Transport: balancer.Transport()}}
 	b := &balancer.Balancer{
 		Settings: settings, Platform: platform.Translator{}, Log: log, Directory: store, StoreCalls: store.Calls, LinesDropped: lines.Dropped,
@@ -56,21 +54,3 @@
 	return b.Run(ctx)
 }
 
-// noteReloads checks the settings file again at each SIGHUP.
-func noteReloads(ctx context.Context, path string, log logger.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-			cause := ""
-			if _, err := balancer.Load(path); err != nil {
-				cause = err.Error()
-			}
-			log.Log(logger.EventReloaded, logger.Fields{"File": path, "Cause": cause})
-		}
-	}
-}
--- a/cmd/hemlocktally/serve.go
+++ b/cmd/hemlocktally/serve.go
@@ -51,6 +51,8 @@
 	if err != nil {
 		return err
 	}
+	path := c.String(settingsFlag)
+	noteReloads(func() error { _, err := readSettings(path); return err }, path, log)
 	listeners, err := runner.Listen(settings.Listen)
 	if err != nil {
 		return err
