Pipelined requests of a connection are read ahead and served side by side

Change: acceptor.Pipeline. net/http still reads and answers each request; the connection below it passes it one request at a time, and while that one is served reads on and starts what is plainly a whole idempotent request. Answers leave in the order of the requests. Non-idempotent work waits for its turn and what stands behind waits for it; bounds by settings; a planned stop closes a connection only after the answers of all that was passed on.

Ruled out: an own HTTP server, and servers behind in-memory connections.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -53,6 +53,7 @@
 	turns    *placer.Client
 	links    *dialer.Dialer
 	recorder *recorder.Recorder
+	callers  acceptor.Pipeline // callers serves their connections.
 	leaving  atomic.Bool
 }
 
@@ -135,6 +136,7 @@
 	b.links = &dialer.Dialer{
 		Viewer: b.follower, ProvenFor: linkProvenFor, IdleLimit: linkIdleLimit, DialTimeout: linkDialTimeout, Dial: dial,
 	}
+	b.prepareEntry()
 }
 
 // pictureChanged tells the owners what the follower saw.
@@ -217,16 +219,12 @@
 	})
 }
 
-// handler is the entry path.
-func (b *Balancer) handler() http.Handler {
+// prepareEntry readies the entry path.
+func (b *Balancer) prepareEntry() {
 	entry := &dispatcher.Dispatcher{
 		Self: hemlocktally.InstanceID(b.Settings.Instance.ID), Configuration: b.follower, Starting: b.follower, Granter: b.turns, Recorder: b.recorder,
 		Links: b.links, Log: b.Log, Dialect: b.Platform, BodyLimit: bodyLimit, HoldBack: holdBack,
 	}
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if b.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		entry.ServeHTTP(w, r)
-	})
+	b.callers.Handler, b.callers.Idempotent, b.callers.Log = entry, entry.Idempotent, b.Log
+	b.callers.Depth, b.callers.Bytes = b.Settings.Callers.PipelineDepth, b.Settings.Callers.PipelineBytes
 }
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -42,6 +42,9 @@
 		{Name: "store_age_seconds", Help: "Time since the store last answered this instance itself.", Type: typeGauge, Value: ages.Store.Seconds()},
 		{Name: "hub_age_seconds", Help: "Time since a hub in touch with the store last answered this instance.", Type: typeGauge, Value: ages.Hub.Seconds()},
 	}
+	gauges = append(gauges, recorder.Gauge{
+		Name: "requests_read_ahead_total", Help: "Requests that were served before those ahead of them had their answers.", Type: typeCounter, Value: float64(b.callers.ReadAhead()),
+	})
 	gauges = append(gauges, serviceGauges("owner", b.owner.Stats(ctx))...)
 	gauges = append(gauges, serviceGauges("alone", b.alone.Stats(ctx))...)
 	if b.LinesDropped != nil {
--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hemlocktally"
+	"hemlocktally/acceptor"
 	"hemlocktally/loader"
 )
 
@@ -16,6 +17,7 @@
 type Settings struct {
 	Instance InstanceSettings
 	Listen   ListenSettings
+	Callers  CallerSettings
 	Platform PlatformSettings
 	Bounds   BoundSettings
 	Log      loader.LogSettings
@@ -36,6 +38,12 @@
 	Metrics string // Metrics may be empty.
 }
 
+// CallerSettings bound what one connection of a caller may have open at once.
+type CallerSettings struct {
+	PipelineDepth int // PipelineDepth is how many idempotent requests of one connection are served side by side; 1 serves one after the other.
+	PipelineBytes int // PipelineBytes bounds what is read ahead on one connection, in bytes.
+}
+
 // PlatformSettings say where the platform's store is.
 type PlatformSettings struct {
 	Store string // Store is IP:port.
@@ -61,6 +69,8 @@
 // WithDefaults returns the settings with a default in place of each zero value.
 func (s Settings) WithDefaults() Settings {
 	s.Instance.Weight = cmp.Or(s.Instance.Weight, 1)
+	s.Callers.PipelineDepth = cmp.Or(s.Callers.PipelineDepth, acceptor.DefaultDepth)
+	s.Callers.PipelineBytes = cmp.Or(s.Callers.PipelineBytes, acceptor.DefaultBytes)
 	s.Bounds.StopTimeout = cmp.Or(s.Bounds.StopTimeout, defaultStopTimeout)
 	s.Bounds.RetryRatio = cmp.Or(s.Bounds.RetryRatio, defaultRetryRatio)
 	s.Bounds.RetryWindow = cmp.Or(s.Bounds.RetryWindow, defaultRetryWindow)
@@ -83,6 +93,15 @@
 	return s, errors.Join(err, s.Check(path))
 }
 
+// Bounds of the settings of callers' connections.
+const (
+	mostDepth   = 64
+	fewestBytes = 4 << 10
+	mostBytes   = 1 << 20
+)
+
+func within(n, least, most int) bool { return n >= least && n <= most }
+
 // Check returns a *hemlocktally.SettingError for each key that is missing or
 // has a value that can't work, joined.
 func (s Settings) Check(file string) error {
@@ -99,6 +118,8 @@
 		{"Listen", "Ready", s.Listen.Ready, address, loader.IsAddress(s.Listen.Ready)},
 		{"Listen", "Peers", s.Listen.Peers, address, loader.IsAddress(s.Listen.Peers)},
 		{"Listen", "Metrics", s.Listen.Metrics, address + ", or nothing", s.Listen.Metrics == "" || loader.IsAddress(s.Listen.Metrics)},
+		{"Callers", "PipelineDepth", strconv.Itoa(s.Callers.PipelineDepth), "a number from 1 to 64", within(s.Callers.PipelineDepth, 1, mostDepth)},
+		{"Callers", "PipelineBytes", strconv.Itoa(s.Callers.PipelineBytes), "a number of bytes from 4096 to 1048576", within(s.Callers.PipelineBytes, fewestBytes, mostBytes)},
 		{"Platform", "Store", s.Platform.Store, address, loader.IsAddress(s.Platform.Store)},
 		{"Bounds", "RetryRatio", strconv.FormatFloat(s.Bounds.RetryRatio, 'g', -1, 64), "a share from 0 to 1", s.Bounds.RetryRatio <= 1},
 		{"Log", "Format", s.Log.Format, "Text, JSON", s.Log.Format == "Text" || s.Log.Format == "JSON"},
--- a/balancer/stop.go
+++ b/balancer/stop.go
@@ -16,10 +16,11 @@
 // what is idle and finishes what is open.
 func (b *Balancer) serveCallers(ctx context.Context, listener net.Listener) error {
 	server := &http.Server{
-		Handler: b.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTime, MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTime, MaxHeaderBytes: maxHeaderBytes,
 	}
+	b.callers.Serve(server)
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
+	go func() { failed <- server.Serve(b.callers.Listener(listener)) }()
 	select {
 	case err := <-failed:
 		return err
@@ -30,6 +31,7 @@
 	time.Sleep(settleTime)
 	stop, cancel := context.WithDeadline(context.WithoutCancel(ctx), stopBy)
 	defer cancel()
+	b.callers.AwaitAnswers(stop) // A shutdown closes connections after the answer at hand, whatever stands behind it.
 	err := server.Shutdown(stop)
 	if err != nil {
 		b.Log.Log(logger.EventStopCut, logger.Fields{"Instance": b.Settings.Instance.ID, "Cause": err.Error()})
@@ -43,6 +45,7 @@
 
 func (b *Balancer) leave(ctx context.Context) {
 	b.leaving.Store(true)
+	b.callers.Leave()
 	b.follower.Leave()
 	b.owner.Leave()
 	b.Log.Log(logger.EventStopping, logger.Fields{"Instance": b.Settings.Instance.ID, "Cause": context.Cause(ctx).Error()})
--- a/cmd/hemlocktally/balance.go
+++ b/cmd/hemlocktally/balance.go
@@ -53,4 +53,3 @@
 	}
 	return b.Run(ctx)
 }
-
--- a/cmd/hemlocktally/signal_test.go
+++ b/cmd/hemlocktally/signal_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"net"
 	"os"
 	"os/exec"
@@ -29,15 +31,6 @@
 	os.Exit(m.Run())
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer func() { qt.Check(t, l.Close(), qt.IsNil) }()
-	return l.Addr().String()
-}
-
 // A changed settings file is announced by SIGHUP, also to an instance that has
 // just got SIGTERM. It still finishes its planned stop: ended by the signal, it
 // would cut the calls in flight.
@@ -48,14 +41,18 @@
 	store, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	go func() { _ = (&imitator.Directory{}).Serve(ctx, store) }()
-	callers := freeAddress(t)
+	// An IP of the test's own: a port that was free on a shared one may be taken.
+	ip := fmt.Sprintf("127.%d.%d.77", 1+os.Getpid()%200, 1+os.Getpid()/200%200)
+	callers := ip + ":8080"
 	settings := filepath.Join(t.TempDir(), "balance.ini")
-	text := "[Instance]\nID = e\nZone = a\n[Listen]\nCallers = " + callers + "\nReady = " + freeAddress(t) + "\nPeers = " + freeAddress(t) +
+	text := "[Instance]\nID = e\nZone = a\n[Listen]\nCallers = " + callers + "\nReady = " + ip + ":8081\nPeers = " + ip + ":8082" +
 		"\n[Platform]\nStore = " + store.Addr().String() + "\n[Bounds]\nStopTimeout = 3s\n"
 	c.Assert(os.WriteFile(settings, []byte(text), 0o600), qt.IsNil)
 
 	command := exec.Command(os.Args[0])
 	command.Env = append(os.Environ(), commandEnv+"=balance --settings "+settings)
+	var said bytes.Buffer
+	command.Stdout, command.Stderr = &said, &said
 	c.Assert(command.Start(), qt.IsNil)
 	awaitListener(t, callers)
 	time.Sleep(100 * time.Millisecond) // The process has to expect signals by now.
@@ -66,7 +63,7 @@
 		time.Sleep(200 * time.Millisecond)
 		c.Assert(command.Process.Signal(syscall.SIGHUP), qt.IsNil)
 	}
-	c.Check(command.Wait(), qt.IsNil)
+	c.Check(command.Wait(), qt.IsNil, qt.Commentf("%s", &said))
 }
 
 func awaitListener(t *testing.T, address string) {
--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 
@@ -20,12 +21,10 @@
 	if !c.awaitConfiguration() {
 		return comeBack(notRun(hemlocktally.ReasonStarting, "the instance has no configuration yet"))
 	}
-	caller := c.identify()
+	caller := identify(c.config, c.request)
 	c.record.Caller = caller.Name
 	c.record.Tenant = caller.Tenant
-	contract, ok := c.config.Find(hemlocktally.RequestLine{
-		Host: hostOnly(c.request.Host), Path: c.request.URL.Path, Method: c.request.Method, Caller: caller.Name,
-	})
+	contract, ok := c.config.Find(lineOf(c.request, caller.Name))
 	if !ok {
 		return notRun(hemlocktally.ReasonNoContract, "no contract covers this request")
 	}
@@ -41,16 +40,29 @@
 	return nil
 }
 
+// Idempotent reports whether a contract covers the request and lets it run more
+// than once.
+func (d *Dispatcher) Idempotent(r *http.Request) bool {
+	config := d.Configuration.Current()
+	caller := identify(config, r)
+	contract, ok := config.Find(lineOf(r, caller.Name))
+	return ok && !contract.NonIdempotent
+}
+
+func lineOf(r *http.Request, caller hemlocktally.CallerName) hemlocktally.RequestLine {
+	return hemlocktally.RequestLine{Host: hostOnly(r.Host), Path: r.URL.Path, Method: r.Method, Caller: caller}
+}
+
 // identify finds the caller by its key. A header can't claim another name.
-func (c *call) identify() hemlocktally.Caller {
+func identify(config *hemlocktally.Configuration, r *http.Request) hemlocktally.Caller {
 	anonymous := hemlocktally.Caller{Name: hemlocktally.AnonymousCaller}
-	key, ok := strings.CutPrefix(c.request.Header.Get("Authorization"), "Bearer ")
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
 		return anonymous
 	}
 	digest := sha256.Sum256([]byte(key))
 	shown := []byte(hex.EncodeToString(digest[:]))
-	for _, caller := range c.config.Callers {
+	for _, caller := range config.Callers {
 		if subtle.ConstantTimeCompare(shown, []byte(caller.KeySHA256)) == 1 {
 			return caller
 		}
--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -107,9 +107,18 @@
 	return c.control.Flush()
 }
 
-// armWrite bounds how long the caller may take to accept the next part. The
-// bound stays in force for the last flush; the next answer sets its own.
+// turnTaker is a response writer whose answer may have to wait for others.
+type turnTaker interface {
+	// AwaitTurn waits until the answer may leave; false means that it never will.
+	AwaitTurn() bool
+}
+
+// armWrite bounds how long the caller may take to accept the next part, once it
+// is the answer's turn. The bound stays in force for the last flush; the next answer sets its own.
 func (c *call) armWrite() {
+	if t, ok := c.writer.(turnTaker); ok {
+		t.AwaitTurn()
+	}
 	_ = c.control.SetWriteDeadline(time.Now().Add(c.dispatcher.writeTimeout()))
 }
 
--- a/logger/entry_events.go
+++ b/logger/entry_events.go
@@ -30,6 +30,18 @@
 		Meaning: "One line for each call that was not answered promptly by its first attempt. Attempts lists kind, target, outcome and time of each.",
 		Action:  "None for a single call; `hemlocktally explain` joins the lines of several instances.",
 	}
+	EventAheadDiffers = Event{
+		Number: 2005, Name: "request read ahead differs", Level: logrus.ErrorLevel,
+		Fields:  []string{"Caller", "Path", "Ahead"},
+		Meaning: "The server read another request than the one that was read ahead at that place. The connection is cut and nothing of the answer is sent.",
+		Action:  "Keep the log and report it.",
+	}
+	EventAheadLost = Event{
+		Number: 2006, Name: "caller left with requests read ahead", Level: logrus.InfoLevel,
+		Fields:  []string{"Caller", "Requests", "Cause"},
+		Meaning: "A caller's connection ended while further requests of it were being served. They are cancelled.",
+		Action:  "None.",
+	}
 )
 
-var entryEvents = []Event{EventEntryInvariant, EventClaimUnfinished, EventSettling, EventCallTroubled}
+var entryEvents = []Event{EventEntryInvariant, EventClaimUnfinished, EventSettling, EventCallTroubled, EventAheadDiffers, EventAheadLost}
