Targets that leave or ask for time are left by the instance they told

Demand: a target says Server-Leaving in all its answers, or turns a call away with 503 and Retry-After. Until now neither header was read: a target that only its answers said was leaving got work while the list had it ready, and one that asked for time was asked again at once.

The owner keeps them with the target (leaving for its life, time to stay away for the instance that was told, its end drawn out at random by up to a tenth); the list does not undo them. The instance that was told keeps them too: a turn on such a target, by whatever owner or list, is given back with the reason and asked for anew. A service that all asks for time is refused at once with the time that is left. A target's incarnation (start time) now travels with a turn.

--- a/dialect.go
+++ b/dialect.go
@@ -34,7 +34,9 @@
 	Cold      bool
 	ColdFor   time.Duration
 	Draining  bool
-	Load      *Load // Load is nil where the answer reports none.
+	Leaving   bool          // Leaving is set where the target says for good that it leaves.
+	StayAway  time.Duration // StayAway is how long the target wants nothing of this instance; zero means that it does not say.
+	Load      *Load         // Load is nil where the answer reports none.
 }
 
 // Dialect is the headers in which callers, instances and targets speak. An
--- a/directory.go
+++ b/directory.go
@@ -70,7 +70,6 @@
 	Target   Target
 	Draining bool
 	ColdFor  time.Duration // ColdFor is how much longer it was cold when it wrote the entry.
-	Started  int64         // Started tells its incarnations apart: the Unix time of its start in milliseconds, or 0.
 }
 
 // Interpreter reads the entries of a directory. It knows the platform's names
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -221,7 +221,8 @@
 	if err := a.foreign(response, answer); err != nil {
 		return a.sendError(ctx, err, result)
 	}
-	result.SaidCold, result.SaidDraining, result.Load, result.Elsewhere = answer.Cold, answer.Draining, answer.Load, answer.Elsewhere
+	result.SaidCold, result.SaidDraining, result.StayAway = answer.Cold, answer.Draining || answer.Leaving, answer.StayAway
+	result.Load, result.Elsewhere = answer.Load, answer.Elsewhere
 	if answer.NotRun {
 		result.Outcome = hemlocktally.AttemptRefused
 		return &FailedMsg{
--- a/follower/state.go
+++ b/follower/state.go
@@ -300,7 +300,7 @@
 	known, ok := s.targets[name]
 	s.targets[name] = read
 	switch {
-	case !ok && !read.Draining, ok && known.Started != read.Started:
+	case !ok && !read.Draining, ok && known.Target.Started != read.Target.Started:
 		return []any{TargetChange{Service: read.Service, Target: name, State: targetListed}}
 	case read.Draining && (!ok || !known.Draining):
 		return []any{TargetChange{Service: read.Service, Target: name, State: targetDraining}}
--- a/grant.go
+++ b/grant.go
@@ -69,11 +69,13 @@
 	Contract     ContractName
 	Outcome      AttemptOutcome
 	Latency      time.Duration
-	SaidCold     bool  // SaidCold is set where the target's answer said that it is cold.
-	SaidDraining bool  // SaidDraining is set where the target's answer said that it drains.
-	Elsewhere    bool  // Elsewhere is set where another target answered at the address.
-	Load         *Load // Load is the report in the target's answer, or nil.
-	Unreachable  bool  // Unreachable is set where no link to the target could be had.
+	SaidCold     bool // SaidCold is set where the target's answer said that it is cold.
+	SaidDraining bool // SaidDraining is set where the target's answer said that it drains.
+	// StayAway is how long the target wants nothing of this instance.
+	StayAway    time.Duration
+	Elsewhere   bool  // Elsewhere is set where another target answered at the address.
+	Load        *Load // Load is the report in the target's answer, or nil.
+	Unreachable bool  // Unreachable is set where no link to the target could be had.
 }
 
 // Granter hands out turns on targets. Acquire returns a *RefusedError where no
--- a/imitator/upstream.go
+++ b/imitator/upstream.go
@@ -19,6 +19,15 @@
 	Shed       bool    // Shed turns every request away as not run.
 	LoseAnswer bool    // LoseAnswer runs requests and cuts their connections.
 	Foreign    bool    // Foreign answers with the ID of another request.
+	// Leaving says in each answer that the upstream leaves. It is no part of its
+	// entry, which goes on saying that it is ready.
+	Leaving bool
+	// StayAway turns every request away and wants nothing of the asker for so long.
+	StayAway time.Duration
+	// ResetFull resets the connection of a request that finds no place in the queue.
+	ResetFull bool
+	// Bytes is what else than plain answers comes over the connections.
+	Bytes UpstreamBytes
 }
 
 // Upstream imitates a target of the users' platform: it runs Slots requests at
@@ -45,6 +54,7 @@
 	address  string
 	sequence int
 	started  int64
+	arrivals int // arrivals counts all requests.
 	late     int // late counts requests that came after the upstream should have been left.
 	leftBy   time.Time
 }
@@ -130,12 +140,25 @@
 	return u.late
 }
 
+// Arrivals returns how many requests came, health checks left aside.
+func (u *Upstream) Arrivals() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.arrivals
+}
+
+// text is the body of the answer to a request.
+func (u *Upstream) text(id, body string) string { return u.ID + " answers " + id + ": " + body }
+
 // report writes the load header. The upstream is locked.
 func (u *Upstream) report(header http.Header) {
 	pace := 100
 	if u.faults.Pace > 0 {
 		pace = int(100 * u.faults.Pace)
 	}
+	if u.faults.Leaving {
+		header.Set("Server-Leaving", "1")
+	}
 	header.Set("Server-Load", fmt.Sprintf("%d,%d,%d,%d", u.running, u.waiting, u.Slots, pace))
 }
 
@@ -163,6 +186,17 @@
 	id := r.Header.Get("Request-Id")
 	faults, hang := u.enter()
 	switch {
+	case faults.Bytes != BytesPlain:
+		u.answerRaw(w, r, faults, string(body))
+		return
+	case faults.StayAway > 0:
+		w.Header().Set("Retry-After", strconv.FormatFloat(faults.StayAway.Seconds(), 'f', 3, 64))
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case hang && faults.ResetFull:
+		reset(w)
+		return
 	case faults.Shed:
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -184,6 +218,7 @@
 func (u *Upstream) enter() (faults UpstreamFaults, hang bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.arrivals++
 	if !u.leftBy.IsZero() && time.Now().After(u.leftBy) {
 		u.late++
 	}
@@ -233,7 +268,7 @@
 	if faults.Foreign {
 		id = strings.ToUpper(id) + "-other"
 	}
-	text := u.ID + " answers " + id + ": " + body
+	text := u.text(id, body)
 	header := w.Header()
 	header.Set("Request-Id", id)
 	header.Set("Response-Seal", strconv.Itoa(len(text)))
--- a/logger/tally_events.go
+++ b/logger/tally_events.go
@@ -46,8 +46,14 @@
 		Meaning: "The call goes to the target. Expected, Pace and Age (of the pace's report) are known where the instance decided itself.",
 		Action:  "None.",
 	}
+	EventTargetLeaving = Event{
+		Number: 3008, Name: "target leaves", Level: logrus.InfoLevel,
+		Fields:  []string{"Service", "Target", "Address"},
+		Meaning: "An answer of the target said that it leaves. This instance sends it nothing more in this life of it.",
+		Action:  "None.",
+	}
 )
 
 var tallyEvents = []Event{
-	EventInvariantBroken, EventTargetState, EventOwnerSilent, EventStandingLost, EventStandingGained, EventTargetSilent, EventTurn,
+	EventInvariantBroken, EventTargetState, EventOwnerSilent, EventStandingLost, EventStandingGained, EventTargetSilent, EventTurn, EventTargetLeaving,
 }
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -192,7 +192,7 @@
 	var list []candidate
 	for _, t := range room {
 		s.examined++
-		if !s.hasRoom(t, now) || slices.Contains(w.msg.Request.Exclude, t.target.Name) {
+		if !s.hasRoom(t, now) || t.awayFor(w.msg.From, now) > 0 || slices.Contains(w.msg.Request.Exclude, t.target.Name) {
 			continue
 		}
 		c := candidate{t: t, near: t.target.Zone == w.msg.Zone, fresh: t.fresh(now)}
@@ -270,7 +270,7 @@
 		pause = max(pause, time.Duration(float64(time.Second)/s.Bounds.ProbesPerSecond))
 	}
 	ask := func(t *tally) {
-		if t.probing || now.Sub(t.askedAt) < pause || len(commands) >= probesAtOnce {
+		if t.probing || t.awayFor(s.Owner, now) > 0 || now.Sub(t.askedAt) < pause || len(commands) >= probesAtOnce {
 			return
 		}
 		t.probing, t.askedAt = true, now
@@ -320,15 +320,14 @@
 // admit refuses a call at once that could not be served within its time, given
 // those that go before it.
 func (s *State) admit(msg AskMsg, now time.Time) *hemlocktally.RefusedError {
-	slots := 0
-	for _, t := range s.order {
-		if t.open(now) && !t.cold(now) {
-			slots += t.target.SlotCount()
-		}
-	}
 	if len(s.order) == 0 {
 		return notRun(hemlocktally.ReasonNoTarget, "no target of the service is known", leastAdvice)
 	}
+	slots, away := s.openTo(msg.From, now)
+	if slots == 0 && away > 0 {
+		detail := fmt.Sprintf("all targets want nothing of this instance for %s", away.Round(time.Millisecond))
+		return notRun(hemlocktally.ReasonShed, detail, time.Duration((1+awaySpread*rand.Float64())*float64(away)))
+	}
 	ahead := 0
 	for _, w := range s.queue {
 		if w.msg.Request.Priority >= msg.Request.Priority {
@@ -346,6 +345,25 @@
 	return nil
 }
 
+// openTo returns the slots of the targets that may take calls of the instance,
+// and how long it takes until the first of those that want nothing of it does
+// again; zero where there is none.
+func (s *State) openTo(from hemlocktally.InstanceID, now time.Time) (slots int, away time.Duration) {
+	for _, t := range s.order {
+		if !t.open(now) || t.cold(now) {
+			continue
+		}
+		left := t.awayFor(from, now)
+		switch {
+		case left == 0:
+			slots += t.target.SlotCount()
+		case away == 0 || left < away:
+			away = left
+		}
+	}
+	return slots, away
+}
+
 // advice is when to come back, spread so that not all come at once.
 func (s *State) advice(wait time.Duration) time.Duration {
 	spread := 0.75 + 0.5*rand.Float64()
--- a/placer/client.go
+++ b/placer/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -40,9 +41,10 @@
 	// alone may not have; it may be nil.
 	NeedTargets func()
 
-	asked atomic.Uint64
-	mu    sync.Mutex
-	peers map[string]*peer // peers are keyed by address.
+	shunner shunner
+	asked   atomic.Uint64
+	mu      sync.Mutex
+	peers   map[string]*peer // peers are keyed by address.
 }
 
 // peer is one other instance.
@@ -60,13 +62,21 @@
 	if request.Objective.IsZero() {
 		request.Objective = request.Deadline
 	}
-	ticket := string(c.Self) + "/" + c.Epoch + "/" + strconv.FormatUint(c.asked.Add(1), 10)
-	ask := AskMsg{Ticket: ticket, From: c.Self, Zone: c.Zone, Request: request}
+	ask := AskMsg{Ticket: c.nextTicket(), From: c.Self, Zone: c.Zone, Request: request}
 	started := time.Now()
-	for {
+	for given := 0; ; {
 		answer := c.ask(ctx, ask)
 		switch answer := answer.(type) {
 		case GrantCmd:
+			if c.giveBack(answer.Grant) {
+				if given++; given > shunnedTurns {
+					return hemlocktally.Grant{}, notRun(hemlocktally.ReasonNoTarget, "only targets that leave or want nothing of this instance are offered", leastAdvice)
+				}
+				// The target of a first attempt stands last in the list.
+				ask.Request.Exclude = slices.Insert(slices.Clone(ask.Request.Exclude), 0, answer.Grant.Target.Name)
+				ask.Ticket = c.nextTicket()
+				break
+			}
 			c.Log.Log(logger.EventTurn, logger.Fields{
 				"Call": request.Call, "Service": request.Service, "Target": answer.Grant.Target.Name, "Owner": answer.Grant.Owner,
 				"Alone": answer.Grant.Alone, "Cold": answer.Grant.Cold, "Expected": answer.Why.Expected, "Pace": answer.Why.Pace,
@@ -82,6 +92,26 @@
 	}
 }
 
+func (c *Client) nextTicket() string {
+	return string(c.Self) + "/" + c.Epoch + "/" + strconv.FormatUint(c.asked.Add(1), 10)
+}
+
+// giveBack gives a turn back whose target wants nothing of this instance, and
+// tells its owner why.
+func (c *Client) giveBack(grant hemlocktally.Grant) bool {
+	now := time.Now()
+	known, ok := c.shunner.shuns(grant.Target, now)
+	if !ok {
+		return false
+	}
+	result := hemlocktally.GrantResult{Grant: grant, Outcome: hemlocktally.AttemptUnused, SaidDraining: known.leaving}
+	if !known.leaving {
+		result.StayAway = known.until.Sub(now)
+	}
+	c.end(result)
+	return true
+}
+
 // ask asks the owner in line, and decides alone where none answers.
 func (c *Client) ask(ctx context.Context, ask AskMsg) any {
 	now := time.Now()
@@ -180,8 +210,17 @@
 	p.avoid = time.Now().Add(p.silence)
 }
 
-// Release gives a turn back to whoever granted it.
+// Release gives a turn back to whoever granted it, with what its target told.
 func (c *Client) Release(result hemlocktally.GrantResult) {
+	if c.shunner.note(result, time.Now()) {
+		c.Log.Log(logger.EventTargetLeaving, logger.Fields{
+			"Service": result.Grant.Service, "Target": result.Grant.Target.Name, "Address": result.Grant.Target.Address,
+		})
+	}
+	c.end(result)
+}
+
+func (c *Client) end(result hemlocktally.GrantResult) {
 	switch {
 	case result.Grant.Alone:
 		c.Alone.End(result)
--- a/placer/state.go
+++ b/placer/state.go
@@ -109,7 +109,7 @@
 	for _, r := range msg.Targets {
 		present[r.Target.Name] = true
 		t := s.targets[r.Target.Name]
-		if t == nil || t.registration.Started != r.Started || t.target.Address != r.Target.Address {
+		if t == nil || t.target.Started != r.Target.Started || t.target.Address != r.Target.Address {
 			t = &tally{turns: map[hemlocktally.GrantID]turn{}, links: map[hemlocktally.InstanceID]time.Time{}}
 			s.targets[r.Target.Name] = t
 		}
@@ -195,36 +195,16 @@
 	}
 	held, ok := t.turns[result.Grant.ID]
 	delete(t.turns, result.Grant.ID)
-	if result.SaidDraining {
-		t.registration.Draining = true
+	t.left = t.left || result.SaidDraining
+	if ok && result.StayAway > 0 {
+		t.stayAway(held.from, result.StayAway, now)
 	}
-	switch result.Outcome {
-	case hemlocktally.AttemptDone:
-		if ok {
-			t.links[held.from] = now
-		}
-		t.heard(hemlocktally.AnswerHeader{Load: result.Load}, now)
-		t.answered(false)
-		if ok && held.pace > 0 && !t.cold(now) {
+	t.ended(result, now)
+	if ok && result.Outcome == hemlocktally.AttemptDone {
+		t.links[held.from] = now
+		if held.pace > 0 && !t.cold(now) {
 			s.learn(held, result.Latency.Seconds()/held.pace)
 		}
-	case hemlocktally.AttemptRefused:
-		t.answered(true)
-		if result.Elsewhere {
-			t.holdUntil = now.Add(elsewhereHold)
-		}
-	case hemlocktally.AttemptFailed:
-		// An answer that was lost says nothing of whether the next one will be; the
-		// target is asked for its load before it gets more.
-		t.answered(true)
-		t.paceAt = time.Time{}
-	case hemlocktally.AttemptUnused:
-		if result.Unreachable {
-			t.unreachable(now)
-		}
-	case hemlocktally.AttemptTimedOut:
-		t.answered(true)
-	case hemlocktally.AttemptCancelled:
 	}
 }
 
@@ -279,6 +259,9 @@
 	case msg.Answer.Elsewhere:
 		t.holdUntil = now.Add(elsewhereHold)
 		return
+	case msg.Answer.Leaving:
+		t.left = true
+		return
 	case msg.Answer.Draining:
 		t.suspect = true
 		t.holdUntil = now.Add(firstHold)
--- a/placer/tally.go
+++ b/placer/tally.go
@@ -1,7 +1,9 @@
 package placer
 
 import (
+	"maps"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"hemlocktally"
@@ -37,6 +39,9 @@
 	failures  int     // failures counts failures to reach it in a row.
 	faulty    float64 // faulty is the moving share of its answers that were failures.
 	usedAt    time.Time
+	left      bool // left is set once it said itself that it leaves; that holds for its life, whatever a list says.
+	// away holds until when it wants nothing of an instance.
+	away map[hemlocktally.InstanceID]time.Time
 	// links holds when each instance last ended a call there: it has an idle link.
 	links map[hemlocktally.InstanceID]time.Time
 }
@@ -52,6 +57,7 @@
 	unknownPace   = 1.6 // unknownPace is expected of a target before any report.
 	coldSpan      = time.Second
 	elsewhereHold = time.Second
+	awaySpread    = 0.1             // awaySpread is the part by which the time that a target wants nothing is drawn out at random.
 	linkLasts     = 7 * time.Second // linkLasts is how long an instance is taken to have an idle link; links close after more than that.
 )
 
@@ -67,7 +73,23 @@
 
 // open reports whether the target may get a call now, leaving its slots aside.
 func (t *tally) open(now time.Time) bool {
-	return !t.out && !t.registration.Draining && !now.Before(t.holdUntil)
+	return !t.out && !t.registration.Draining && !t.left && !now.Before(t.holdUntil)
+}
+
+// stayAway keeps the target from getting calls of an instance. The end is spread,
+// so that those who wait for it don't all come back at once.
+func (t *tally) stayAway(from hemlocktally.InstanceID, span time.Duration, now time.Time) {
+	if t.away == nil {
+		t.away = map[hemlocktally.InstanceID]time.Time{}
+	}
+	maps.DeleteFunc(t.away, func(_ hemlocktally.InstanceID, until time.Time) bool { return !now.Before(until) })
+	spread := 1 + awaySpread*rand.Float64()
+	t.away[from] = later(t.away[from], now.Add(time.Duration(spread*float64(span))))
+}
+
+// awayFor returns how long the target still wants nothing of the instance.
+func (t *tally) awayFor(from hemlocktally.InstanceID, now time.Time) time.Duration {
+	return max(0, t.away[from].Sub(now))
 }
 
 // coldRoom reports whether a cold target bears one more call this second.
@@ -123,6 +145,32 @@
 	}
 }
 
+// ended takes over what the end of an attempt tells of the target.
+func (t *tally) ended(result hemlocktally.GrantResult, now time.Time) {
+	switch result.Outcome {
+	case hemlocktally.AttemptDone:
+		t.heard(hemlocktally.AnswerHeader{Load: result.Load}, now)
+		t.answered(false)
+	case hemlocktally.AttemptRefused:
+		t.answered(true)
+		if result.Elsewhere {
+			t.holdUntil = now.Add(elsewhereHold)
+		}
+	case hemlocktally.AttemptFailed:
+		// An answer that was lost says nothing of whether the next one will be; the
+		// target is asked for its load before it gets more.
+		t.answered(true)
+		t.paceAt = time.Time{}
+	case hemlocktally.AttemptUnused:
+		if result.Unreachable {
+			t.unreachable(now)
+		}
+	case hemlocktally.AttemptTimedOut:
+		t.answered(true)
+	case hemlocktally.AttemptCancelled:
+	}
+}
+
 // unreachable holds the target off for a time that doubles with each failure.
 func (t *tally) unreachable(now time.Time) {
 	t.suspect = true
--- a/placer/wire.go
+++ b/placer/wire.go
@@ -20,7 +20,7 @@
 		return &messenger.PlaceResponse{
 			Grant: string(grant.ID), Target: string(grant.Target.Name), Address: grant.Target.Address,
 			TargetZone: string(grant.Target.Zone), Cold: grant.Cold, Connections: int64(grant.Target.MaxConnections),
-			Revision: uint64(grant.Revision),
+			Revision: uint64(grant.Revision), TargetStarted: grant.Target.Started,
 		}, nil
 	case RefuseCmd:
 		return &messenger.PlaceResponse{
@@ -77,7 +77,7 @@
 		Revision: hemlocktally.Revision(in.GetRevision()), Deadline: ask.Request.Deadline, Cold: in.GetCold(),
 		Target: hemlocktally.Target{
 			Name: hemlocktally.TargetName(in.GetTarget()), Address: in.GetAddress(), Zone: hemlocktally.ZoneName(in.GetTargetZone()),
-			MaxConnections: int(in.GetConnections()),
+			MaxConnections: int(in.GetConnections()), Started: in.GetTargetStarted(),
 		},
 	}
 	if grant.Cold {
@@ -90,7 +90,7 @@
 	out := &messenger.EndTurnRequest{
 		Grant: string(r.Grant.ID), Service: string(r.Grant.Service), Target: string(r.Grant.Target.Name), Contract: string(r.Contract),
 		Outcome: int32(r.Outcome), LatencyMicroseconds: r.Latency.Microseconds(), SaidDraining: r.SaidDraining,
-		Misdirected: r.Elsewhere, Unreachable: r.Unreachable,
+		Misdirected: r.Elsewhere, Unreachable: r.Unreachable, StayAwayMicroseconds: r.StayAway.Microseconds(),
 	}
 	if r.Load != nil {
 		const percent = 100
@@ -109,7 +109,7 @@
 		},
 		Contract: hemlocktally.ContractName(in.GetContract()), Outcome: hemlocktally.AttemptOutcome(in.GetOutcome()),
 		Latency: microseconds(in.GetLatencyMicroseconds()), SaidDraining: in.GetSaidDraining(), Elsewhere: in.GetMisdirected(),
-		Unreachable: in.GetUnreachable(),
+		Unreachable: in.GetUnreachable(), StayAway: microseconds(in.GetStayAwayMicroseconds()),
 	}
 	if load := in.GetLoad(); load != nil {
 		const percent = 100
--- a/target.go
+++ b/target.go
@@ -27,6 +27,9 @@
 	Slots          int  // Slots is how many calls it runs at once; zero means DefaultSlots.
 	MaxConnections int  // MaxConnections bounds the fleet's links; zero means DefaultMaxConnections.
 	Out            bool // Out is set while operators have the target out of service.
+	// Started tells its incarnations apart: the Unix time of its start in
+	// milliseconds, or 0 where that is not known.
+	Started int64
 }
 
 // Defaults for targets that declare nothing.
