Followers get the list of targets from hubs; a choice looks at one zone first

The list: Relay.Targets passes a hub's list on, with its age; followers read the store only where no hub answers twice in a row, or none speaks for the store. A hub's old list serves those that have none while the store is down.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -55,6 +55,7 @@
 	recorder *recorder.Recorder
 	callers  acceptor.Pipeline // callers serves their connections.
 	leaving  atomic.Bool
+	told     toldPicture
 }
 
 // Bounds of an instance's own work. Sources: the platform's pages say that
@@ -139,13 +140,24 @@
 	b.prepareEntry()
 }
 
+// toldPicture is what the owners were told last.
+type toldPicture struct {
+	version, targets uint64
+	instances        int
+}
+
 // pictureChanged tells the owners what the follower saw.
 func (b *Balancer) pictureChanged(p *follower.Picture) {
+	instances := b.follower.View().Instances
+	seen := toldPicture{version: p.Version, targets: p.TargetsVersion, instances: instances}
+	if seen == b.told {
+		return // Only the age of what is known has changed.
+	}
+	b.told = seen
 	out := map[hemlocktally.ZoneName]bool{}
 	for _, zone := range p.Configuration.Zones {
 		out[zone.Name] = zone.Out
 	}
-	instances := b.follower.View().Instances
 	services := make(map[hemlocktally.ServiceName]placer.TargetsMsg, len(p.Targets))
 	for name, targets := range p.Targets {
 		services[name] = placer.TargetsMsg{Targets: targets, Out: out, Revision: p.Configuration.Revision, Instances: instances}
--- a/follower/feed.go
+++ b/follower/feed.go
@@ -24,8 +24,8 @@
 	restingPace  = 8 * time.Second        // restingPace is how often a hub reads the targets that nobody needs.
 	callTimeout  = 800 * time.Millisecond // callTimeout bounds a call that does not wait.
 	firstBackoff = 100 * time.Millisecond
-	longestBoff  = 1500 * time.Millisecond
-	spreadBoff   = 0.3 // spreadBoff is the part of a pause that is random.
+	longestBoff  = 1100 * time.Millisecond // longestBoff is the longest pause after failures, its random part left aside.
+	spreadBoff   = 0.3                     // spreadBoff is the part of a pause that is random.
 )
 
 // feed is one prefix that is followed.
@@ -136,39 +136,3 @@
 		f.Log.Log(logger.EventStoreBack, logger.Fields{"Store": "directory"})
 	}
 }
-
-// followTargets looks at the targets often while this instance places work; a
-// hub that places none looks rarely.
-func (f *Follower) followTargets(ctx context.Context, inbox chan<- any) {
-	fd := feed{hemlocktally.EntryTarget, f.Interpreter.TargetPrefix(), targetWait, targetPace}
-	known, pause := uint64(0), firstBackoff
-	var lookedAt time.Time
-	for ctx.Err() == nil {
-		needed := f.targetsNeeded()
-		rested := lookedAt.IsZero() || time.Since(lookedAt) >= restingPace
-		if !needed && (!f.isHub.Load() || !rested) {
-			known = 0
-			sleepUntil(ctx, gateInterval, f.wakeFeeds.wait())
-			continue
-		}
-		msg, revision, err := f.look(ctx, fd, known)
-		lookedAt = time.Now()
-		if err != nil {
-			f.unreadable.Store(true)
-			known = f.failed(ctx, inbox, fd, known, err)
-			sleep(ctx, spread(pause))
-			pause = min(2*pause, longestBoff)
-			continue
-		}
-		f.answered()
-		f.unreadable.Store(false)
-		pause, known = firstBackoff, revision
-		send(ctx, inbox, msg)
-		switch {
-		case needed && f.isHub.Load():
-			sleep(ctx, fd.pace)
-		case needed:
-			sleep(ctx, alonePace)
-		}
-	}
-}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -54,7 +54,9 @@
 	wakeFeeds  *broadcast
 	followers  followers
 	packed     packed
-	hubClients hubClients
+	// relayedTargets is the list of targets as a hub passes it on.
+	relayedTargets relayedTargets
+	hubClients     hubClients
 }
 
 // Prepare readies the follower; it is called before anything else.
--- a/follower/role.go
+++ b/follower/role.go
@@ -311,16 +311,16 @@
 }
 
 // hubs lists the other hubs, the one of the own zone first.
-func (r *role) hubs() []Hub {
+func (f *Follower) hubs() []Hub {
 	var list []Hub
-	for _, hub := range r.Picture().Hubs {
-		if hub.ID != r.Self.ID {
+	for _, hub := range f.Picture().Hubs {
+		if hub.ID != f.Self.ID {
 			list = append(list, hub)
 		}
 	}
 	slices.SortFunc(list, func(a, b Hub) int {
-		if (a.Zone == r.Self.Zone) != (b.Zone == r.Self.Zone) {
-			if a.Zone == r.Self.Zone {
+		if (a.Zone == f.Self.Zone) != (b.Zone == f.Self.Zone) {
+			if a.Zone == f.Self.Zone {
 				return -1
 			}
 			return 1
--- a/follower/state.go
+++ b/follower/state.go
@@ -31,6 +31,8 @@
 	Targets       map[hemlocktally.ServiceName][]hemlocktally.Registration
 	Hubs          map[hemlocktally.ZoneName]Hub
 	TargetsAt     time.Time // TargetsAt is when the targets were last read; zero means never.
+	// TargetsVersion changes whenever Targets does.
+	TargetsVersion uint64
 	// Relayed holds the entries that hubs pass on, as they stand in the store.
 	Relayed []hemlocktally.Entry
 	// Version changes whenever Relayed does.
@@ -49,6 +51,12 @@
 		Kind    hemlocktally.EntryKind
 		Entries []hemlocktally.DirectoryEntry
 	}
+	// TargetListMsg holds all targets as a hub passed them on.
+	TargetListMsg struct {
+		At        time.Time // At is when the hub read them.
+		Unchanged bool      // Unchanged is set where they are those of the last list.
+		Targets   []hemlocktally.Registration
+	}
 	// FailedMsg says that the store did not answer.
 	FailedMsg struct{ Kind hemlocktally.EntryKind }
 	// TickMsg lets time pass.
@@ -101,7 +109,10 @@
 	relayed   map[string]hemlocktally.Entry
 	version   uint64
 	targetsAt time.Time
-	feeds     map[hemlocktally.EntryKind]*feedState
+	// listed is Targets of the last picture, as long as nothing of it changes.
+	listed         map[hemlocktally.ServiceName][]hemlocktally.Registration
+	targetsVersion uint64
+	feeds          map[hemlocktally.EntryKind]*feedState
 }
 
 // feedState is what the state knows of one prefix.
@@ -122,6 +133,8 @@
 		for _, entry := range msg.Entries {
 			notes = append(notes, s.apply(f, entry, now)...)
 		}
+	case TargetListMsg:
+		notes = s.takeTargets(msg)
 	case FailedMsg:
 		s.feed(msg.Kind).failing = true
 		return false, nil
@@ -254,6 +267,7 @@
 			return nil
 		}
 		delete(s.targets, hemlocktally.TargetName(name))
+		s.touchTargets()
 		return []any{TargetChange{Service: known.Service, Target: known.Target.Name, State: targetRemoved}}
 	case hemlocktally.EntryHub:
 		if _, ok := s.hubs[hemlocktally.ZoneName(name)]; !ok {
@@ -297,8 +311,50 @@
 	if err != nil {
 		return append(s.remove(hemlocktally.EntryTarget, string(name)), BadEntry{Key: entry.Key, Cause: err})
 	}
+	return s.list(read)
+}
+
+// takeTargets takes over a list that a hub passed on, unless it is older than what
+// is known.
+func (s *State) takeTargets(msg TargetListMsg) []any {
+	f := s.feed(hemlocktally.EntryTarget)
+	if msg.At.Before(s.targetsAt) {
+		return nil
+	}
+	s.targetsAt = msg.At
+	if msg.Unchanged {
+		return nil
+	}
+	clear(f.missing) // The hub has waited for what may come back.
+	var notes []any
+	present := make(map[hemlocktally.TargetName]bool, len(msg.Targets))
+	for _, r := range msg.Targets {
+		present[r.Target.Name] = true
+		notes = append(notes, s.list(r)...)
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.targets)) {
+		if !present[name] {
+			notes = append(notes, s.remove(hemlocktally.EntryTarget, string(name))...)
+		}
+	}
+	return notes
+}
+
+// touchTargets notes that the targets are no longer those of the last picture.
+func (s *State) touchTargets() {
+	s.listed = nil
+	s.targetsVersion++
+}
+
+// list takes over what is registered of a target.
+func (s *State) list(read hemlocktally.Registration) []any {
+	name := read.Target.Name
 	known, ok := s.targets[name]
+	if ok && known == read {
+		return nil
+	}
 	s.targets[name] = read
+	s.touchTargets()
 	switch {
 	case !ok && !read.Draining, ok && known.Target.Started != read.Target.Started:
 		return []any{TargetChange{Service: read.Service, Target: name, State: targetListed}}
@@ -347,18 +403,27 @@
 	for _, zone := range slices.Sorted(maps.Keys(s.stops)) {
 		config.Zones = append(config.Zones, hemlocktally.AvailabilityZone{Name: zone, Out: true})
 	}
+	if s.listed == nil {
+		s.listed = s.listTargets()
+	}
 	p := &Picture{
 		Configuration: &config, Hubs: maps.Clone(s.hubs), TargetsAt: s.targetsAt, Version: s.version,
-		Targets: map[hemlocktally.ServiceName][]hemlocktally.Registration{},
+		Targets: s.listed, TargetsVersion: s.targetsVersion,
 	}
 	for _, key := range slices.Sorted(maps.Keys(s.relayed)) {
 		p.Relayed = append(p.Relayed, s.relayed[key])
 	}
+	return p
+}
+
+// listTargets sorts the targets by service and name.
+func (s *State) listTargets() map[hemlocktally.ServiceName][]hemlocktally.Registration {
+	all := map[hemlocktally.ServiceName][]hemlocktally.Registration{}
 	for _, r := range s.targets {
-		p.Targets[r.Service] = append(p.Targets[r.Service], r)
+		all[r.Service] = append(all[r.Service], r)
 	}
-	for _, list := range p.Targets {
+	for _, list := range all {
 		slices.SortFunc(list, func(a, b hemlocktally.Registration) int { return cmp.Compare(a.Target.Name, b.Target.Name) })
 	}
-	return p
+	return all
 }
--- /dev/null
+++ b/follower/targets.go
@@ -0,0 +1,154 @@
+package follower
+
+import (
+	"context"
+	"time"
+
+	"hemlocktally"
+	"hemlocktally/logger"
+	"hemlocktally/messenger"
+)
+
+// Bounds of the lists of targets that hubs pass on.
+const (
+	relayPace    = 500 * time.Millisecond // relayPace is the time between two questions of an instance that needs targets.
+	relayFresh   = time.Second            // relayFresh is how old a list may be that a hub passes on without reading it anew.
+	relayWait    = 250 * time.Millisecond // relayWait is how long a hub waits for a newer list.
+	relayTimeout = relayWait + 150*time.Millisecond
+	relayMisses  = 2 // relayMisses is how many rounds without an answer of a hub let the instance read the store itself.
+)
+
+// followTargets looks at the targets often while this instance places work. A hub
+// reads the store; it looks rarely while nobody places work. Others ask the hubs:
+// when owners fall silent, all instances need the list at the same moment.
+func (f *Follower) followTargets(ctx context.Context, inbox chan<- any) {
+	t := &targetFeed{Follower: f, inbox: inbox}
+	for ctx.Err() == nil {
+		hub, needed := f.isHub.Load(), f.targetsNeeded()
+		rested := t.looked.IsZero() || time.Since(t.looked) >= restingPace
+		switch {
+		case !needed && (!hub || !rested):
+			t.known, t.missed = 0, 0
+			sleepUntil(ctx, gateInterval, f.wakeFeeds.wait())
+		case !hub && !f.readsItself() && t.ask(ctx):
+			sleep(ctx, spread(relayPace))
+		case !hub && !f.readsItself() && t.missed < relayMisses && len(f.hubs()) > 0:
+			sleep(ctx, spread(firstBackoff))
+		default:
+			t.look(ctx, needed)
+		}
+	}
+}
+
+// targetFeed is the task that follows the targets.
+type targetFeed struct {
+	*Follower
+	inbox  chan<- any
+	known  uint64        // known is the store's revision up to which its changes are known.
+	pause  time.Duration // pause grows with failures in a row.
+	looked time.Time
+	held   string // held is the version of the list that a hub passed on last.
+	missed int    // missed counts rounds in a row in which no hub passed a list on.
+}
+
+// look reads the store.
+func (t *targetFeed) look(ctx context.Context, needed bool) {
+	fd := feed{hemlocktally.EntryTarget, t.Interpreter.TargetPrefix(), targetWait, targetPace}
+	msg, revision, err := t.Follower.look(ctx, fd, t.known)
+	t.looked, t.held = time.Now(), ""
+	if err != nil {
+		t.unreadable.Store(true)
+		t.known = t.failed(ctx, t.inbox, fd, t.known, err)
+		t.pause = min(max(firstBackoff, 2*t.pause), longestBoff)
+		sleep(ctx, spread(t.pause))
+		return
+	}
+	t.answered()
+	t.unreadable.Store(false)
+	t.pause, t.known = 0, revision
+	send(ctx, t.inbox, msg)
+	switch {
+	case needed && t.isHub.Load():
+		sleep(ctx, fd.pace)
+	case needed:
+		sleep(ctx, alonePace)
+	}
+}
+
+// ask asks the hubs in turn until one has a new list. Where none has, the newest
+// old one is better than none. It reports whether a list was passed on.
+func (t *targetFeed) ask(ctx context.Context) bool {
+	var best *messenger.TargetsResponse
+	asked := time.Now()
+	for _, hub := range t.hubs() {
+		out, err := t.askHub(ctx, hub)
+		if err != nil {
+			if ctx.Err() == nil {
+				t.Log.Log(logger.EventHubSilent, logger.Fields{"Hub": hub.ID, "Cause": err.Error()})
+			}
+			continue
+		}
+		if out.GetUnable() {
+			continue
+		}
+		if best == nil || out.GetAgeMicroseconds() < best.GetAgeMicroseconds() {
+			best = out
+		}
+		if !out.GetUnreadable() {
+			break
+		}
+	}
+	if best == nil {
+		t.missed++
+		return false
+	}
+	t.missed, t.known = 0, 0
+	t.unreadable.Store(best.GetUnreadable())
+	send(ctx, t.inbox, TargetListMsg{
+		At: asked.Add(-microseconds(best.GetAgeMicroseconds())), Unchanged: best.GetVersion() == t.held, Targets: registrationsOf(best.GetTargets()),
+	})
+	t.held = best.GetVersion()
+	return true
+}
+
+func (t *targetFeed) askHub(ctx context.Context, hub Hub) (*messenger.TargetsResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	return t.hubClients.of(hub.PeerAddress, t.Follower).Targets(ctx, &messenger.TargetsRequest{Instance: string(t.Self.ID), Version: t.held})
+}
+
+// Targets passes the list of targets on. It implements messenger.Relay.
+func (f *Follower) Targets(ctx context.Context, in *messenger.TargetsRequest) (*messenger.TargetsResponse, error) {
+	f.awaitPlace(ctx)
+	if !f.isHub.Load() || f.leaving.Load() {
+		return &messenger.TargetsResponse{Unable: true}, nil
+	}
+	f.NeedTargets()
+	p := f.awaitTargets(ctx)
+	if p.TargetsAt.IsZero() {
+		return &messenger.TargetsResponse{Unable: true}, nil
+	}
+	out := &messenger.TargetsResponse{
+		Version: f.targetsVersion(p), AgeMicroseconds: time.Since(p.TargetsAt).Microseconds(), Unreadable: f.unreadable.Load(),
+	}
+	if out.GetVersion() != in.GetVersion() {
+		out.Targets = f.relayedTargets.of(p)
+	}
+	return out, nil
+}
+
+// awaitTargets waits a moment for a list that is new, where one can be read.
+func (f *Follower) awaitTargets(ctx context.Context) *Picture {
+	end := time.Now().Add(relayWait)
+	for {
+		published := f.published.wait()
+		p := f.Picture()
+		left := time.Until(end)
+		if time.Since(p.TargetsAt) <= relayFresh || f.unreadable.Load() || left <= 0 || ctx.Err() != nil {
+			return p
+		}
+		sleepUntil(ctx, left, published)
+	}
+}
+
+func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- /dev/null
+++ b/follower/targets_test.go
@@ -0,0 +1,169 @@
+package follower_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hemlocktally"
+	"hemlocktally/follower"
+	"hemlocktally/messenger"
+)
+
+// countedDirectory counts the calls that read targets, and all others.
+type countedDirectory struct {
+	slowDirectory
+	targets, others *atomic.Int64
+}
+
+func (d countedDirectory) count(prefix string) {
+	if strings.HasPrefix(prefix, "servers/") {
+		d.targets.Add(1)
+	} else {
+		d.others.Add(1)
+	}
+}
+
+func (d countedDirectory) Snapshot(ctx context.Context, prefix string, stale bool) (hemlocktally.Snapshot, error) {
+	d.count(prefix)
+	return d.slowDirectory.Snapshot(ctx, prefix, stale)
+}
+
+func (d countedDirectory) Follow(ctx context.Context, prefix string, after uint64, wait time.Duration) (hemlocktally.Snapshot, error) {
+	d.count(prefix)
+	return d.slowDirectory.Follow(ctx, prefix, after, wait)
+}
+
+func putTarget(d *directory, name, state string) {
+	d.put("servers/"+name, fmt.Sprintf(`{"service":"s","address":"10.0.0.1:1","zone":"a","slots":2,"state":%q,"coldRemaining":"0ms","born":1}`, state))
+}
+
+// fleetInMemory is hubs of two zones and followers of one, on one store.
+type fleetInMemory struct {
+	store     *directory
+	counted   countedDirectory
+	hubs      []*follower.Follower
+	followers []*follower.Follower
+	peers     network
+	stop      func()
+}
+
+func startFollowers(c *qt.C, count int) *fleetInMemory {
+	f := &fleetInMemory{peers: network{}}
+	f.store = storeWithHubs(c, follower.Hub{ID: "a1", Zone: "a", PeerAddress: "a1"}, follower.Hub{ID: "b1", Zone: "b", PeerAddress: "b1"})
+	for n := range 40 {
+		putTarget(f.store, fmt.Sprint("t", n), "ready")
+	}
+	f.counted = countedDirectory{slowDirectory{f.store, usual}, &atomic.Int64{}, &atomic.Int64{}}
+	for _, zone := range []hemlocktally.ZoneName{"a", "b"} {
+		hub := instance(hemlocktally.InstanceID(zone+"1"), zone, f.counted, f.peers)
+		f.peers[string(zone)+"1"] = messenger.NewRelayServer(hub)
+		f.hubs = append(f.hubs, hub)
+	}
+	for n := range count {
+		f.followers = append(f.followers, instance(hemlocktally.InstanceID(fmt.Sprint("f", n)), "a", f.counted, f.peers))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	all := append(append([]*follower.Follower{}, f.hubs...), f.followers...)
+	done := make(chan error, len(all))
+	for _, one := range all {
+		go func() { done <- one.Run(ctx) }()
+	}
+	f.stop = func() {
+		cancel()
+		for range all {
+			c.Check(<-done, qt.IsNil)
+		}
+	}
+	return f
+}
+
+// need lets all followers need their targets for the time.
+func (f *fleetInMemory) need(span time.Duration) {
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for _, one := range f.followers {
+			one.NeedTargets()
+		}
+	}
+}
+
+// The owners don't answer, and each instance decides alone: they all need the list
+// of targets at once. They get it from their hubs, so that the fleet's calls to the
+// store do not grow with it.
+func TestListsOfTargetsCostNoCallForEachInstance(t *testing.T) {
+	var calls []int64
+	for _, count := range []int{16, 100, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			f := startFollowers(c, count)
+			time.Sleep(2 * time.Second)
+			before := f.counted.targets.Load()
+			f.need(5 * time.Second)
+			for _, one := range f.followers {
+				c.Assert(one.Picture().Targets["s"], qt.HasLen, 40)
+				at, readable := one.TargetsKnown()
+				c.Check(readable, qt.IsTrue)
+				c.Check(time.Since(at) < 2*time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(at)))
+			}
+			calls = append(calls, f.counted.targets.Load()-before)
+			f.stop()
+		})
+	}
+	// Two hubs look twice a second at the most.
+	for _, n := range calls {
+		qt.Check(t, n <= 2*2*8, qt.IsTrue, qt.Commentf("%v", calls))
+	}
+}
+
+// A target that leaves is left by all in two seconds, by the hubs' lists too.
+func TestRelayedListFollowsWhatLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := startFollowers(c, 6)
+		time.Sleep(time.Second)
+		f.need(time.Second)
+		putTarget(f.store, "t3", "draining")
+		f.need(2 * time.Second)
+		for _, one := range f.followers {
+			draining := 0
+			for _, r := range one.Picture().Targets["s"] {
+				if r.Draining {
+					draining++
+					c.Check(r.Target.Name, qt.Equals, hemlocktally.TargetName("t3"))
+				}
+			}
+			c.Check(draining, qt.Equals, 1)
+		}
+		f.stop()
+	})
+}
+
+// The store is down, and an instance has just started or never needed a target:
+// the hubs' old list is better than none.
+func TestOldListOfAHubOutlivesTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := startFollowers(c, 3)
+		time.Sleep(time.Second)
+		f.hubs[0].NeedTargets()
+		time.Sleep(time.Second)
+		f.store.cut.Store(true)
+		time.Sleep(3 * time.Second)
+		before := f.counted.targets.Load() + f.counted.others.Load()
+		f.need(2 * time.Second)
+		for _, one := range f.followers {
+			c.Check(one.Picture().Targets["s"], qt.HasLen, 40)
+			_, readable := one.TargetsKnown()
+			c.Check(readable, qt.IsFalse)
+		}
+		calls := f.counted.targets.Load() + f.counted.others.Load() - before
+		c.Check(calls <= 24, qt.IsTrue, qt.Commentf("%d", calls))
+		f.stop()
+	})
+}
--- a/placer/burst_test.go
+++ b/placer/burst_test.go
@@ -62,3 +62,50 @@
 		d.update(TickMsg{})
 	}
 }
+
+// turnAt makes one turn on an owner of many targets in five zones: the question,
+// the answers about load that it asks for, and the end.
+func (d *desk) turnAt(n int) bool {
+	d.now = d.now.Add(time.Millisecond)
+	ask := d.request()
+	ask.Zone = hemlocktally.ZoneName(fmt.Sprint("z", n%5))
+	ask.From = hemlocktally.InstanceID(fmt.Sprint("e", n%300))
+	ask.Request.Objective = d.now.Add(time.Second)
+	commands := d.update(ask)
+	for i := 0; i < len(commands); i++ {
+		if probe, ok := commands[i].(ProbeCmd); ok {
+			commands = append(commands, d.report(string(probe.Target.Name), 1+float64(n%3)/10)...)
+		}
+	}
+	for _, got := range grants(commands) {
+		d.update(EndMsg{Result: hemlocktally.GrantResult{
+			Grant: got, Contract: "c", Outcome: hemlocktally.AttemptDone, Latency: 100 * time.Millisecond,
+			Load: &hemlocktally.Load{Slots: 2, Pace: 1},
+		}})
+		return true
+	}
+	return false
+}
+
+func manyTargets(count int) *desk {
+	var list []hemlocktally.Registration
+	for i := range count {
+		list = append(list, target(fmt.Sprint("t", i), fmt.Sprint("z", i%5)))
+	}
+	return newDesk(list...)
+}
+
+// BenchmarkTurn is what a turn costs the owner of a service whose targets are
+// mostly free.
+func BenchmarkTurn(b *testing.B) {
+	for _, count := range []int{15, 150, 500} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			d := manyTargets(count)
+			for n := 0; b.Loop(); n++ {
+				if !d.turnAt(n) {
+					b.Fatal("no turn was given")
+				}
+			}
+		})
+	}
+}
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -51,9 +50,9 @@
 		return nil
 	}
 	var commands []any
-	room := s.withRoom(now)
+	room := &room{state: s, now: now}
 	ordered := slices.Clone(s.queue)
-	if len(room) > 0 {
+	if len(ordered) > 1 && room.any() {
 		slices.SortStableFunc(ordered, func(a, b *waiter) int { return cmp.Compare(s.lateness(a, now), s.lateness(b, now)) })
 	}
 	for _, w := range ordered {
@@ -83,17 +82,16 @@
 }
 
 // placeOne tries to answer one waiter.
-func (s *State) placeOne(w *waiter, room []*tally, now time.Time) (bool, []any) {
+func (s *State) placeOne(w *waiter, room *room, now time.Time) (bool, []any) {
 	r := w.msg.Request
 	usual := s.usual(r.Contract)
 	if !now.Add(usual / 2).Before(r.Deadline) {
 		return w.refuse(notRun(hemlocktally.ReasonDeadline, "too little time is left for the work", s.advice(usual)))
 	}
-	if now.Before(w.probeBy) && awaits(room, r.Exclude) {
+	if now.Before(w.probeBy) && w.awaits(now) {
 		return false, nil
 	}
-	candidates := s.candidates(w, room, now)
-	best, ok := pick(candidates, r.Objective.Sub(now))
+	candidates, best, ok := s.choose(w, room, now)
 	switch {
 	case !ok && r.Kind == hemlocktally.AttemptHedge:
 		return w.refuse(notRun(hemlocktally.ReasonShed, "no target is free for a second attempt", 0))
@@ -122,7 +120,8 @@
 func (s *State) learnFirst(w *waiter, candidates []candidate, best candidate, now time.Time) (waits bool, asked []any) {
 	r := w.msg.Request
 	if first := s.first(r); w.probed == 0 && (!best.fresh || (first != nil && !first.fresh(now))) {
-		if asked := s.probe(candidates, best, first, now); len(asked) > 0 {
+		asked := s.probe(w, candidates, best, first, now)
+		if len(w.asked) > 0 {
 			w.awaitProbes(now)
 			return true, asked
 		}
@@ -136,7 +135,7 @@
 		return true, nil
 	}
 	w.awaitProbes(now)
-	return true, s.probe(candidates, best, nil, now)
+	return true, s.probe(w, candidates, best, nil, now)
 }
 
 // awaitProbes lets the waiter wait for answers about load.
@@ -167,18 +166,6 @@
 	return s.targets[r.Exclude[len(r.Exclude)-1]]
 }
 
-// withRoom lists the targets that may take a call of anybody now.
-func (s *State) withRoom(now time.Time) []*tally {
-	var list []*tally
-	for _, t := range s.order {
-		s.examined++
-		if s.hasRoom(t, now) {
-			list = append(list, t)
-		}
-	}
-	return list
-}
-
 func (s *State) hasRoom(t *tally, now time.Time) bool {
 	if !t.open(now) || t.busy(now) >= t.target.SlotCount() {
 		return false
@@ -186,39 +173,6 @@
 	return !t.cold(now) || (!s.Alone && t.coldRoom(s.coldRate(), s.Bounds.ColdShare, now))
 }
 
-// candidates lists the targets that may take the call now, best first. Of those
-// that had room, some may have been given to calls before it.
-func (s *State) candidates(w *waiter, room []*tally, now time.Time) []candidate {
-	var list []candidate
-	for _, t := range room {
-		s.examined++
-		if !s.hasRoom(t, now) || t.awayFor(w.msg.From, now) > 0 || slices.Contains(w.msg.Request.Exclude, t.target.Name) {
-			continue
-		}
-		c := candidate{t: t, near: t.target.Zone == w.msg.Zone, fresh: t.fresh(now)}
-		c.expected = s.expect(t, w.msg.Request.Contract, now)
-		c.doubted = time.Duration(float64(c.expected) / (1 - math.Min(worstFaulty, t.faulty)))
-		if t.suspect {
-			c.doubted *= outlierFactor
-		}
-		c.cost = c.doubted
-		if !c.near {
-			c.cost += farPenalty
-		}
-		if !t.linked(w.msg.From, now) {
-			c.cost += newLink
-		}
-		list = append(list, c)
-	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		if a.cost != b.cost {
-			return cmp.Compare(a.cost, b.cost)
-		}
-		return cmp.Or(a.t.usedAt.Compare(b.t.usedAt), cmp.Compare(a.t.target.Name, b.t.target.Name))
-	})
-	return list
-}
-
 func (s *State) coldRate() float64 {
 	if s.service.ColdPerSecond > 0 {
 		return s.service.ColdPerSecond
@@ -238,29 +192,11 @@
 	return time.Duration(float64(s.usual(contract)) * factor)
 }
 
-// pick returns the best target of the caller's zone where that one is quick
-// enough, and else the best of all.
-func pick(candidates []candidate, left time.Duration) (candidate, bool) {
-	if len(candidates) == 0 {
-		return candidate{}, false
-	}
-	for _, c := range candidates {
-		if c.near && float64(c.doubted) <= comfort*float64(left) {
-			return c, true
-		}
-	}
-	return candidates[0], true
-}
-
-// awaits reports whether a target that may take the call is being asked for its
-// load.
-func awaits(room []*tally, exclude []hemlocktally.TargetName) bool {
-	return slices.ContainsFunc(room, func(t *tally) bool { return t.probing && !slices.Contains(exclude, t.target.Name) })
-}
-
 // probe asks the best candidate and the next ones whose reports are old, and
-// before them the target of a first attempt that is slow.
-func (s *State) probe(candidates []candidate, best candidate, first *tally, now time.Time) []any {
+// before them the target of a first attempt that is slow. The waiter notes whose
+// answers it waits for: also of those that are being asked already.
+func (s *State) probe(w *waiter, candidates []candidate, best candidate, first *tally, now time.Time) []any {
+	w.asked = nil
 	if s.service.ProbePath == "" {
 		return nil
 	}
@@ -270,10 +206,18 @@
 		pause = max(pause, time.Duration(float64(time.Second)/s.Bounds.ProbesPerSecond))
 	}
 	ask := func(t *tally) {
-		if t.probing || t.awayFor(s.Owner, now) > 0 || now.Sub(t.askedAt) < pause || len(commands) >= probesAtOnce {
+		if len(w.asked) >= probesAtOnce || slices.Contains(w.asked, t) || t.awayFor(s.Owner, now) > 0 {
+			return
+		}
+		if t.probing {
+			w.asked = append(w.asked, t)
+			return
+		}
+		if now.Sub(t.askedAt) < pause {
 			return
 		}
 		t.probing, t.askedAt = true, now
+		w.asked = append(w.asked, t)
 		s.probes++
 		commands = append(commands, ProbeCmd{Target: t.target, Path: s.service.ProbePath})
 	}
--- a/placer/state.go
+++ b/placer/state.go
@@ -22,6 +22,7 @@
 	revision hemlocktally.Revision
 	targets  map[hemlocktally.TargetName]*tally
 	order    []*tally
+	zones    map[hemlocktally.ZoneName][]*tally // zones holds the targets of each zone, in the same order.
 	queue    []*waiter
 	spent    retryWindow
 	work     map[hemlocktally.ContractName]*estimate
@@ -42,6 +43,7 @@
 	arrived time.Time
 	probeBy time.Time // probeBy is until when answers about load are awaited.
 	probed  int       // probed counts the rounds of questions made for it.
+	asked   []*tally  // asked holds the targets of the last round.
 }
 
 const (
@@ -124,6 +126,10 @@
 	}
 	maps.DeleteFunc(s.targets, func(name hemlocktally.TargetName, _ *tally) bool { return !present[name] })
 	s.order = slices.SortedFunc(maps.Values(s.targets), func(a, b *tally) int { return cmp.Compare(a.target.Name, b.target.Name) })
+	s.zones = map[hemlocktally.ZoneName][]*tally{}
+	for _, t := range s.order {
+		s.zones[t.target.Zone] = append(s.zones[t.target.Zone], t)
+	}
 }
 
 func later(a, b time.Time) time.Time {
