Try: an owner of each zone for large services; links, joins, outages

Targets that join get a first call. Looks at targets wait 1.1 s for a change. A claim is preceded by a cheap look. Lists of targets are published before they are logged, in one line. A race in what owners are told (a map changed while it was read) was found by the race detector in TestPlannedStopsCutNoCall and mended.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +23,7 @@
 	"hemlocktally/dispatcher"
 	"hemlocktally/follower"
 	"hemlocktally/logger"
+	"hemlocktally/messenger"
 	"hemlocktally/placer"
 	"hemlocktally/prober"
 	"hemlocktally/recorder"
@@ -112,7 +115,7 @@
 	epoch := incarnation[len(incarnation)-epochLength:]
 	self := hemlocktally.InstanceID(s.Instance.ID)
 	b.recorder = &recorder.Recorder{}
-	peers := &http.Client{Transport: peerTransport()}
+	peers := &http.Client{Transport: messenger.Bounded(peerTransport())}
 	b.follower = &follower.Follower{
 		Directory: b.Directory, Interpreter: b.Platform, Log: b.Log, Changed: b.pictureChanged, HTTP: peers,
 		Self: follower.Hub{
@@ -148,7 +151,8 @@
 
 // pictureChanged tells the owners what the follower saw.
 func (b *Balancer) pictureChanged(p *follower.Picture) {
-	instances := b.follower.View().Instances
+	view := b.follower.View()
+	instances := view.Instances
 	seen := toldPicture{version: p.Version, targets: p.TargetsVersion, instances: instances}
 	if seen == b.told {
 		return // Only the age of what is known has changed.
@@ -167,8 +171,27 @@
 		msg.Service, msg.Out, msg.Revision, msg.Instances = service, out, p.Configuration.Revision, instances
 		services[service.Name] = msg
 	}
-	b.owner.Configure(services)
 	b.alone.Configure(services)
+	zones, owned := zonesOf(p), maps.Clone(services)
+	for name, msg := range owned {
+		msg.Share = placer.Share(name, b.follower.Self.ID, zones, view)
+		owned[name] = msg
+	}
+	b.owner.Configure(owned)
+}
+
+// zonesOf lists the zones of the targets and the hubs.
+func zonesOf(p *follower.Picture) []hemlocktally.ZoneName {
+	zones := map[hemlocktally.ZoneName]bool{}
+	for zone := range p.Hubs {
+		zones[zone] = true
+	}
+	for _, targets := range p.Targets {
+		for _, t := range targets {
+			zones[t.Target.Zone] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(zones))
 }
 
 // listeners are the sockets of an instance.
--- a/balancer/socket.go
+++ b/balancer/socket.go
@@ -40,12 +40,15 @@
 }
 
 func transport(links int, idle, dialLimit time.Duration) *http.Transport {
-	const bufferBytes = 4 << 10
+	const (
+		bufferBytes = 4 << 10
+		mostHeader  = 64 << 10 // mostHeader bounds the header of an answer, in bytes.
+	)
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		return dialWithin(ctx, dialLimit, network, address)
 	}
 	return &http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: links, IdleConnTimeout: idle, DisableCompression: true,
-		ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
+		ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes, MaxResponseHeaderBytes: mostHeader,
 	}
 }
--- a/follower/feed.go
+++ b/follower/feed.go
@@ -19,7 +19,9 @@
 	hubWait      = 10 * time.Second       // hubWait is how long a watch of the hubs waits.
 	rarePace     = 250 * time.Millisecond // rarePace is the least time between two watches of rare changes.
 	targetPace   = 700 * time.Millisecond // targetPace is the time between two looks at the targets while they are needed.
-	targetWait   = 300 * time.Millisecond // targetWait is how long a look at the targets waits for a change.
+	// targetWait is how long a look at the targets waits for a change. While it
+	// waits, the list is as new as the start of the look.
+	targetWait   = 1100 * time.Millisecond
 	alonePace    = time.Second            // alonePace is that time for an instance that is no hub and decides alone.
 	restingPace  = 8 * time.Second        // restingPace is how often a hub reads the targets that nobody needs.
 	callTimeout  = 800 * time.Millisecond // callTimeout bounds a call that does not wait.
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -43,6 +43,7 @@
 	needed     atomic.Int64 // needed is until when targets are needed, in nanoseconds since base.
 	heard      atomic.Int64 // heard is when the store last answered, in nanoseconds since base.
 	followed   atomic.Int64 // followed is when a hub in touch with the store last answered, likewise.
+	watching   atomic.Int64 // watching is when the look at the targets that waits for changes began, likewise; 0 while none does.
 	served     atomic.Int64 // served is when the store last answered a cheap question while no hub was in touch, likewise.
 	instances  atomic.Int64 // instances is how many instances there seem to be.
 	isHub      atomic.Bool
@@ -52,8 +53,13 @@
 	disowned   atomic.Bool // disowned is set while every hub that answers says that it is out of touch with the store.
 	behind     atomic.Bool // behind is set while the feed of operators' decisions has failed and not caught up.
 	wakeFeeds  *broadcast
-	followers  followers
-	packed     packed
+	// othersServed is when the store last answered a follower of this hub while it
+	// did not answer the hub, likewise.
+	othersServed atomic.Int64
+	looks        looks
+	followers    followers
+	packed       packed
+	relayedSplit atomic.Pointer[[]hemlocktally.ServiceName] // relayedSplit is the services that the hub says are split.
 	// relayedTargets is the list of targets as a hub passes it on.
 	relayedTargets relayedTargets
 	hubClients     hubClients
@@ -80,7 +86,7 @@
 // View returns the hubs, among which services are dealt. It implements
 // hemlocktally.Viewer.
 func (f *Follower) View() hemlocktally.View {
-	view := hemlocktally.View{Instances: int(f.instances.Load())}
+	view := hemlocktally.View{Instances: int(f.instances.Load()), Split: f.split()}
 	own := f.isHub.Load() && !f.leaving.Load()
 	for zone, hub := range f.Picture().Hubs {
 		if hub.ID != f.Self.ID && (!own || zone != f.Self.Zone) {
@@ -196,22 +202,42 @@
 		case <-ticker.C:
 		}
 		changed, notes := state.Update(msg, time.Now())
-		f.note(notes)
-		if !changed {
-			continue
-		}
-		p := state.Picture()
-		f.picture.Store(p)
-		f.published.signal()
-		if f.Changed != nil {
-			f.Changed(p)
+		if changed {
+			f.publish(state.Picture())
 		}
+		f.note(notes) // Last: a list of hundreds of targets takes long to log.
+	}
+}
+
+func (f *Follower) publish(p *Picture) {
+	f.picture.Store(p)
+	f.published.signal()
+	if f.Changed != nil {
+		f.Changed(p)
 	}
 }
 
-// note logs what the state noted.
+// mostTargetLines is how many changes of targets at once get a line each.
+const mostTargetLines = 32
+
+// note logs what the state noted. A whole list of targets gets one line.
 func (f *Follower) note(notes []any) {
+	changes := map[string]int{}
 	for _, n := range notes {
+		if change, ok := n.(TargetChange); ok {
+			changes[change.State]++
+		}
+	}
+	many := changes[targetListed]+changes[targetDraining]+changes[targetRemoved] > mostTargetLines
+	if many {
+		f.Log.Log(logger.EventTargetsListed, logger.Fields{
+			"Listed": changes[targetListed], "Draining": changes[targetDraining], "Removed": changes[targetRemoved],
+		})
+	}
+	for _, n := range notes {
+		if _, ok := n.(TargetChange); ok && many {
+			continue
+		}
 		switch n := n.(type) {
 		case BadEntry:
 			f.Log.Log(logger.EventEntryUnusable, logger.Fields{"Key": n.Key, "Cause": n.Cause.Error()})
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -35,12 +35,18 @@
 	f.noteInstances(count + 1)
 	hold := time.NewTimer(f.holdFor(time.Duration(in.GetHoldMicroseconds()) * time.Microsecond))
 	defer hold.Stop()
+	if in.GetStoreAnswers() && f.outOfTouch() {
+		f.othersAreServed()
+	}
 	for {
 		changed := f.published.wait()
 		p := f.Picture()
 		if version := f.versionOf(p); version != in.GetVersion() && p.Version > 0 {
 			return f.answerSync(p, version, count)
 		}
+		if !in.GetStoreAnswers() && f.outOfTouch() && f.since(&f.othersServed) < lookEvery {
+			return f.answerSync(nil, in.GetVersion(), count)
+		}
 		select {
 		case <-changed:
 		case <-hold.C:
@@ -75,11 +81,11 @@
 }
 
 func (f *Follower) answerSync(p *Picture, version string, count int) (*messenger.SyncResponse, error) {
-	age := f.since(&f.heard)
-	if f.behind.Load() {
-		age = max(age, 2*inTouch)
+	age := f.storeAge()
+	out := &messenger.SyncResponse{
+		Look:    age > inTouch && f.mayLook(time.Now()),
+		Version: version, StoreAgeMicroseconds: age.Microseconds(), Followers: int64(count), SplitServices: f.Picture().splitNames(),
 	}
-	out := &messenger.SyncResponse{Version: version, StoreAgeMicroseconds: age.Microseconds(), Followers: int64(count)}
 	if p == nil {
 		return out, nil
 	}
@@ -170,6 +176,7 @@
 	defer cancel()
 	out, err := r.hubClients.of(hub.PeerAddress, r.Follower).Sync(ctx, &messenger.SyncRequest{
 		Instance: string(r.Self.ID), Version: r.versions[hub.ID], HoldMicroseconds: hold.Microseconds(),
+		StoreAnswers: r.since(&r.served) <= servedLasts,
 	})
 	if err != nil || out.GetLeaving() {
 		if err != nil && ctx.Err() == nil {
@@ -182,6 +189,8 @@
 		r.mark(&r.followed)
 	}
 	r.noteInstances(int(out.GetFollowers()) + 1)
+	r.noteSplit(out.GetSplitServices())
+	r.mayLookNow = r.mayLookNow || out.GetLook()
 	if len(out.GetEntriesGzip()) == 0 {
 		return touch, true
 	}
--- a/follower/role.go
+++ b/follower/role.go
@@ -40,7 +40,7 @@
 	servedLasts   = 3 * time.Second         // servedLasts is how long its answer lets the instance read the store itself.
 	seekPause     = 150 * time.Millisecond
 	claimDelay    = 400 * time.Millisecond // claimDelay holds instances with little of a core back, so that strong ones become hubs.
-	claimSpread   = 600 * time.Millisecond // claimSpread is the random part of that.
+	claimSpread   = 600 * time.Millisecond // claimSpread is the random part of that, the same for all: a zone may have dozens of strong ones.
 )
 
 func newRole() *fsm.FSM {
@@ -81,15 +81,16 @@
 // role is the task that finds a hub, follows it, or is one.
 type role struct {
 	*Follower
-	inbox    chan<- any
-	machine  *fsm.FSM
-	lease    string
-	renewed  time.Time // renewed is when the place was last renewed.
-	failing  bool      // failing is set after a failed renewal or claim.
-	claimAt  time.Time // claimAt is when the instance tries to become its zone's hub; zero while there is one.
-	versions map[hemlocktally.InstanceID]string
-	looked   time.Time
-	listed   bool // listed is set once a cheap question to the store has named hubs.
+	inbox      chan<- any
+	machine    *fsm.FSM
+	lease      string
+	renewed    time.Time // renewed is when the place was last renewed.
+	failing    bool      // failing is set after a failed renewal or claim.
+	claimAt    time.Time // claimAt is when the instance tries to become its zone's hub; zero while there is one.
+	versions   map[hemlocktally.InstanceID]string
+	looked     time.Time
+	listed     bool // listed is set once a cheap question to the store has named hubs.
+	mayLookNow bool // mayLookNow is set where a hub that is out of touch wants this instance to look.
 	// lookPause is the time from one cheap question to the store to the next.
 	lookPause time.Duration
 }
@@ -160,7 +161,7 @@
 		return
 	}
 	if r.claimAt.IsZero() {
-		delay := time.Duration((1 - min(1, r.Self.Weight)) * float64(claimDelay+time.Duration(rand.Float64()*float64(claimSpread))))
+		delay := time.Duration((1-min(1, r.Self.Weight))*float64(claimDelay)) + time.Duration(rand.Float64()*float64(claimSpread))
 		if mine {
 			delay = 0 // It is the place of this instance's earlier life.
 		}
@@ -186,18 +187,18 @@
 	}
 }
 
-// takenMeanwhile reads the list of hubs anew: that costs less than a claim that
-// comes too late.
+// takenMeanwhile reads the list of hubs anew, at a tenth of the price: that costs
+// less than a claim that comes too late. Where the answer is old, the claim fails.
 func (r *role) takenMeanwhile(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	all, err := r.Directory.Snapshot(ctx, r.Interpreter.HubPrefix(), false)
+	all, err := r.Directory.Snapshot(ctx, r.Interpreter.HubPrefix(), true)
 	if err != nil {
 		r.failed(ctx, r.inbox, feed{kind: hemlocktally.EntryHub, prefix: r.Interpreter.HubPrefix()}, 0, err)
 		return true
 	}
-	r.answered()
-	send(ctx, r.inbox, SnapshotMsg{Kind: hemlocktally.EntryHub, Entries: all.Entries})
+	r.mark(&r.served)
+	send(ctx, r.inbox, ChangesMsg{Kind: hemlocktally.EntryHub, Entries: all.Entries})
 	return slices.ContainsFunc(all.Entries, func(e hemlocktally.DirectoryEntry) bool {
 		return e.Key == r.Interpreter.HubPrefix()+string(r.Self.Zone) && !r.isOwn(e.Entry)
 	})
@@ -334,6 +335,7 @@
 // While none is in touch, the answer of one that is not is better than none.
 func (r *role) followAny(ctx context.Context) bool {
 	heard := false
+	r.mayLookNow = false
 	hold := syncHold
 	if r.disowned.Load() && r.since(&r.followed) <= followLasts {
 		hold = disownLasts / 2 // Only until the store itself is asked; an outage may last.
@@ -352,7 +354,12 @@
 		}
 	}
 	r.disowned.Store(heard)
-	if r.lostHubs() {
+	switch {
+	case !r.lostHubs():
+	case r.mayLookNow && r.since(&r.served) > servedLasts/2:
+		r.lookPause = 0 // The hubs see to it that looks are rare.
+		r.lookCheaply(ctx)
+	case !heard:
 		r.lookCheaply(ctx)
 	}
 	return heard
--- a/follower/targets.go
+++ b/follower/targets.go
@@ -11,9 +11,9 @@
 
 // Bounds of the lists of targets that hubs pass on.
 const (
-	relayPace    = 500 * time.Millisecond // relayPace is the time between two questions of an instance that needs targets.
-	relayFresh   = time.Second            // relayFresh is how old a list may be that a hub passes on without reading it anew.
-	relayWait    = 250 * time.Millisecond // relayWait is how long a hub waits for a newer list.
+	relayPace    = 500 * time.Millisecond  // relayPace is the time between two questions of an instance that needs targets.
+	relayFresh   = 1200 * time.Millisecond // relayFresh is how old a list may be that a hub passes on without reading it anew.
+	relayWait    = 250 * time.Millisecond  // relayWait is how long a hub waits for a newer list.
 	relayTimeout = relayWait + 150*time.Millisecond
 	relayMisses  = 2 // relayMisses is how many rounds without an answer of a hub let the instance read the store itself.
 )
@@ -54,7 +54,11 @@
 // look reads the store.
 func (t *targetFeed) look(ctx context.Context, needed bool) {
 	fd := feed{hemlocktally.EntryTarget, t.Interpreter.TargetPrefix(), targetWait, targetPace}
+	if t.known > 0 {
+		t.mark(&t.watching)
+	}
 	msg, revision, err := t.Follower.look(ctx, fd, t.known)
+	t.watching.Store(0)
 	t.looked, t.held = time.Now(), ""
 	if err != nil {
 		t.unreadable.Store(true)
@@ -128,8 +132,9 @@
 	if p.TargetsAt.IsZero() {
 		return &messenger.TargetsResponse{Unable: true}, nil
 	}
+	at, readable := f.TargetsKnown()
 	out := &messenger.TargetsResponse{
-		Version: f.targetsVersion(p), AgeMicroseconds: time.Since(p.TargetsAt).Microseconds(), Unreadable: f.unreadable.Load(),
+		Version: f.targetsVersion(p), AgeMicroseconds: time.Since(at).Microseconds(), Unreadable: !readable,
 	}
 	if out.GetVersion() != in.GetVersion() {
 		out.Targets = f.relayedTargets.of(p)
@@ -142,10 +147,10 @@
 	end := time.Now().Add(relayWait)
 	for {
 		published := f.published.wait()
-		p := f.Picture()
+		at, readable := f.TargetsKnown()
 		left := time.Until(end)
-		if time.Since(p.TargetsAt) <= relayFresh || f.unreadable.Load() || left <= 0 || ctx.Err() != nil {
-			return p
+		if time.Since(at) <= relayFresh || !readable || left <= 0 || ctx.Err() != nil {
+			return f.Picture()
 		}
 		sleepUntil(ctx, left, published)
 	}
--- a/follower/targets_test.go
+++ b/follower/targets_test.go
@@ -167,3 +167,30 @@
 		f.stop()
 	})
 }
+
+// An outage of the store: the calls of a fleet stay level from 16 to 300 followers.
+func TestCallsInAnOutageDontGrowWithTheFleet(t *testing.T) {
+	var calls []int64
+	for _, count := range []int{16, 100, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			f := startFollowers(c, count)
+			time.Sleep(3 * time.Second)
+			f.store.cut.Store(true)
+			time.Sleep(time.Second)
+			before := f.counted.targets.Load() + f.counted.others.Load()
+			f.need(6 * time.Second)
+			calls = append(calls, f.counted.targets.Load()+f.counted.others.Load()-before)
+			f.store.cut.Store(false)
+			f.store.put("op/config", version("7"))
+			f.need(3 * time.Second)
+			for _, one := range f.followers {
+				c.Check(one.Current().Revision, qt.Equals, hemlocktally.Revision(7))
+			}
+			f.stop()
+		})
+	}
+	for _, n := range calls {
+		qt.Check(t, n <= 90, qt.IsTrue, qt.Commentf("%v in 6 s", calls))
+	}
+}
--- a/logger/membership_events.go
+++ b/logger/membership_events.go
@@ -88,6 +88,12 @@
 		Meaning: "A target came, started anew, is draining, or left the platform's list.",
 		Action:  "None, unless many leave at once without planned work.",
 	}
+	EventTargetsListed = Event{
+		Number: 4019, Name: "many targets listed", Level: logrus.InfoLevel,
+		Fields:  []string{"Listed", "Draining", "Removed"},
+		Meaning: "A list of targets was read in which many changed, as the first one after a start. The counts stand for a line each.",
+		Action:  "None.",
+	}
 	EventHubListed = Event{
 		Number: 4015, Name: "hub listed", Level: logrus.InfoLevel,
 		Fields:  []string{"Zone", "Hub"},
@@ -117,5 +123,5 @@
 var membershipEvents = []Event{
 	EventStoreDown, EventStoreBack, EventRegistered, EventMemberState, EventLeaseRelayed, EventConfigurationInForce,
 	EventConfigurationDivergent, EventConfigurationStale, EventProvisionalStop, EventProvisionalSettled,
-	EventConfigurationRestored, EventEntryUnusable, EventZoneStop, EventTargetListed, EventHubListed, EventRegistrationFailed, EventRole, EventHubSilent,
+	EventConfigurationRestored, EventEntryUnusable, EventZoneStop, EventTargetListed, EventTargetsListed, EventHubListed, EventRegistrationFailed, EventRole, EventHubSilent,
 }
--- /dev/null
+++ b/messenger/bounded_test.go
@@ -0,0 +1,43 @@
+package messenger_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hemlocktally/messenger"
+)
+
+// What answers at an instance's address may be another program, or an instance out
+// of its mind: an answer without end is given up at a bound.
+func TestAnswerWithoutEndIsGivenUp(t *testing.T) {
+	c := qt.New(t)
+	var sent atomic.Int64
+	chunk := strings.Repeat("x", 64<<10)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "application/protobuf")
+		for r.Context().Err() == nil {
+			n, err := io.WriteString(w, chunk)
+			if err != nil {
+				return
+			}
+			sent.Add(int64(n))
+		}
+	}))
+	defer server.Close()
+	client := &http.Client{Transport: messenger.Bounded(&http.Transport{})}
+	defer client.CloseIdleConnections()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, err := messenger.NewPlacementProtobufClient(server.URL, client).Place(ctx, &messenger.PlaceRequest{})
+	c.Check(err, qt.ErrorMatches, "(?s).*request body too large.*")
+	c.Check(ctx.Err(), qt.IsNil, qt.Commentf("it did not take the deadline to end the call"))
+	c.Check(sent.Load() < 32<<20, qt.IsTrue, qt.Commentf("%d MiB", sent.Load()>>20))
+}
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"io"
 	"net/http"
 	"time"
 )
@@ -30,6 +31,47 @@
 	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: silence, PingTimeout: pingTimeout}
 }
 
+// mostAnswerBytes bounds the answer of another instance: its largest one holds the
+// whole configuration.
+const mostAnswerBytes = 8 << 20
+
+// Bounded returns a transport whose answers end with an error after so many bytes as
+// an instance may answer with: twirp reads an answer to its end.
+func Bounded(transport http.RoundTripper) http.RoundTripper { return bounded{transport} }
+
+type bounded struct{ http.RoundTripper }
+
+// RoundTrip makes one call.
+func (b bounded) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := b.RoundTripper.RoundTrip(request)
+	if err == nil {
+		response.Body = &boundedBody{ReadCloser: response.Body, left: mostAnswerBytes}
+	}
+	return response, err
+}
+
+// CloseIdleConnections closes the idle connections of the transport below.
+func (b bounded) CloseIdleConnections() {
+	if closer, ok := b.RoundTripper.(interface{ CloseIdleConnections() }); ok {
+		closer.CloseIdleConnections()
+	}
+}
+
+type boundedBody struct {
+	io.ReadCloser
+	left int64
+}
+
+// Read returns an *http.MaxBytesError where the answer goes on beyond the bound.
+func (b *boundedBody) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, &http.MaxBytesError{Limit: mostAnswerBytes}
+	}
+	n, err := b.ReadCloser.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	return n, err
+}
+
 // SetUpServer readies a server for calls of other instances.
 func SetUpServer(s *http.Server) {
 	s.Protocols = http2()
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -20,6 +20,7 @@
 	comfort      = 0.6                   // comfort is the part of the time left that a target in the caller's zone may take.
 	farPenalty   = 10 * time.Millisecond // farPenalty is added for a target in another zone.
 	newLink      = 25 * time.Millisecond // newLink is added where a new connection is needed: it takes time and a part of a slot.
+	newLinkPart  = 0.35                  // newLinkPart is the part of the time left that is added at least: time that is not needed is better spent than a connection.
 	nearlyFull   = 1.3                   // nearlyFull is how much longer work takes with the last slot taken, until that is known.
 	late         = 1.1                   // late is the multiple of the usual work below which no prompt answer is hoped for.
 	promptMargin = 1.4                   // promptMargin is the multiple of the usual work that has to be left for a prompt answer to be likely.
@@ -93,6 +94,8 @@
 	}
 	candidates, best, ok := s.choose(w, room, now)
 	switch {
+	case !ok && s.spills(w.msg, now):
+		return true, []any{s.spill(w.msg, now)}
 	case !ok && r.Kind == hemlocktally.AttemptHedge:
 		return w.refuse(notRun(hemlocktally.ReasonShed, "no target is free for a second attempt", 0))
 	case !ok:
@@ -101,6 +104,9 @@
 	if waits, asked := s.learnFirst(w, candidates, best, now); waits {
 		return false, asked
 	}
+	if left := r.Objective.Sub(now); !best.quick(left) && left > time.Duration(late*float64(usual)) && s.spills(w.msg, now) {
+		return true, []any{s.spill(w.msg, now)}
+	}
 	if r.Kind == hemlocktally.AttemptHedge {
 		if refused := s.refuseHedge(r, best, now); refused != nil {
 			return w.refuse(refused)
@@ -128,6 +134,9 @@
 	}
 	left := r.Objective.Sub(now)
 	hopeful := left > time.Duration(late*float64(s.usual(r.Contract)))
+	if hopeful && !best.quick(left) && s.spills(w.msg, now) {
+		return false, nil
+	}
 	if best.expected <= left || !hopeful || r.Kind == hemlocktally.AttemptHedge {
 		return false, nil
 	}
@@ -167,7 +176,7 @@
 }
 
 func (s *State) hasRoom(t *tally, now time.Time) bool {
-	if !t.open(now) || t.busy(now) >= t.target.SlotCount() {
+	if !s.share.leads(t.target.Zone) || !t.open(now) || t.busy(now) >= t.target.SlotCount() {
 		return false
 	}
 	return !t.cold(now) || (!s.Alone && t.coldRoom(s.coldRate(), s.Bounds.ColdShare, now))
@@ -255,6 +264,7 @@
 		last: c.t.busy(now)+1 >= c.t.target.SlotCount(),
 	}
 	c.t.usedAt = now
+	c.t.linkIsTaken(w.msg.From)
 	if r.Kind != hemlocktally.AttemptFirst {
 		s.spent.repeat(now)
 	}
@@ -294,7 +304,7 @@
 // again; zero where there is none.
 func (s *State) openTo(from hemlocktally.InstanceID, now time.Time) (slots int, away time.Duration) {
 	for _, t := range s.order {
-		if !t.open(now) || t.cold(now) {
+		if !s.share.leads(t.target.Zone) || !t.open(now) || t.cold(now) {
 			continue
 		}
 		left := t.awayFor(from, now)
--- a/placer/room.go
+++ b/placer/room.go
@@ -88,7 +88,7 @@
 		if !s.hasRoom(t, now) || t.awayFor(w.msg.From, now) > 0 || slices.Contains(w.msg.Request.Exclude, t.target.Name) {
 			continue
 		}
-		c := s.candidate(t, w, now)
+		c := s.candidate(t, w, left, now)
 		if c.quick(left) && (quick.t == nil || c.compare(quick) < 0) {
 			quick = c
 		}
@@ -116,8 +116,8 @@
 }
 
 // candidate is what speaks for and against a target for the waiter's call.
-func (s *State) candidate(t *tally, w *waiter, now time.Time) candidate {
-	c := candidate{t: t, near: t.target.Zone == w.msg.Zone, fresh: t.fresh(now)}
+func (s *State) candidate(t *tally, w *waiter, left time.Duration, now time.Time) candidate {
+	c := candidate{t: t, near: t.target.Zone == w.msg.Zone || s.share.split(), fresh: t.fresh(now)}
 	c.expected = s.expect(t, w.msg.Request.Contract, now)
 	c.doubted = time.Duration(float64(c.expected) / (1 - math.Min(worstFaulty, t.faulty)))
 	if t.suspect {
@@ -128,7 +128,10 @@
 		c.cost += farPenalty
 	}
 	if !t.linked(w.msg.From, now) {
-		c.cost += newLink
+		c.cost += max(newLink, time.Duration(newLinkPart*float64(left)))
+	}
+	if t.joined && t.usedAt.IsZero() && !t.suspect && !t.cold(now) && (!c.fresh || t.pace < calmPace) && c.quick(left) {
+		c.cost = 0 // Else a target that joins would wait until the known ones are busy.
 	}
 	return c
 }
--- a/placer/state.go
+++ b/placer/state.go
@@ -35,6 +35,7 @@
 	examined uint64 // examined counts the targets that choices looked at.
 	// instances is how many instances there seem to be.
 	instances int
+	share     OwnerShare
 }
 
 // waiter is a question in the queue.
@@ -106,13 +107,13 @@
 func (s *State) Waiting() int { return len(s.queue) }
 
 func (s *State) configure(msg TargetsMsg, now time.Time) {
-	s.service, s.revision, s.instances = msg.Service, msg.Revision, msg.Instances
+	s.service, s.revision, s.instances, s.share = msg.Service, msg.Revision, msg.Instances, msg.Share
 	present := make(map[hemlocktally.TargetName]bool, len(msg.Targets))
 	for _, r := range msg.Targets {
 		present[r.Target.Name] = true
 		t := s.targets[r.Target.Name]
 		if t == nil || t.target.Started != r.Target.Started || t.target.Address != r.Target.Address {
-			t = &tally{turns: map[hemlocktally.GrantID]turn{}, links: map[hemlocktally.InstanceID]time.Time{}}
+			t = &tally{turns: map[hemlocktally.GrantID]turn{}, links: map[hemlocktally.InstanceID]idleLinks{}, joined: len(s.order) > 0}
 			s.targets[r.Target.Name] = t
 		}
 		if r.ColdFor > 0 && t.registration.ColdFor != r.ColdFor {
@@ -149,11 +150,16 @@
 	}
 	switch {
 	case msg.Request.Kind == hemlocktally.AttemptFirst:
-		s.spent.call(now, s.Bounds.RetryWindow)
+		if !msg.Visitor && !msg.Spilled {
+			s.spent.call(now, s.Bounds.RetryWindow)
+		}
 	case !s.spent.room(now, s.ownBounds(), budgetShare(msg.Request.Kind)):
 		return []any{RefuseCmd{Ticket: msg.Ticket, Error: notRun(hemlocktally.ReasonRetryBudget, "the budget for sending once more is spent", 0)}}
 	}
 	if refused := s.admit(msg, now); refused != nil {
+		if s.spills(msg, now) {
+			return []any{s.spill(msg, now)}
+		}
 		return []any{RefuseCmd{Ticket: msg.Ticket, Error: refused}}
 	}
 	w := &waiter{msg: msg, arrived: now}
@@ -175,6 +181,7 @@
 // many.
 func (s *State) ownBounds() Bounds {
 	bounds := s.Bounds
+	bounds.RetrySlack /= float64(s.share.count())
 	if s.Alone {
 		bounds.RetrySlack /= float64(max(fewestAlone, s.instances))
 	}
@@ -207,7 +214,7 @@
 	}
 	t.ended(result, now)
 	if ok && result.Outcome == hemlocktally.AttemptDone {
-		t.links[held.from] = now
+		t.linkIsIdle(held.from, now)
 		if held.pace > 0 && !t.cold(now) {
 			s.learn(held, result.Latency.Seconds()/held.pace)
 		}
--- a/placer/state_test.go
+++ b/placer/state_test.go
@@ -179,6 +179,7 @@
 	refused := 0
 	for range 100 {
 		d.report("x", 1)
+		d.report("y", 1)
 		again := d.request()
 		again.Request.Kind = hemlocktally.AttemptRetry
 		commands := d.update(again)
@@ -355,6 +356,12 @@
 	d.report("x", 1)
 	d.report("y", 1.02)
 	first := grants(d.update(d.request()))[0]
+	other := d.request()
+	other.From = "other" // Its link to the second target is none of the first instance.
+	second := grants(d.update(other))
+	c.Assert(second, qt.HasLen, 1)
+	c.Assert(second[0].Target.Name, qt.Not(qt.Equals), first.Target.Name)
+	d.update(EndMsg{Result: hemlocktally.GrantResult{Grant: second[0], Outcome: hemlocktally.AttemptDone, Latency: 100 * time.Millisecond}})
 	for range 5 {
 		d.update(EndMsg{Result: hemlocktally.GrantResult{
 			Grant: first, Outcome: hemlocktally.AttemptDone, Latency: 100 * time.Millisecond, Load: &hemlocktally.Load{Pace: 1.02},
--- a/placer/tally.go
+++ b/placer/tally.go
@@ -39,11 +39,11 @@
 	failures  int     // failures counts failures to reach it in a row.
 	faulty    float64 // faulty is the moving share of its answers that were failures.
 	usedAt    time.Time
+	joined    bool // joined is set where the target came while others were known.
 	left      bool // left is set once it said itself that it leaves; that holds for its life, whatever a list says.
 	// away holds until when it wants nothing of an instance.
-	away map[hemlocktally.InstanceID]time.Time
-	// links holds when each instance last ended a call there: it has an idle link.
-	links map[hemlocktally.InstanceID]time.Time
+	away  map[hemlocktally.InstanceID]time.Time
+	links map[hemlocktally.InstanceID]idleLinks // links holds the idle links of instances.
 }
 
 const (
@@ -107,10 +107,34 @@
 	return len(t.coldSent) < int(math.Max(1, math.Floor(perSecond*share)))
 }
 
+// idleLinks are the links of one instance to a target that carry no call.
+type idleLinks struct {
+	count int
+	at    time.Time // at is when a call last ended on one of them.
+}
+
 // linked reports whether the instance should have an idle link to the target.
 func (t *tally) linked(instance hemlocktally.InstanceID, now time.Time) bool {
-	at, ok := t.links[instance]
-	return ok && now.Sub(at) < linkLasts
+	l := t.links[instance]
+	return l.count > 0 && now.Sub(l.at) < linkLasts
+}
+
+// linkIsTaken notes that a call of the instance uses a link, a new one where it has
+// none.
+func (t *tally) linkIsTaken(instance hemlocktally.InstanceID) {
+	if l := t.links[instance]; l.count > 0 {
+		l.count--
+		t.links[instance] = l
+	}
+}
+
+// linkIsIdle notes that a call of the instance has ended and left its link usable.
+func (t *tally) linkIsIdle(instance hemlocktally.InstanceID, now time.Time) {
+	l := t.links[instance]
+	if now.Sub(l.at) >= linkLasts {
+		l.count = 0 // What was idle for so long is closed.
+	}
+	t.links[instance] = idleLinks{count: l.count + 1, at: now}
 }
 
 // expectedPace is the pace by the last report, drawn to the mean as it ages.
