--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -6,10 +6,8 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"net"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -151,8 +149,7 @@
 
 // pictureChanged tells the owners what the follower saw.
 func (b *Balancer) pictureChanged(p *follower.Picture) {
-	view := b.follower.View()
-	instances := view.Instances
+	instances := b.follower.View().Instances
 	seen := toldPicture{version: p.Version, targets: p.TargetsVersion, instances: instances}
 	if seen == b.told {
 		return // Only the age of what is known has changed.
@@ -172,26 +169,7 @@
 		services[service.Name] = msg
 	}
 	b.alone.Configure(services)
-	zones, owned := zonesOf(p), maps.Clone(services)
-	for name, msg := range owned {
-		msg.Share = placer.Share(name, b.follower.Self.ID, zones, view)
-		owned[name] = msg
-	}
-	b.owner.Configure(owned)
-}
-
-// zonesOf lists the zones of the targets and the hubs.
-func zonesOf(p *follower.Picture) []hemlocktally.ZoneName {
-	zones := map[hemlocktally.ZoneName]bool{}
-	for zone := range p.Hubs {
-		zones[zone] = true
-	}
-	for _, targets := range p.Targets {
-		for _, t := range targets {
-			zones[t.Target.Zone] = true
-		}
-	}
-	return slices.Sorted(maps.Keys(zones))
+	b.owner.Configure(services)
 }
 
 // listeners are the sockets of an instance.
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -59,7 +59,6 @@
 	looks        looks
 	followers    followers
 	packed       packed
-	relayedSplit atomic.Pointer[[]hemlocktally.ServiceName] // relayedSplit is the services that the hub says are split.
 	// relayedTargets is the list of targets as a hub passes it on.
 	relayedTargets relayedTargets
 	hubClients     hubClients
@@ -86,7 +85,7 @@
 // View returns the hubs, among which services are dealt. It implements
 // hemlocktally.Viewer.
 func (f *Follower) View() hemlocktally.View {
-	view := hemlocktally.View{Instances: int(f.instances.Load()), Split: f.split()}
+	view := hemlocktally.View{Instances: int(f.instances.Load())}
 	own := f.isHub.Load() && !f.leaving.Load()
 	for zone, hub := range f.Picture().Hubs {
 		if hub.ID != f.Self.ID && (!own || zone != f.Self.Zone) {
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -84,7 +84,7 @@
 	age := f.storeAge()
 	out := &messenger.SyncResponse{
 		Look:    age > inTouch && f.mayLook(time.Now()),
-		Version: version, StoreAgeMicroseconds: age.Microseconds(), Followers: int64(count), SplitServices: f.Picture().splitNames(),
+		Version: version, StoreAgeMicroseconds: age.Microseconds(), Followers: int64(count),
 	}
 	if p == nil {
 		return out, nil
@@ -189,7 +189,6 @@
 		r.mark(&r.followed)
 	}
 	r.noteInstances(int(out.GetFollowers()) + 1)
-	r.noteSplit(out.GetSplitServices())
 	r.mayLookNow = r.mayLookNow || out.GetLook()
 	if len(out.GetEntriesGzip()) == 0 {
 		return touch, true
--- a/follower/state.go
+++ b/follower/state.go
@@ -37,8 +37,6 @@
 	Relayed []hemlocktally.Entry
 	// Version changes whenever Relayed does.
 	Version uint64
-	// Split lists the services that each zone's owner decides on for its zone.
-	Split []hemlocktally.ServiceName
 }
 
 // Messages to the state.
@@ -114,7 +112,6 @@
 	// listed is Targets of the last picture, as long as nothing of it changes.
 	listed         map[hemlocktally.ServiceName][]hemlocktally.Registration
 	targetsVersion uint64
-	split          []hemlocktally.ServiceName
 	feeds          map[hemlocktally.EntryKind]*feedState
 }
 
@@ -409,13 +406,9 @@
 	if s.listed == nil {
 		s.listed = s.listTargets()
 	}
-	if split := splitServices(s.listed, s.hubs); !slices.Equal(split, s.split) {
-		s.split = split
-		s.version++ // Followers have to know it at once.
-	}
 	p := &Picture{
 		Configuration: &config, Hubs: maps.Clone(s.hubs), TargetsAt: s.targetsAt, Version: s.version,
-		Targets: s.listed, TargetsVersion: s.targetsVersion, Split: s.split,
+		Targets: s.listed, TargetsVersion: s.targetsVersion,
 	}
 	for _, key := range slices.Sorted(maps.Keys(s.relayed)) {
 		p.Relayed = append(p.Relayed, s.relayed[key])
--- a/instance.go
+++ b/instance.go
@@ -43,9 +43,6 @@
 	// Instances is how many instances there are, where Members does not list all
 	// of them; zero means that it does.
 	Instances int
-	// Split holds the large services: the owner of a zone decides on the calls of
-	// its zone's instances.
-	Split map[ServiceName]bool
 }
 
 // Find returns the member with the given ID.
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -94,8 +94,6 @@
 	}
 	candidates, best, ok := s.choose(w, room, now)
 	switch {
-	case !ok && s.spills(w.msg, now):
-		return true, []any{s.spill(w.msg, now)}
 	case !ok && r.Kind == hemlocktally.AttemptHedge:
 		return w.refuse(notRun(hemlocktally.ReasonShed, "no target is free for a second attempt", 0))
 	case !ok:
@@ -104,9 +102,6 @@
 	if waits, asked := s.learnFirst(w, candidates, best, now); waits {
 		return false, asked
 	}
-	if left := r.Objective.Sub(now); !best.quick(left) && left > time.Duration(late*float64(usual)) && s.spills(w.msg, now) {
-		return true, []any{s.spill(w.msg, now)}
-	}
 	if r.Kind == hemlocktally.AttemptHedge {
 		if refused := s.refuseHedge(r, best, now); refused != nil {
 			return w.refuse(refused)
@@ -134,9 +129,6 @@
 	}
 	left := r.Objective.Sub(now)
 	hopeful := left > time.Duration(late*float64(s.usual(r.Contract)))
-	if hopeful && !best.quick(left) && s.spills(w.msg, now) {
-		return false, nil
-	}
 	if best.expected <= left || !hopeful || r.Kind == hemlocktally.AttemptHedge {
 		return false, nil
 	}
@@ -176,7 +168,7 @@
 }
 
 func (s *State) hasRoom(t *tally, now time.Time) bool {
-	if !s.share.leads(t.target.Zone) || !t.open(now) || t.busy(now) >= t.target.SlotCount() {
+	if !t.open(now) || t.busy(now) >= t.target.SlotCount() {
 		return false
 	}
 	return !t.cold(now) || (!s.Alone && t.coldRoom(s.coldRate(), s.Bounds.ColdShare, now))
@@ -304,7 +296,7 @@
 // again; zero where there is none.
 func (s *State) openTo(from hemlocktally.InstanceID, now time.Time) (slots int, away time.Duration) {
 	for _, t := range s.order {
-		if !s.share.leads(t.target.Zone) || !t.open(now) || t.cold(now) {
+		if !t.open(now) || t.cold(now) {
 			continue
 		}
 		left := t.awayFor(from, now)
--- a/placer/client.go
+++ b/placer/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -42,11 +41,10 @@
 	// alone may not have; it may be nil.
 	NeedTargets func()
 
-	shunner  shunner
-	visitors visitors
-	asked    atomic.Uint64
-	mu       sync.Mutex
-	peers    map[string]*peer // peers are keyed by address.
+	shunner shunner
+	asked   atomic.Uint64
+	mu      sync.Mutex
+	peers   map[string]*peer // peers are keyed by address.
 }
 
 // peer is one other instance.
@@ -67,7 +65,7 @@
 	ask := AskMsg{Ticket: c.nextTicket(), From: c.Self, Zone: c.Zone, Request: request}
 	started := time.Now()
 	for given := 0; ; {
-		answer := c.ask(ctx, &ask)
+		answer := c.ask(ctx, ask)
 		switch answer := answer.(type) {
 		case GrantCmd:
 			if c.giveBack(answer.Grant) {
@@ -115,87 +113,32 @@
 }
 
 // ask asks the owner in line, and decides alone where none answers.
-func (c *Client) ask(ctx context.Context, ask *AskMsg) any {
+func (c *Client) ask(ctx context.Context, ask AskMsg) any {
 	now := time.Now()
-	view := c.View.View()
-	split := view.Split[ask.Request.Service]
-	tried, empty := 0, false
-	owners := Owners(ask.Request.Service, c.Zone, view)
-	for i, owner := range owners {
-		if split {
-			ask.Zone = owner.Zone // Where its own zone has no owner, the asker belongs to the next one's.
-		}
-		if owner.ID != c.Self {
-			if tried >= ownersAsked && c.Alone.Able(ask.Request.Service) {
-				break // It can decide alone; asking on would only cost the caller time.
-			}
-			if c.avoided(c.peer(owner.PeerAddress), now) {
-				continue
+	tried := 0
+	for _, owner := range Ranked(ask.Request.Service, c.View.View().Serving()) {
+		if owner.ID == c.Self {
+			if c.Server.Able(ask.Request.Service) {
+				return c.Server.Ask(ctx, ask)
 			}
-			tried++
-		}
-		answer, ok := c.askOwner(ctx, owner, *ask)
-		if !ok {
-			continue
-		}
-		spilled, ok := answer.(SpillCmd)
-		switch {
-		case !ok:
-			return answer
-		case spilled.Empty:
-			empty = true
 			continue
 		}
-		return c.spill(ctx, ask, slices.Delete(slices.Clone(owners), i, i+1))
-	}
-	if empty {
-		return RefuseCmd{Ticket: ask.Ticket, Error: notRun(hemlocktally.ReasonNoTarget, "no target of the service may take calls", leastAdvice)}
-	}
-	ask.Zone = c.Zone
-	c.awaitTargets(ctx, ask.Request.Service)
-	return c.Alone.Ask(ctx, *ask)
-}
-
-// askOwner puts the question to one owner, which may be this instance. It reports
-// false where that one can't decide.
-func (c *Client) askOwner(ctx context.Context, owner hemlocktally.Instance, ask AskMsg) (any, bool) {
-	if owner.ID == c.Self {
-		if !c.Server.Able(ask.Request.Service) {
-			return nil, false
+		if tried >= ownersAsked && c.Alone.Able(ask.Request.Service) {
+			break // It can decide alone; asking on would only cost the caller time.
 		}
-		return c.Server.Ask(ctx, ask), true
-	}
-	answer, err := c.askPeer(ctx, c.peer(owner.PeerAddress), owner.ID, ask)
-	if err != nil && ctx.Err() == nil {
-		c.Log.Log(logger.EventOwnerSilent, logger.Fields{"Owner": owner.ID, "Cause": err.Error()})
-		return nil, false
-	}
-	return answer, true
-}
-
-// spill visits the owners of other zones. Where none has a quick target, the asker
-// goes back and waits at its own.
-func (c *Client) spill(ctx context.Context, ask *AskMsg, others []hemlocktally.Instance) any {
-	visit := *ask
-	visit.Visitor, visit.Ticket = true, c.nextTicket()
-	now := time.Now()
-	for i, first := 0, rand.IntN(max(1, len(others))); i < len(others); i++ {
-		owner := others[(first+i)%len(others)]
-		if c.visitors.full(ask.Request.Service, owner.ID, now) || (owner.ID != c.Self && c.avoided(c.peer(owner.PeerAddress), now)) {
+		p := c.peer(owner.PeerAddress)
+		if c.avoided(p, now) {
 			continue
 		}
-		visit.Zone = owner.Zone
-		answer, _ := c.askOwner(ctx, owner, visit)
-		if granted, ok := answer.(GrantCmd); ok {
-			return granted
-		}
-		if ctx.Err() != nil {
-			break
+		tried++
+		answer, err := c.askPeer(ctx, p, owner.ID, ask)
+		if err == nil || ctx.Err() != nil {
+			return answer
 		}
-		c.visitors.note(ask.Request.Service, owner.ID, time.Now())
+		c.Log.Log(logger.EventOwnerSilent, logger.Fields{"Owner": owner.ID, "Cause": err.Error()})
 	}
-	ask.Spilled = true
-	return HoldCmd{Ticket: ask.Ticket}
+	c.awaitTargets(ctx, ask.Request.Service)
+	return c.Alone.Ask(ctx, ask)
 }
 
 // awaitTargets waits a moment until the instance knows targets itself.
@@ -230,8 +173,6 @@
 		return RefuseCmd{Ticket: ask.Ticket, Error: notRun(
 			hemlocktally.Reason(out.GetRefused()), out.GetDetail(), microseconds(out.GetRetryAfterMicroseconds()),
 		)}, nil
-	case out.GetSpill():
-		return SpillCmd{Ticket: ask.Ticket, Empty: out.GetEmpty()}, nil
 	default:
 		return HoldCmd{Ticket: ask.Ticket}, nil
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -24,24 +24,6 @@
 	ProbesPerSecond float64
 }
 
-// OwnerShare is an owner's part of a service that each zone's owner decides on for
-// the calls of its zone. The zero value is that of the only owner. Owners that see
-// different members for a moment both hand out a zone's targets: the bounds of cold
-// ones leave room for two.
-type OwnerShare struct {
-	Owners int                            // Owners is how many there are; the slack of the retry budget is dealt among them.
-	Zones  map[hemlocktally.ZoneName]bool // Zones holds the zones whose targets this owner hands out, alone.
-}
-
-// split reports whether others decide on the service too.
-func (o OwnerShare) split() bool { return o.Owners > 0 }
-
-// leads reports whether the owner hands out the targets of a zone.
-func (o OwnerShare) leads(zone hemlocktally.ZoneName) bool { return !o.split() || o.Zones[zone] }
-
-// count is how many owners decide on the service.
-func (o OwnerShare) count() int { return max(1, o.Owners) }
-
 // Messages to the state.
 type (
 	// TargetsMsg holds all targets of the service.
@@ -53,8 +35,6 @@
 		// Instances is how many instances there seem to be: one that decides alone
 		// keeps to its part of the slack.
 		Instances int
-		// Share is the owner's part where several decide on the service.
-		Share OwnerShare
 	}
 	// AskMsg asks for a turn. The same ticket asks again until it is answered.
 	AskMsg struct {
@@ -63,11 +43,6 @@
 		Zone    hemlocktally.ZoneName
 		Request hemlocktally.GrantRequest
 		Hold    time.Time // Hold is when an answer is due, if only that there is none yet.
-		// Visitor is set where the asker belongs to another owner: it takes only what
-		// is free and quick now.
-		Visitor bool
-		// Spilled is set where the other owners had nothing: the asker waits here.
-		Spilled bool
 	}
 	// LeaveMsg withdraws a question.
 	LeaveMsg struct{ Ticket string }
@@ -96,12 +71,6 @@
 		Ticket string
 		Error  *hemlocktally.RefusedError
 	}
-	// SpillCmd answers a ticket that the other zones' owners are to be asked first;
-	// Empty is set where this owner has no target that may take calls.
-	SpillCmd struct {
-		Ticket string
-		Empty  bool
-	}
 	// HoldCmd answers a ticket that it has to ask again.
 	HoldCmd struct{ Ticket string }
 	// ProbeCmd asks for a target's load.
--- a/placer/rank.go
+++ b/placer/rank.go
@@ -24,46 +24,6 @@
 	return ranked
 }
 
-// RankedFor orders the members as owners of a large service for the calls of one
-// zone: a member of the zone itself comes first, and the zones of others are
-// dealt among the rest.
-func RankedFor(service hemlocktally.ServiceName, zone hemlocktally.ZoneName, members []hemlocktally.Instance) []hemlocktally.Instance {
-	ranked := Ranked(service+"@"+hemlocktally.ServiceName(zone), members)
-	slices.SortStableFunc(ranked, func(a, b hemlocktally.Instance) int {
-		switch {
-		case (a.Zone == zone) == (b.Zone == zone):
-			return 0
-		case a.Zone == zone:
-			return -1
-		default:
-			return 1
-		}
-	})
-	return ranked
-}
-
-// Owners orders the members as owners of the service for the calls of a zone.
-func Owners(service hemlocktally.ServiceName, zone hemlocktally.ZoneName, view hemlocktally.View) []hemlocktally.Instance {
-	if view.Split[service] {
-		return RankedFor(service, zone, view.Serving())
-	}
-	return Ranked(service, view.Serving())
-}
-
-// Share is a member's part of the decisions on one service.
-func Share(service hemlocktally.ServiceName, self hemlocktally.InstanceID, zones []hemlocktally.ZoneName, view hemlocktally.View) OwnerShare {
-	if !view.Split[service] {
-		return OwnerShare{}
-	}
-	share := OwnerShare{Owners: len(view.Serving()), Zones: map[hemlocktally.ZoneName]bool{}}
-	for _, zone := range zones {
-		if ranked := RankedFor(service, zone, view.Serving()); len(ranked) > 0 && ranked[0].ID == self {
-			share.Zones[zone] = true
-		}
-	}
-	return share
-}
-
 // score is higher for members of more weight, in proportion.
 func score(service hemlocktally.ServiceName, member hemlocktally.Instance) float64 {
 	const mantissa = 53
--- a/placer/room.go
+++ b/placer/room.go
@@ -117,7 +117,7 @@
 
 // candidate is what speaks for and against a target for the waiter's call.
 func (s *State) candidate(t *tally, w *waiter, left time.Duration, now time.Time) candidate {
-	c := candidate{t: t, near: t.target.Zone == w.msg.Zone || s.share.split(), fresh: t.fresh(now)}
+	c := candidate{t: t, near: t.target.Zone == w.msg.Zone, fresh: t.fresh(now)}
 	c.expected = s.expect(t, w.msg.Request.Contract, now)
 	c.doubted = time.Duration(float64(c.expected) / (1 - math.Min(worstFaulty, t.faulty)))
 	if t.suspect {
--- a/placer/server.go
+++ b/placer/server.go
@@ -253,8 +253,6 @@
 			t.answer(command.Ticket, command)
 		case HoldCmd:
 			t.answer(command.Ticket, command)
-		case SpillCmd:
-			t.answer(command.Ticket, command)
 		case ProbeCmd:
 			go t.probe(ctx, command)
 		}
--- a/placer/state.go
+++ b/placer/state.go
@@ -35,7 +35,6 @@
 	examined uint64 // examined counts the targets that choices looked at.
 	// instances is how many instances there seem to be.
 	instances int
-	share     OwnerShare
 }
 
 // waiter is a question in the queue.
@@ -107,7 +106,7 @@
 func (s *State) Waiting() int { return len(s.queue) }
 
 func (s *State) configure(msg TargetsMsg, now time.Time) {
-	s.service, s.revision, s.instances, s.share = msg.Service, msg.Revision, msg.Instances, msg.Share
+	s.service, s.revision, s.instances = msg.Service, msg.Revision, msg.Instances
 	present := make(map[hemlocktally.TargetName]bool, len(msg.Targets))
 	for _, r := range msg.Targets {
 		present[r.Target.Name] = true
@@ -150,16 +149,11 @@
 	}
 	switch {
 	case msg.Request.Kind == hemlocktally.AttemptFirst:
-		if !msg.Visitor && !msg.Spilled {
-			s.spent.call(now, s.Bounds.RetryWindow)
-		}
+		s.spent.call(now, s.Bounds.RetryWindow)
 	case !s.spent.room(now, s.ownBounds(), budgetShare(msg.Request.Kind)):
 		return []any{RefuseCmd{Ticket: msg.Ticket, Error: notRun(hemlocktally.ReasonRetryBudget, "the budget for sending once more is spent", 0)}}
 	}
 	if refused := s.admit(msg, now); refused != nil {
-		if s.spills(msg, now) {
-			return []any{s.spill(msg, now)}
-		}
 		return []any{RefuseCmd{Ticket: msg.Ticket, Error: refused}}
 	}
 	w := &waiter{msg: msg, arrived: now}
@@ -181,7 +175,6 @@
 // many.
 func (s *State) ownBounds() Bounds {
 	bounds := s.Bounds
-	bounds.RetrySlack /= float64(s.share.count())
 	if s.Alone {
 		bounds.RetrySlack /= float64(max(fewestAlone, s.instances))
 	}
