Follower: a list of targets is there at once while hubs leave

TestPlannedStopsCutNoCall failed in 3 of 10 runs beside other work: an instance whose hubs had just left refused calls, "the list of targets is too old to choose by". Cause: it asked the hubs twice, a pause apart, before it read the store, and took a resting hub's old list for a new one; the wait of a call (150 ms) was over by then. Now: where all hubs give their places up, the store is read at once; an old list is asked for anew after 0.1 s and other hubs are tried; a call that is decided alone waits 0.3 s.

Test: TestListIsThereSoonWhileHubsLeave (a new list in 200 ms, with none, one or all hubs leaving).

--- a/follower/targets.go
+++ b/follower/targets.go
@@ -15,7 +15,8 @@
 	relayFresh   = 1200 * time.Millisecond // relayFresh is how old a list may be that a hub passes on without reading it anew.
 	relayWait    = 250 * time.Millisecond  // relayWait is how long a hub waits for a newer list.
 	relayTimeout = relayWait + 150*time.Millisecond
-	relayMisses  = 2 // relayMisses is how many rounds without an answer of a hub let the instance read the store itself.
+	relayOld     = 1400 * time.Millisecond // relayOld is how old a list may be that ends the search for a newer one.
+	relayMisses  = 2                       // relayMisses is how many rounds without a new list let the instance read the store itself.
 )
 
 // followTargets looks at the targets often while this instance places work. A hub
@@ -30,8 +31,8 @@
 		case !needed && (!hub || !rested):
 			t.known, t.missed = 0, 0
 			sleepUntil(ctx, gateInterval, f.wakeFeeds.wait())
-		case !hub && !f.readsItself() && t.ask(ctx):
-			sleep(ctx, spread(relayPace))
+		case !hub && !f.readsItself() && t.missed < relayMisses && t.ask(ctx):
+			sleep(ctx, spread(t.untilNext()))
 		case !hub && !f.readsItself() && t.missed < relayMisses && len(f.hubs()) > 0:
 			sleep(ctx, spread(firstBackoff))
 		default:
@@ -40,6 +41,14 @@
 	}
 }
 
+// untilNext is how long a list that was passed on will do.
+func (t *targetFeed) untilNext() time.Duration {
+	if at, readable := t.TargetsKnown(); readable && time.Since(at) > relayOld {
+		return firstBackoff
+	}
+	return relayPace
+}
+
 // targetFeed is the task that follows the targets.
 type targetFeed struct {
 	*Follower
@@ -69,7 +78,7 @@
 	}
 	t.answered()
 	t.unreadable.Store(false)
-	t.pause, t.known = 0, revision
+	t.pause, t.missed, t.known = 0, 0, revision
 	send(ctx, t.inbox, msg)
 	switch {
 	case needed && t.isHub.Load():
@@ -83,10 +92,11 @@
 // old one is better than none. It reports whether a list was passed on.
 func (t *targetFeed) ask(ctx context.Context) bool {
 	var best *messenger.TargetsResponse
-	asked := time.Now()
+	asked, silent := time.Now(), false
 	for _, hub := range t.hubs() {
 		out, err := t.askHub(ctx, hub)
 		if err != nil {
+			silent = true
 			if ctx.Err() == nil {
 				t.Log.Log(logger.EventHubSilent, logger.Fields{"Hub": hub.ID, "Cause": err.Error()})
 			}
@@ -98,12 +108,15 @@
 		if best == nil || out.GetAgeMicroseconds() < best.GetAgeMicroseconds() {
 			best = out
 		}
-		if !out.GetUnreadable() {
+		if !out.GetUnreadable() && microseconds(out.GetAgeMicroseconds()) <= relayOld {
 			break
 		}
 	}
 	if best == nil {
 		t.missed++
+		if !silent {
+			t.missed = relayMisses // All hubs are giving their places up: nobody else will have a list.
+		}
 		return false
 	}
 	t.missed, t.known = 0, 0
--- a/follower/targets_test.go
+++ b/follower/targets_test.go
@@ -168,6 +168,30 @@
 	})
 }
 
+// The zone's hub leaves while an instance that never placed work begins to: it has a
+// new list at once, from another hub or from the store itself.
+func TestListIsThereSoonWhileHubsLeave(t *testing.T) {
+	for leaving := range 3 {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			f := startFollowers(c, 1)
+			time.Sleep(12 * time.Second) // The hubs rest by now: nobody has needed the targets.
+			for _, hub := range f.hubs[:leaving] {
+				hub.Leave()
+			}
+			f.followers[0].NeedTargets()
+			begun := time.Now()
+			for end := begun.Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+				if at, _ := f.followers[0].TargetsKnown(); time.Since(at) < 1400*time.Millisecond {
+					break
+				}
+			}
+			c.Check(time.Since(begun) <= 200*time.Millisecond, qt.IsTrue, qt.Commentf("%s with %d hubs leaving", time.Since(begun), leaving))
+			f.stop()
+		})
+	}
+}
+
 // An outage of the store: the calls of a fleet stay level from 16 to 300 followers.
 func TestCallsInAnOutageDontGrowWithTheFleet(t *testing.T) {
 	var calls []int64
--- a/placer/server.go
+++ b/placer/server.go
@@ -51,7 +51,7 @@
 	// listOldest is how old the list may be at all while it can be read.
 	listOldest = 2 * time.Second
 	listWait   = 30 * time.Millisecond  // listWait is how long a question waits for a newer list: less than an asker waits for its answer.
-	aloneList  = 150 * time.Millisecond // aloneList is how long one that is decided alone waits.
+	aloneList  = 300 * time.Millisecond // aloneList is how long one that is decided alone waits: a hub may have to read the list first.
 	listPause  = 2 * time.Second        // listPause is how long no question waits after one has waited in vain, as with a slow store.
 	listLook   = 2 * time.Millisecond
 )
