Follower: a list is not too old to choose by while the store is silent

Now a look waits 0.7 s, its start counts as the age of the list while it waits, and one that is overdue by 0.25 s says that the list can't be read: then the old one has to do.

--- a/follower/feed.go
+++ b/follower/feed.go
@@ -21,13 +21,14 @@
 	targetPace   = 700 * time.Millisecond // targetPace is the time between two looks at the targets while they are needed.
 	// targetWait is how long a look at the targets waits for a change. While it
 	// waits, the list is as new as the start of the look.
-	targetWait   = 1100 * time.Millisecond
-	alonePace    = time.Second            // alonePace is that time for an instance that is no hub and decides alone.
-	restingPace  = 8 * time.Second        // restingPace is how often a hub reads the targets that nobody needs.
-	callTimeout  = 800 * time.Millisecond // callTimeout bounds a call that does not wait.
-	firstBackoff = 100 * time.Millisecond
-	longestBoff  = 1100 * time.Millisecond // longestBoff is the longest pause after failures, its random part left aside.
-	spreadBoff   = 0.3                     // spreadBoff is the part of a pause that is random.
+	targetWait    = 700 * time.Millisecond
+	targetOverdue = targetWait + 250*time.Millisecond // targetOverdue is when a look that has no answer shows that the list can't be read.
+	alonePace     = time.Second                       // alonePace is that time for an instance that is no hub and decides alone.
+	restingPace   = 8 * time.Second                   // restingPace is how often a hub reads the targets that nobody needs.
+	callTimeout   = 800 * time.Millisecond            // callTimeout bounds a call that does not wait.
+	firstBackoff  = 100 * time.Millisecond
+	longestBoff   = 1100 * time.Millisecond // longestBoff is the longest pause after failures, its random part left aside.
+	spreadBoff    = 0.3                     // spreadBoff is the part of a pause that is random.
 )
 
 // feed is one prefix that is followed.
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -144,10 +144,23 @@
 	}
 }
 
-// TargetsKnown returns when the targets were last read, and whether they can be
-// read now.
+// TargetsKnown returns as of when the targets are known, and whether they can be
+// read now. A look that waits for changes would have returned with those made
+// before it began; one that is overdue shows that the store does not answer.
 func (f *Follower) TargetsKnown() (at time.Time, readable bool) {
-	return f.Picture().TargetsAt, !f.unreadable.Load()
+	at, readable = f.Picture().TargetsAt, !f.unreadable.Load()
+	if began := f.watching.Load(); began > 0 {
+		at = later(at, f.base.Add(time.Duration(began)))
+		readable = readable && f.since(&f.watching) <= targetOverdue
+	}
+	return at, readable
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // Ages are the times since this instance last heard of the fleet.
--- a/follower/targets_test.go
+++ b/follower/targets_test.go
@@ -192,6 +192,34 @@
 	}
 }
 
+// The store falls silent: no instance takes its list for one that could be read
+// anew and is too old to choose by. Calls would be refused, though the old list has
+// to do.
+func TestListIsNotTooOldWhenTheStoreFallsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := startFollowers(c, 4)
+		time.Sleep(2 * time.Second)
+		for _, one := range append(f.hubs, f.followers...) {
+			one.NeedTargets()
+		}
+		time.Sleep(2 * time.Second)
+		time.AfterFunc(time.Second, func() { f.store.cut.Store(true) })
+		oldest := time.Duration(0)
+		for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			for _, one := range append(f.hubs, f.followers...) {
+				one.NeedTargets()
+				if at, readable := one.TargetsKnown(); readable {
+					oldest = max(oldest, time.Since(at))
+				}
+			}
+		}
+		c.Check(oldest < 1700*time.Millisecond, qt.IsTrue, qt.Commentf("%s", oldest))
+		time.Sleep(2 * time.Second)
+		f.stop()
+	})
+}
+
 // An outage of the store: the calls of a fleet stay level from 16 to 300 followers.
 func TestCallsInAnOutageDontGrowWithTheFleet(t *testing.T) {
 	var calls []int64
