--- /dev/null
+++ b/follower/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package follower_test
+
+const raceDetector = false
--- a/placer/client_test.go
+++ b/placer/client_test.go
@@ -138,3 +138,41 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(grant.Owner, qt.Equals, hemlocktally.InstanceID("good"))
 }
+
+// An instance stops while its follower still tells its owners of changes, and calls
+// still give turns back: nobody waits for a task that has ended.
+func TestNobodyWaitsForAnEndedOwner(t *testing.T) {
+	c := qt.New(t)
+	server := &placer.Server{Self: "o", Loads: calm{}, Bounds: placer.Bounds{RetryWindow: time.Second}}
+	ctx, cancel := context.WithCancel(context.Background())
+	ran := make(chan error, 1)
+	go func() { ran <- server.Run(ctx) }()
+	services := map[hemlocktally.ServiceName]placer.TargetsMsg{"s": {
+		Service: hemlocktally.Service{Name: "s"},
+		Targets: []hemlocktally.Registration{{Service: "s", Target: hemlocktally.Target{Name: "x", Address: "127.0.0.1:1", Zone: "a", Slots: 2}}},
+	}}
+	server.Configure(services)
+	for !server.Able("s") {
+		time.Sleep(time.Millisecond)
+	}
+	ask := placer.AskMsg{Ticket: "1", From: "i", Zone: "a", Request: hemlocktally.GrantRequest{
+		Service: "s", Contract: "c", Deadline: time.Now().Add(time.Second), Objective: time.Now().Add(time.Second),
+	}}
+	granted, ok := server.Ask(ctx, ask).(placer.GrantCmd)
+	c.Assert(ok, qt.IsTrue)
+	cancel()
+	c.Assert(<-ran, qt.IsNil)
+	told := make(chan struct{})
+	go func() {
+		defer close(told)
+		for range 1000 {
+			server.Configure(services)
+			server.End(hemlocktally.GrantResult{Grant: granted.Grant})
+		}
+	}()
+	select {
+	case <-told:
+	case <-time.After(5 * time.Second):
+		c.Fatal("a message to an ended owner is never taken")
+	}
+}
--- a/placer/server.go
+++ b/placer/server.go
@@ -61,6 +61,7 @@
 	server  *Server
 	state   State
 	inbox   chan any
+	ended   chan struct{} // ended is closed when nobody reads the inbox any more.
 	waiting map[string]chan any // waiting holds where to answer each ticket.
 }
 
@@ -120,7 +121,7 @@
 		return t
 	}
 	t := &serviceTask{
-		server: s, inbox: make(chan any, serviceInbox), waiting: map[string]chan any{},
+		server: s, inbox: make(chan any, serviceInbox), ended: make(chan struct{}), waiting: map[string]chan any{},
 		state: State{Owner: s.Self, Epoch: s.Epoch, Alone: s.Alone, Bounds: s.Bounds},
 	}
 	if s.services == nil {
@@ -132,8 +133,14 @@
 	return t
 }
 
-// tell hands a message to the task; it waits where the task is behind.
-func (t *serviceTask) tell(msg any) { t.inbox <- msg }
+// tell hands a message to the task; it waits where the task is behind, and drops
+// what comes after its end.
+func (t *serviceTask) tell(msg any) {
+	select {
+	case t.inbox <- msg:
+	case <-t.ended:
+	}
+}
 
 // Ask puts the question and returns a GrantCmd, a RefuseCmd or a HoldCmd.
 func (s *Server) Ask(ctx context.Context, msg AskMsg) any {
@@ -217,6 +224,7 @@
 
 // run owns the state until the context ends.
 func (t *serviceTask) run(ctx context.Context) {
+	defer close(t.ended)
 	timer := time.NewTimer(idleTick)
 	defer timer.Stop()
 	for {
