--- a/placer/server.go
+++ b/placer/server.go
@@ -61,7 +61,7 @@
 	server  *Server
 	state   State
 	inbox   chan any
-	ended   chan struct{} // ended is closed when nobody reads the inbox any more.
+	ended   chan struct{}       // ended is closed when nobody reads the inbox any more.
 	waiting map[string]chan any // waiting holds where to answer each ticket.
 }
 
