A request read ahead whose caller has gone never looks answered

Cause: the handler of a request that was read ahead gives up when the caller goes; where it returned only after the turn of its answer had come, that was not noticed, and net/http made an empty answer of it. Now an answer that was not begun by a handler whose caller has gone ends the connection. The test lets a handler return 50 ms late: failed twice in two runs before, 90 runs green under the race detector after.

--- a/acceptor/ahead.go
+++ b/acceptor/ahead.go
@@ -20,6 +20,7 @@
 	done    chan struct{}       // done is closed when the handler has returned.
 	failure any                 // failure is what the handler panicked with.
 	lost    atomic.Bool         // lost is set where the connection ended before the turn.
+	begun   atomic.Bool         // begun is set once the handler has begun its answer.
 }
 
 // serveAhead starts to serve a request of the connection.
@@ -36,8 +37,8 @@
 		defer cancel()
 		defer func() {
 			call.failure = recover()
-			if ctx.Err() != nil {
-				call.AwaitTurn() // It notes whether the caller had gone before the turn.
+			if ctx.Err() != nil && !call.begun.Load() {
+				call.lost.Store(true) // It has given up, and net/http would take that for an empty answer.
 			}
 		}()
 		c.pipeline.Handler.ServeHTTP(call, request)
@@ -94,6 +95,7 @@
 // WriteHeader writes the head of the answer.
 func (a *aheadCall) WriteHeader(status int) {
 	if a.AwaitTurn() {
+		a.begun.Store(true)
 		a.writer.WriteHeader(status)
 	}
 }
@@ -103,6 +105,7 @@
 	if !a.AwaitTurn() {
 		return 0, net.ErrClosed
 	}
+	a.begun.Store(true)
 	return a.writer.Write(part)
 }
 
--- a/acceptor/pipeline_test.go
+++ b/acceptor/pipeline_test.go
@@ -93,6 +93,9 @@
 		case <-e.gate(r.URL.Path):
 		case <-r.Context().Done():
 			e.left.Add(1)
+			if strings.Contains(r.URL.Path, "late") {
+				time.Sleep(50 * time.Millisecond) // The answer's turn has come by then.
+			}
 			return
 		}
 	}
@@ -475,8 +478,8 @@
 	c := qt.New(t)
 	e := startEntry(t, nil)
 	caller := e.dial(t)
-	caller.send(get("/held/1") + get("/held/2") + get("/held/3"))
-	e.awaitBegun(t, "/held/1", "/held/2", "/held/3")
+	caller.send(get("/held/1") + get("/held/late/2") + get("/held/3"))
+	e.awaitBegun(t, "/held/1", "/held/late/2", "/held/3")
 	tcp, ok := caller.conn.(*net.TCPConn)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(tcp.CloseWrite(), qt.IsNil)
