--- a/placer/client_test.go
+++ b/placer/client_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -139,6 +140,41 @@
 	c.Check(grant.Owner, qt.Equals, hemlocktally.InstanceID("good"))
 }
 
+// deaf is a target's load prober that never gets an answer.
+type deaf struct{}
+
+func (deaf) Load(context.Context, hemlocktally.Target, string) (hemlocktally.AnswerHeader, error) {
+	return hemlocktally.AnswerHeader{}, errors.New("no answer")
+}
+
+// Questions about load fail while the list of targets changes: the race detector
+// finds nothing that two tasks share.
+func TestFailedProbesShareNothingWithTheOwner(t *testing.T) {
+	c := qt.New(t)
+	server := &placer.Server{Self: "o", Loads: deaf{}, Bounds: placer.Bounds{RetryWindow: time.Second}}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = server.Run(ctx) }()
+	configure := func(revision hemlocktally.Revision) {
+		server.Configure(map[hemlocktally.ServiceName]placer.TargetsMsg{"s": {
+			Service: hemlocktally.Service{Name: "s", ProbePath: "/"}, Revision: revision,
+			Targets: []hemlocktally.Registration{{Service: "s", Target: hemlocktally.Target{Name: "x", Address: "127.0.0.1:1", Zone: "a", Slots: 2}}},
+		}})
+	}
+	configure(1)
+	for !server.Able("s") {
+		time.Sleep(time.Millisecond)
+	}
+	for n := range 40 {
+		ask := placer.AskMsg{Ticket: strconv.Itoa(n), From: "i", Zone: "a", Request: hemlocktally.GrantRequest{
+			Service: "s", Contract: "c", Deadline: time.Now().Add(time.Second), Objective: time.Now().Add(time.Second),
+		}}
+		go configure(hemlocktally.Revision(n + 2))
+		c.Check(server.Ask(ctx, ask), qt.IsNotNil)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // An instance stops while its follower still tells its owners of changes, and calls
 // still give turns back: nobody waits for a task that has ended.
 func TestNobodyWaitsForAnEndedOwner(t *testing.T) {
--- a/placer/server.go
+++ b/placer/server.go
@@ -262,7 +262,7 @@
 		case HoldCmd:
 			t.answer(command.Ticket, command)
 		case ProbeCmd:
-			go t.probe(ctx, command)
+			go t.probe(ctx, t.state.service.Name, command)
 		}
 	}
 	if left, ok := msg.(LeaveMsg); ok {
@@ -281,13 +281,13 @@
 	}
 }
 
-func (t *serviceTask) probe(ctx context.Context, command ProbeCmd) {
+func (t *serviceTask) probe(ctx context.Context, service hemlocktally.ServiceName, command ProbeCmd) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	answer, err := t.server.Loads.Load(ctx, command.Target, command.Path)
 	if err != nil {
 		t.server.Log.Log(logger.EventTargetSilent, logger.Fields{
-			"Service": t.state.service.Name, "Target": command.Target.Name, "Cause": err.Error(),
+			"Service": service, "Target": command.Target.Name, "Cause": err.Error(),
 		})
 	}
 	t.tell(LoadMsg{Target: command.Target.Name, Answer: answer, Failed: err != nil})
