Names: Pipeline.SetUp, room.exists

Read as a newcomer: Serve did not serve but readied a server, as messenger's SetUpServer does; a method named any hid the type of that name. Behaviour stays.

--- a/acceptor/pipeline.go
+++ b/acceptor/pipeline.go
@@ -45,8 +45,8 @@
 
 type connKey struct{}
 
-// Serve makes the server answer by the pipeline.
-func (p *Pipeline) Serve(server *http.Server) {
+// SetUp makes the server answer by the pipeline.
+func (p *Pipeline) SetUp(server *http.Server) {
 	server.Handler = p
 	server.DisableGeneralOptionsHandler = true // Each request has to reach the pipeline.
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
--- a/acceptor/pipeline_test.go
+++ b/acceptor/pipeline_test.go
@@ -46,7 +46,7 @@
 		change(&e.pipeline)
 	}
 	e.server = &http.Server{ReadHeaderTimeout: 5 * time.Second}
-	e.pipeline.Serve(e.server)
+	e.pipeline.SetUp(e.server)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	e.address = listener.Addr().String()
--- a/balancer/stop.go
+++ b/balancer/stop.go
@@ -18,7 +18,7 @@
 	server := &http.Server{
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTime, MaxHeaderBytes: maxHeaderBytes,
 	}
-	b.callers.Serve(server)
+	b.callers.SetUp(server)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(b.callers.Listener(listener)) }()
 	select {
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -53,7 +53,7 @@
 	var commands []any
 	room := &room{state: s, now: now}
 	ordered := slices.Clone(s.queue)
-	if len(ordered) > 1 && room.any() {
+	if len(ordered) > 1 && room.exists() {
 		slices.SortStableFunc(ordered, func(a, b *waiter) int { return cmp.Compare(s.lateness(a, now), s.lateness(b, now)) })
 	}
 	for _, w := range ordered {
--- a/placer/room.go
+++ b/placer/room.go
@@ -59,8 +59,8 @@
 	return list
 }
 
-// any reports whether a target has room.
-func (r *room) any() bool {
+// exists reports whether any target has room.
+func (r *room) exists() bool {
 	return slices.ContainsFunc(r.state.order, func(t *tally) bool { return r.state.hasRoom(t, r.now) })
 }
 
