--- a/follower/cut_test.go
+++ b/follower/cut_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,3 +56,50 @@
 		}
 	})
 }
+
+// All hubs are cut off; the store answers one of the others and turns the rest away,
+// at the full price of a call. Those ask rarely, and their hub not without a pause.
+func TestRefusedInstancesAskRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		hub := follower.Hub{ID: "a1", Zone: "a", PeerAddress: "a1"}
+		peers := network{}
+		ctx, cancel := context.WithCancel(context.Background())
+		cut, served, refused := storeWithHubs(c, hub), storeWithHubs(c, hub), storeWithHubs(c, hub)
+		first := instance("a1", "a", slowDirectory{cut, usual}, peers)
+		relay := &countedRelay{Relay: first}
+		peers["a1"] = messenger.NewRelayServer(relay)
+		counted := countedDirectory{slowDirectory{refused, usual}, &atomic.Int64{}, &atomic.Int64{}}
+		all := []*follower.Follower{first, instance("a2", "a", slowDirectory{served, usual}, peers)}
+		const turnedAway = 10
+		for n := range turnedAway {
+			all = append(all, instance(hemlocktally.InstanceID(fmt.Sprint("r", n)), "a", counted, peers))
+		}
+		done := make(chan error, len(all))
+		for _, one := range all {
+			go func() { done <- one.Run(ctx) }()
+		}
+		time.Sleep(3 * time.Second)
+		cut.cut.Store(true)
+		refused.fail("hemlocktally/hubs/", true)
+		calls, asked := counted.others.Load(), relay.asked.Load()
+		time.Sleep(5 * time.Second)
+		c.Check(counted.others.Load()-calls <= 6*turnedAway, qt.IsTrue, qt.Commentf("%d calls", counted.others.Load()-calls))
+		c.Check(relay.asked.Load()-asked <= 20*5*(turnedAway+1), qt.IsTrue, qt.Commentf("%d questions", relay.asked.Load()-asked))
+		cancel()
+		for range all {
+			c.Check(<-done, qt.IsNil)
+		}
+	})
+}
+
+// countedRelay counts the questions of followers.
+type countedRelay struct {
+	messenger.Relay
+	asked atomic.Int64
+}
+
+func (r *countedRelay) Sync(ctx context.Context, in *messenger.SyncRequest) (*messenger.SyncResponse, error) {
+	r.asked.Add(1)
+	return r.Relay.Sync(ctx, in)
+}
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -38,13 +38,15 @@
 	if in.GetStoreAnswers() && f.outOfTouch() {
 		f.othersAreServed()
 	}
-	for {
+	for woken := false; ; woken = true {
 		changed := f.published.wait()
 		p := f.Picture()
 		if version := f.versionOf(p); version != in.GetVersion() && p.Version > 0 {
 			return f.answerSync(p, version, count)
 		}
-		if !in.GetStoreAnswers() && f.outOfTouch() && f.since(&f.othersServed) < lookEvery {
+		// Only one that waits is told at once: answered on arrival, it would ask again
+		// without a pause.
+		if woken && !in.GetStoreAnswers() && f.outOfTouch() && f.since(&f.othersServed) < lookEvery {
 			return f.answerSync(nil, in.GetVersion(), count)
 		}
 		select {
--- a/follower/role.go
+++ b/follower/role.go
@@ -357,7 +357,6 @@
 	switch {
 	case !r.lostHubs():
 	case r.mayLookNow && r.since(&r.served) > servedLasts/2:
-		r.lookPause = 0 // The hubs see to it that looks are rare.
 		r.lookCheaply(ctx)
 	case !heard:
 		r.lookCheaply(ctx)
