--- a/follower/relay.go
+++ b/follower/relay.go
@@ -33,7 +33,7 @@
 	}
 	count := f.followers.note(in.GetInstance(), time.Now())
 	f.noteInstances(count + 1)
-	hold := time.NewTimer(f.holdFor(time.Duration(in.GetHoldMicroseconds()) * time.Microsecond))
+	hold := time.NewTimer(f.holdFor(microseconds(in.GetHoldMicroseconds())))
 	defer hold.Stop()
 	if in.GetStoreAnswers() && f.outOfTouch() {
 		f.othersAreServed()
@@ -186,7 +186,7 @@
 		}
 		return false, false
 	}
-	touch = time.Duration(out.GetStoreAgeMicroseconds())*time.Microsecond <= inTouch
+	touch = microseconds(out.GetStoreAgeMicroseconds()) <= inTouch
 	if touch {
 		r.mark(&r.followed)
 	}
--- a/follower/role.go
+++ b/follower/role.go
@@ -356,9 +356,7 @@
 	r.disowned.Store(heard)
 	switch {
 	case !r.lostHubs():
-	case r.mayLookNow && r.since(&r.served) > servedLasts/2:
-		r.lookCheaply(ctx)
-	case !heard:
+	case !heard, r.mayLookNow && r.since(&r.served) > servedLasts/2:
 		r.lookCheaply(ctx)
 	}
 	return heard
