Follower: strong instances claim a hub's place before weak ones

A zone there has two instances with 0.8 of a core on 200 Mbit/s and up to 48 with 0.16 on 10 Mbit/s; the delays were 80 to 680 ms and 336 to 936 ms, so that one of the 48 often overtook both. A hub on 10 Mbit/s passes a large configuration and the list of targets on to 45 followers: questions time out, owners and hubs look silent, and all ask again elsewhere.

Now the part by strength is 600 ms, the random one 350 ms: 120 to 470 ms and 504 to 854 ms.

--- a/follower/role.go
+++ b/follower/role.go
@@ -39,8 +39,8 @@
 	longestLook   = 2 * time.Second         // longestLook is the longest time between two cheap questions to the store while no hub is in touch.
 	servedLasts   = 3 * time.Second         // servedLasts is how long its answer lets the instance read the store itself.
 	seekPause     = 150 * time.Millisecond
-	claimDelay    = 400 * time.Millisecond // claimDelay holds instances with little of a core back, so that strong ones become hubs.
-	claimSpread   = 600 * time.Millisecond // claimSpread is the random part of that, the same for all: a zone may have dozens of strong ones.
+	claimDelay    = 600 * time.Millisecond // claimDelay holds instances with little of a core back, so that strong ones become hubs.
+	claimSpread   = 350 * time.Millisecond // claimSpread is the random part, the same for all: a zone may have dozens of strong ones.
 )
 
 func newRole() *fsm.FSM {
@@ -161,7 +161,7 @@
 		return
 	}
 	if r.claimAt.IsZero() {
-		delay := time.Duration((1-min(1, r.Self.Weight))*float64(claimDelay)) + time.Duration(rand.Float64()*float64(claimSpread))
+		delay := standDelay(r.Self.Weight, rand.Float64())
 		if mine {
 			delay = 0 // It is the place of this instance's earlier life.
 		}
@@ -187,6 +187,14 @@
 	}
 }
 
+// standDelay is how long an instance waits before it claims a free place. The
+// random part, from 0 to 1, never lets one with a fifth of a core overtake one with
+// most of a core: a zone may have two strong instances and fifty weak ones, and a
+// hub on a weak link holds all its followers up.
+func standDelay(weight, random float64) time.Duration {
+	return time.Duration((1-min(1, weight))*float64(claimDelay) + random*float64(claimSpread))
+}
+
 // takenMeanwhile reads the list of hubs anew, at a tenth of the price: that costs
 // less than a claim that comes too late. Where the answer is old, the claim fails.
 func (r *role) takenMeanwhile(ctx context.Context) bool {
