--- a/follower/cut_test.go
+++ b/follower/cut_test.go
@@ -12,6 +12,7 @@
 
 	"hemlocktally"
 	"hemlocktally/follower"
+	"hemlocktally/imitator"
 	"hemlocktally/messenger"
 )
 
@@ -24,7 +25,7 @@
 		hubs := []follower.Hub{
 			{ID: "a1", Zone: "a", PeerAddress: "a1"}, {ID: "b1", Zone: "b", PeerAddress: "b1"}, {ID: "c1", Zone: "c", PeerAddress: "c1"},
 		}
-		peers := network{}
+		peers := imitator.Network{}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 4)
 		var cuts []*directory
@@ -63,7 +64,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		hub := follower.Hub{ID: "a1", Zone: "a", PeerAddress: "a1"}
-		peers := network{}
+		peers := imitator.Network{}
 		ctx, cancel := context.WithCancel(context.Background())
 		cut, served, refused := storeWithHubs(c, hub), storeWithHubs(c, hub), storeWithHubs(c, hub)
 		first := instance("a1", "a", slowDirectory{cut, usual}, peers)
--- a/follower/start_test.go
+++ b/follower/start_test.go
@@ -1,10 +1,8 @@
 package follower_test
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -14,6 +12,7 @@
 
 	"hemlocktally"
 	"hemlocktally/follower"
+	"hemlocktally/imitator"
 	"hemlocktally/messenger"
 	"hemlocktally/platform"
 )
@@ -25,38 +24,9 @@
 // usual is what a call of the store takes.
 const usual = 4 * time.Millisecond
 
-// network carries peers' calls in memory. Addresses without a handler never
-// answer, as machines without power.
-type network map[string]http.Handler
-
-// RoundTrip makes one call.
-func (n network) RoundTrip(r *http.Request) (*http.Response, error) {
-	handler := n[r.URL.Host]
-	if handler == nil {
-		<-r.Context().Done()
-		return nil, r.Context().Err()
-	}
-	w := &recorded{header: http.Header{}, status: http.StatusOK}
-	handler.ServeHTTP(w, r)
-	return &http.Response{
-		StatusCode: w.status, Header: w.header, Body: io.NopCloser(&w.body), ContentLength: int64(w.body.Len()), Request: r,
-	}, nil
-}
-
-// recorded is an answer in memory.
-type recorded struct {
-	header http.Header
-	status int
-	body   bytes.Buffer
-}
-
-func (w *recorded) Header() http.Header         { return w.header }
-func (w *recorded) WriteHeader(status int)      { w.status = status }
-func (w *recorded) Write(p []byte) (int, error) { return w.body.Write(p) }
-
 // instance is a follower in memory, with a little of a core, in a fleet whose
 // store still names the hubs from before.
-func instance(id hemlocktally.InstanceID, zone hemlocktally.ZoneName, store hemlocktally.Directory, peers network) *follower.Follower {
+func instance(id hemlocktally.InstanceID, zone hemlocktally.ZoneName, store hemlocktally.Directory, peers imitator.Network) *follower.Follower {
 	f := &follower.Follower{
 		Self:      follower.Hub{ID: id, Zone: zone, PeerAddress: string(id), Weight: 0.2},
 		Directory: store, Interpreter: platform.Translator{}, HTTP: &http.Client{Transport: peers},
@@ -103,7 +73,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		d := storeWithHubs(c, follower.Hub{ID: "a1", Zone: "a", PeerAddress: "a1"}, follower.Hub{ID: "b1", Zone: "b", PeerAddress: "b1"})
-		took := runUntilInformed(c, instance("a1", "a", slowDirectory{d, usual}, network{}))
+		took := runUntilInformed(c, instance("a1", "a", slowDirectory{d, usual}, imitator.Network{}))
 		c.Check(took < startsWithin, qt.IsTrue, qt.Commentf("%s", took))
 	})
 }
@@ -114,7 +84,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		d := storeWithHubs(c, follower.Hub{ID: "a1", Zone: "a", PeerAddress: "a1"})
-		peers := network{}
+		peers := imitator.Network{}
 		hub := instance("a1", "a", slowDirectory{d, usual}, peers)
 		peers["a1"] = messenger.NewRelayServer(hub)
 		took := runUntilInformed(c, hub, instance("a2", "a", slowDirectory{d, usual}, peers))
@@ -128,7 +98,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		d := storeWithHubs(c, follower.Hub{ID: "a1", Zone: "a", PeerAddress: "a1"})
-		peers := network{}
+		peers := imitator.Network{}
 		const slow = 15 * time.Millisecond
 		hub := instance("a1", "a", slowDirectory{d, slow}, peers)
 		peers["a1"] = messenger.NewRelayServer(hub)
--- a/follower/targets_test.go
+++ b/follower/targets_test.go
@@ -13,6 +13,7 @@
 
 	"hemlocktally"
 	"hemlocktally/follower"
+	"hemlocktally/imitator"
 	"hemlocktally/messenger"
 )
 
@@ -50,12 +51,12 @@
 	counted   countedDirectory
 	hubs      []*follower.Follower
 	followers []*follower.Follower
-	peers     network
+	peers     imitator.Network
 	stop      func()
 }
 
 func startFollowers(c *qt.C, count int) *fleetInMemory {
-	f := &fleetInMemory{peers: network{}}
+	f := &fleetInMemory{peers: imitator.Network{}}
 	f.store = storeWithHubs(c, follower.Hub{ID: "a1", Zone: "a", PeerAddress: "a1"}, follower.Hub{ID: "b1", Zone: "b", PeerAddress: "b1"})
 	for n := range 40 {
 		putTarget(f.store, fmt.Sprint("t", n), "ready")
