--- a/placer/choice.go
+++ b/placer/choice.go
@@ -168,7 +168,7 @@
 }
 
 func (s *State) hasRoom(t *tally, now time.Time) bool {
-	if !t.open(now) || t.busy(now) >= t.target.SlotCount() {
+	if !t.open(now) || t.busy(now) >= s.width(t, now) {
 		return false
 	}
 	return !t.cold(now) || (!s.Alone && t.coldRoom(s.coldRate(), s.Bounds.ColdShare, now))
@@ -184,9 +184,7 @@
 // expect is how long the contract's work should take on the target.
 func (s *State) expect(t *tally, contract hemlocktally.ContractName, now time.Time) time.Duration {
 	factor := t.expectedPace(s.mean, now)
-	if t.busy(now)+1 >= t.target.SlotCount() && t.target.SlotCount() > 1 {
-		factor *= s.fullness()
-	}
+	factor *= s.occupancy.slowdown(t.next(now), now)
 	if t.cold(now) {
 		factor *= coldSlowdown
 	}
@@ -253,7 +251,7 @@
 	}
 	c.t.turns[grant.ID] = turn{
 		contract: r.Contract, from: w.msg.From, deadline: r.Deadline, pace: c.t.expectedPace(s.mean, now),
-		last: c.t.busy(now)+1 >= c.t.target.SlotCount(),
+		at: c.t.next(now),
 	}
 	c.t.usedAt = now
 	c.t.linkIsTaken(w.msg.From)
@@ -302,7 +300,7 @@
 		left := t.awayFor(from, now)
 		switch {
 		case left == 0:
-			slots += t.target.SlotCount()
+			slots += s.width(t, now)
 		case away == 0 || left < away:
 			away = left
 		}
--- a/placer/state.go
+++ b/placer/state.go
@@ -18,21 +18,20 @@
 	Alone  bool   // Alone is set where the state decides for one instance without the owner.
 	Bounds Bounds
 
-	service  hemlocktally.Service
-	revision hemlocktally.Revision
-	targets  map[hemlocktally.TargetName]*tally
-	order    []*tally
-	zones    map[hemlocktally.ZoneName][]*tally // zones holds the targets of each zone, in the same order.
-	queue    []*waiter
-	spent    retryWindow
-	work     map[hemlocktally.ContractName]*estimate
-	lastSlot estimate // lastSlot and freeSlot compare work that took a target's last slot with other work.
-	freeSlot estimate
-	mean     float64 // mean is the moving mean of the reported paces.
-	granted  uint64
-	probes   uint64
-	lapsedAt time.Time
-	examined uint64 // examined counts the targets that choices looked at.
+	service   hemlocktally.Service
+	revision  hemlocktally.Revision
+	targets   map[hemlocktally.TargetName]*tally
+	order     []*tally
+	zones     map[hemlocktally.ZoneName][]*tally // zones holds the targets of each zone, in the same order.
+	queue     []*waiter
+	spent     retryWindow
+	work      map[hemlocktally.ContractName]*estimate
+	mean      float64 // mean is the moving mean of the reported paces.
+	granted   uint64
+	probes    uint64
+	lapsedAt  time.Time
+	examined  uint64 // examined counts the targets that choices looked at.
+	occupancy occupancy
 	// instances is how many instances there seem to be.
 	instances int
 }
@@ -54,8 +53,7 @@
 	turnGrace     = 100 * time.Millisecond
 	lapseInterval = 5 * time.Millisecond // lapseInterval is the time between two looks for turns that are over: a busy owner has thousands of messages a second.
 	outlierFactor = 4
-	enoughSamples = 30
-	mostFullness  = 3
+	enoughSamples = 30 // enoughSamples is how many samples a reference is taken of.
 	hedgeShare    = 0.5
 	calmShare     = 0.25 // calmShare is the part for second attempts whose first one runs on a calm target.
 	fewestAlone   = 16   // fewestAlone is how many instances are taken to decide alone at the least.
@@ -65,6 +63,9 @@
 type estimate struct {
 	seconds float64
 	samples int
+	// reference is the mean of the first samples, by which work of several contracts
+	// is compared; it stays, so that what is compared with it does not drift.
+	reference float64
 }
 
 func (e *estimate) add(sample float64) {
@@ -127,7 +128,8 @@
 	maps.DeleteFunc(s.targets, func(name hemlocktally.TargetName, _ *tally) bool { return !present[name] })
 	s.order = slices.SortedFunc(maps.Values(s.targets), func(a, b *tally) int { return cmp.Compare(a.target.Name, b.target.Name) })
 	s.zones = map[hemlocktally.ZoneName][]*tally{}
-	for _, t := range s.order {
+	for n, t := range s.order {
+		t.number = n
 		s.zones[t.target.Zone] = append(s.zones[t.target.Zone], t)
 	}
 }
@@ -209,29 +211,27 @@
 	if ok && result.Outcome == hemlocktally.AttemptDone {
 		t.linkIsIdle(held.from, now)
 		if held.pace > 0 && !t.cold(now) {
-			s.learn(held, result.Latency.Seconds()/held.pace)
+			s.learn(held, result.Latency.Seconds()/held.pace, now)
 		}
 	}
 }
 
 // learn takes over how long work took, as a multiple of the pace.
-func (s *State) learn(held turn, seconds float64) {
-	usual := s.usual(held.contract).Seconds()
-	if held.last {
-		s.lastSlot.add(seconds / usual)
-		seconds /= s.fullness()
-	} else {
-		s.freeSlot.add(seconds / usual)
+func (s *State) learn(held turn, seconds float64, now time.Time) {
+	e := s.estimate(held.contract)
+	if e.reference > 0 {
+		s.occupancy.add(held.at, seconds/e.reference, now)
+	}
+	e.add(seconds / s.occupancy.slowdown(held.at, now))
+	if e.reference == 0 && e.samples >= enoughSamples {
+		e.reference = e.seconds
 	}
-	s.estimate(held.contract).add(seconds)
 }
 
-// fullness is how much longer work takes with a target's last slot taken.
-func (s *State) fullness() float64 {
-	if s.lastSlot.samples < enoughSamples || s.freeSlot.samples < enoughSamples {
-		return nearlyFull
-	}
-	return min(mostFullness, max(1, s.lastSlot.seconds/s.freeSlot.seconds))
+// width is how many calls at once the target gets: fewer than it has slots where
+// that does more.
+func (s *State) width(t *tally, now time.Time) int {
+	return s.occupancy.width(t.number, t.target.SlotCount(), now)
 }
 
 func (s *State) estimate(contract hemlocktally.ContractName) *estimate {
--- a/placer/tally.go
+++ b/placer/tally.go
@@ -15,13 +15,14 @@
 	from     hemlocktally.InstanceID
 	deadline time.Time
 	pace     float64 // pace is what was believed of the target when the turn was given.
-	last     bool    // last is set where the turn took the target's last free slot.
+	at       level   // at is how full the target was with it.
 }
 
 // tally is what the owner knows of one target.
 type tally struct {
 	registration hemlocktally.Registration
 	target       hemlocktally.Target
+	number       int // number is its place among the targets of the service.
 	out          bool
 	turns        map[hemlocktally.GrantID]turn
 
@@ -71,6 +72,11 @@
 	return len(t.turns) + t.others
 }
 
+// next is how full the target is with one call more.
+func (t *tally) next(now time.Time) level {
+	return level{slots: t.target.SlotCount(), busy: min(t.target.SlotCount(), t.busy(now)+1)}
+}
+
 // open reports whether the target may get a call now, leaving its slots aside.
 func (t *tally) open(now time.Time) bool {
 	return !t.out && !t.registration.Draining && !t.left && !now.Before(t.holdUntil)
