--- a/placer/client.go
+++ b/placer/client.go
@@ -21,6 +21,7 @@
 	endTimeout  = 150 * time.Millisecond
 	avoidFirst  = time.Second // avoidFirst is how long an owner that did not answer is not asked.
 	avoidMost   = 4 * time.Second
+	avoidUnable = 60 * time.Millisecond // avoidUnable is that time for one that answers that it can't decide: it reads the list of targets by then.
 	aloneWait   = 60 * time.Millisecond // aloneWait is how long an instance that decides alone waits for the list of targets.
 	aloneLook   = 5 * time.Millisecond
 	ownersAsked = 2 // ownersAsked is how many owners in line are asked before the instance decides alone.
@@ -213,6 +214,10 @@
 		p.silence = 0
 		return
 	}
+	if errors.Is(err, errUnable) {
+		p.avoid = time.Now().Add(avoidUnable)
+		return
+	}
 	p.silence = min(avoidMost, max(avoidFirst, 2*p.silence))
 	p.avoid = time.Now().Add(p.silence)
 }
--- a/placer/occupancy.go
+++ b/placer/occupancy.go
@@ -26,7 +26,7 @@
 	levelSamples  = 60                     // levelSamples is how many samples make a level known.
 	levelLasts    = 20 * time.Second       // levelLasts is how long a level without new samples stays known: what changes is found again.
 	trialLasts    = 250 * time.Millisecond // trialLasts is how long a target is filled to one level before the next is tried.
-	leastGain     = 0.05                   // leastGain is the part by which leaving slots free has to do more.
+	nearlyMost    = 0.9                    // nearlyMost is the part of the most that can be done that has to be left where slots stay free.
 	mostSlowdown  = 3.0
 	leastSlowdown = 1.15 // leastSlowdown is what counts as slower; less is an error of the estimates.
 	leastTried    = 3    // leastTried is the fewest slots of a target for which leaving some free is tried.
@@ -89,41 +89,44 @@
 	}
 }
 
-// width is how many calls at once get most done on the nth target of so many slots.
-// While that is not known, targets are filled to different levels: in an overload
-// all would be full all the time, and nothing could be learnt of fewer calls.
+// width is how many calls at once the nth target of so many slots gets: as few as
+// nearly most is done with, since what runs with fewer beside it is done sooner.
 func (o *occupancy) width(n, slots int, now time.Time) int {
 	if slots < leastTried {
-		return o.widest(slots, slots, now)
+		return slots
 	}
-	for busy := slots; busy >= slots/2; busy-- {
-		if _, ok := o.known(level{slots, busy}, now); !ok {
-			return o.trial(n, slots, now)
-		}
-	}
-	return o.widest(slots, slots/2, now)
-}
-
-// widest is the level, of those that are known, at which most is done.
-func (o *occupancy) widest(slots, least int, now time.Time) int {
-	best, most := slots, 0.0
-	for busy := slots; busy >= max(1, least); busy-- {
+	ratios := make([]float64, slots+1) // A level of which nothing is known is taken for as quick as the one below it.
+	missing := false
+	for busy := slots / 2; busy <= slots; busy++ {
 		ratio, ok := o.known(level{slots, busy}, now)
 		if !ok {
-			continue
+			ratio = ratios[busy-1]
+			missing = missing || busy < slots
 		}
-		done := float64(busy) / ratio
-		if busy < slots {
-			done /= 1 + leastGain
-		}
-		if done > most {
-			best, most = busy, done
+		ratios[busy] = max(ratio, ratios[busy-1])
+	}
+	switch _, full := o.known(level{slots, slots}, now); {
+	case missing && full:
+		return o.trial(n, slots, now)
+	case missing:
+		return slots
+	}
+	most := 0.0
+	for busy := slots / 2; busy <= slots; busy++ {
+		most = max(most, float64(busy)/ratios[busy])
+	}
+	best := slots
+	for busy := slots; busy >= slots/2; busy-- {
+		if float64(busy)/ratios[busy] >= nearlyMost*most {
+			best = busy
 		}
 	}
 	return best
 }
 
-// trial is the level up to which the nth target is filled while levels are unknown.
+// trial is the level up to which the nth target is filled while levels below the
+// highest are unknown: in an overload all targets are full all the time, and nothing
+// could be learnt of fewer calls.
 func (o *occupancy) trial(n, slots int, now time.Time) int {
 	choices := slots - slots/2 + 1
 	turn := int(now.UnixNano() / int64(trialLasts))
