--- a/follower/follower.go
+++ b/follower/follower.go
@@ -58,6 +58,8 @@
 	othersServed atomic.Int64
 	looks        looks
 	followers    followers
+	handover     handover
+	versions     contentVersions
 	packed       packed
 	// relayedTargets is the list of targets as a hub passes it on.
 	relayedTargets relayedTargets
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -5,7 +5,6 @@
 	"compress/gzip"
 	"context"
 	"io"
-	"strconv"
 	"sync"
 	"time"
 
@@ -18,11 +17,10 @@
 
 // Bounds of what hubs pass on.
 const (
-	syncHold     = 450 * time.Millisecond // syncHold is how long a hub keeps a question without news.
-	syncTimeout  = syncHold + 250*time.Millisecond
-	startSpan    = 400 * time.Millisecond // startSpan is how long after its start an instance may still become what it was.
-	followerSpan = 3 * time.Second        // followerSpan is how long a follower counts after its last question.
-	maxRelayed   = 4 << 20                // maxRelayed bounds the entries that are passed on, in bytes.
+	syncHold    = 450 * time.Millisecond // syncHold is how long a hub keeps a question without news.
+	syncTimeout = syncHold + 250*time.Millisecond
+	startSpan   = 400 * time.Millisecond // startSpan is how long after its start an instance may still become what it was.
+	maxRelayed  = 4 << 20                // maxRelayed bounds the entries that are passed on, in bytes.
 )
 
 // Sync answers a follower. It implements messenger.Relay.
@@ -32,6 +30,9 @@
 		return &messenger.SyncResponse{Leaving: true}, nil
 	}
 	count := f.followers.note(in.GetInstance(), time.Now())
+	if f.handsOverTo(in) {
+		return &messenger.SyncResponse{TakeOver: true, Version: in.GetVersion(), StoreAgeMicroseconds: f.storeAge().Microseconds(), Followers: int64(count)}, nil
+	}
 	f.noteInstances(count + 1)
 	hold := time.NewTimer(f.holdFor(microseconds(in.GetHoldMicroseconds())))
 	defer hold.Stop()
@@ -41,7 +42,7 @@
 	for woken := false; ; woken = true {
 		changed := f.published.wait()
 		p := f.Picture()
-		if version := f.versionOf(p); version != in.GetVersion() && p.Version > 0 {
+		if version := f.versionOf(p); p.Version > 0 && f.isNews(version, in) {
 			return f.answerSync(p, version, count)
 		}
 		// Only one that waits is told at once: answered on arrival, it would ask again
@@ -59,6 +60,12 @@
 	}
 }
 
+// isNews reports whether the caller lacks the version. What a hub out of touch with
+// the store passes on is added to what is known, and not taken over as a whole.
+func (f *Follower) isNews(version string, in *messenger.SyncRequest) bool {
+	return version != in.GetVersion() && (version != in.GetAdded() || !f.outOfTouch())
+}
+
 // holdFor is how long a question is kept: a hub that gets out of touch with the
 // store meanwhile has to say so.
 func (f *Follower) holdFor(asked time.Duration) time.Duration {
@@ -78,9 +85,10 @@
 	})
 }
 
-func (f *Follower) versionOf(p *Picture) string {
-	return f.Self.Incarnation + "/" + strconv.FormatUint(p.Version, 10)
-}
+// versionOf names what the picture passes on by its content, so that all hubs that
+// have read the same give it the same name: a follower that changes its hub gets
+// nothing again. A large configuration is a multiple of all else between instances.
+func (f *Follower) versionOf(p *Picture) string { return f.versions.of(p) }
 
 func (f *Follower) answerSync(p *Picture, version string, count int) (*messenger.SyncResponse, error) {
 	age := f.storeAge()
@@ -177,8 +185,8 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	out, err := r.hubClients.of(hub.PeerAddress, r.Follower).Sync(ctx, &messenger.SyncRequest{
-		Instance: string(r.Self.ID), Version: r.versions[hub.ID], HoldMicroseconds: hold.Microseconds(),
-		StoreAnswers: r.since(&r.served) <= servedLasts,
+		Instance: string(r.Self.ID), Version: r.held, Added: r.added, HoldMicroseconds: hold.Microseconds(),
+		StoreAnswers: r.since(&r.served) <= servedLasts, Zone: string(r.Self.Zone), Weight: r.Self.Weight,
 	})
 	if err != nil || out.GetLeaving() {
 		if err != nil && ctx.Err() == nil {
@@ -192,6 +200,10 @@
 	}
 	r.noteInstances(int(out.GetFollowers()) + 1)
 	r.mayLookNow = r.mayLookNow || out.GetLook()
+	if out.GetTakeOver() {
+		r.takeOver(ctx, hub)
+		return touch, true
+	}
 	if len(out.GetEntriesGzip()) == 0 {
 		return touch, true
 	}
@@ -201,7 +213,11 @@
 		return false, false
 	}
 	r.take(ctx, entries, touch)
-	r.versions[hub.ID] = out.GetVersion()
+	if touch {
+		r.held, r.added = out.GetVersion(), ""
+	} else {
+		r.held, r.added = "", out.GetVersion()
+	}
 	return touch, true
 }
 
@@ -244,25 +260,3 @@
 	h.clients[address] = c
 	return c
 }
-
-// followers counts who follows a hub. Its zero value works.
-type followers struct {
-	mu   sync.Mutex
-	seen map[string]time.Time
-}
-
-// note counts the instance and returns how many were seen lately.
-func (f *followers) note(instance string, now time.Time) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.seen == nil {
-		f.seen = map[string]time.Time{}
-	}
-	f.seen[instance] = now
-	for name, at := range f.seen {
-		if now.Sub(at) > followerSpan {
-			delete(f.seen, name)
-		}
-	}
-	return len(f.seen)
-}
--- a/follower/role.go
+++ b/follower/role.go
@@ -84,10 +84,12 @@
 	inbox      chan<- any
 	machine    *fsm.FSM
 	lease      string
-	renewed    time.Time // renewed is when the place was last renewed.
-	failing    bool      // failing is set after a failed renewal or claim.
-	claimAt    time.Time // claimAt is when the instance tries to become its zone's hub; zero while there is one.
-	versions   map[hemlocktally.InstanceID]string
+	renewed    time.Time                 // renewed is when the place was last renewed.
+	failing    bool                      // failing is set after a failed renewal or claim.
+	claimAt    time.Time                 // claimAt is when the instance tries to become its zone's hub; zero while there is one.
+	claimed    hemlocktally.StoreVersion // claimed is the version of the key as this hub wrote it.
+	held       string                    // held names the entries that a hub passed on last and that were taken over as a whole.
+	added      string                    // added names those that a hub out of touch passed on since.
 	looked     time.Time
 	listed     bool // listed is set once a cheap question to the store has named hubs.
 	mayLookNow bool // mayLookNow is set where a hub that is out of touch wants this instance to look.
@@ -96,7 +98,7 @@
 }
 
 func (f *Follower) runRole(ctx context.Context, inbox chan<- any) {
-	r := &role{Follower: f, inbox: inbox, machine: newRole(), versions: map[hemlocktally.InstanceID]string{}}
+	r := &role{Follower: f, inbox: inbox, machine: newRole()}
 	for ctx.Err() == nil && !f.leaving.Load() {
 		switch r.machine.Current() {
 		case roleHub:
@@ -174,17 +176,7 @@
 	if !mine && r.takenMeanwhile(ctx) {
 		return
 	}
-	lease, err := r.claim(ctx)
-	var conflict *hemlocktally.ConflictError
-	switch {
-	case err == nil:
-		r.lease, r.renewed, r.failing = lease, time.Now(), false
-		r.fire(ctx, eventChosen, logger.Fields{"Lease": lease})
-	case errors.As(err, &conflict):
-		send(ctx, r.inbox, ChangesMsg{Kind: hemlocktally.EntryHub, Entries: []hemlocktally.DirectoryEntry{{Entry: conflict.Present}}})
-	default:
-		r.noteFailure(err)
-	}
+	r.become(ctx, 0)
 }
 
 // standDelay is how long an instance waits before it claims a free place. The
@@ -208,41 +200,36 @@
 	r.mark(&r.served)
 	send(ctx, r.inbox, ChangesMsg{Kind: hemlocktally.EntryHub, Entries: all.Entries})
 	return slices.ContainsFunc(all.Entries, func(e hemlocktally.DirectoryEntry) bool {
-		return e.Key == r.Interpreter.HubPrefix()+string(r.Self.Zone) && !r.isOwn(e.Entry)
+		return e.Key == r.Interpreter.HubPrefix()+string(r.Self.Zone) && !holds(e.Entry, r.Self.ID)
 	})
 }
 
-// claim writes the key of the zone's hub under a new lease.
-func (r *role) claim(ctx context.Context) (string, error) {
+// claim writes the key of the zone's hub under a new lease, over the version that is
+// known, or over what an earlier life of the instance wrote.
+func (r *role) claim(ctx context.Context, over hemlocktally.StoreVersion) (lease string, version hemlocktally.StoreVersion, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	lease, err := r.Directory.Grant(ctx, hubTTL)
+	granted, err := r.Directory.Grant(ctx, hubTTL)
 	if err != nil {
-		return "", err
+		return "", 0, err
 	}
 	value, err := json.Marshal(r.Self)
 	if err != nil {
-		return "", err
+		return "", 0, err
 	}
-	entry := hemlocktally.Entry{Key: r.Interpreter.HubPrefix() + string(r.Self.Zone), Value: value, Lease: lease.ID}
-	_, err = r.Directory.Swap(ctx, entry)
+	entry := hemlocktally.Entry{Key: r.Interpreter.HubPrefix() + string(r.Self.Zone), Value: value, Lease: granted.ID, Version: over}
+	version, err = r.Directory.Swap(ctx, entry)
 	var conflict *hemlocktally.ConflictError
-	if errors.As(err, &conflict) && r.isOwn(conflict.Present) {
+	if errors.As(err, &conflict) && holds(conflict.Present, r.Self.ID) {
 		entry.Version = conflict.Present.Version
-		_, err = r.Directory.Swap(ctx, entry)
+		version, err = r.Directory.Swap(ctx, entry)
 	}
 	if err != nil {
-		r.revoke(ctx, lease.ID)
-		return "", err
+		r.revoke(ctx, granted.ID)
+		return "", 0, err
 	}
 	r.answered()
-	return lease.ID, nil
-}
-
-// isOwn reports whether the key was written by an earlier life of the instance.
-func (r *role) isOwn(present hemlocktally.Entry) bool {
-	var hub Hub
-	return json.Unmarshal(present.Value, &hub) == nil && hub.ID == r.Self.ID
+	return granted.ID, version, nil
 }
 
 // keep renews the hub's place once.
@@ -251,6 +238,11 @@
 	if r.leaving.Load() || ctx.Err() != nil {
 		return
 	}
+	if r.displaced() {
+		r.revoke(ctx, r.lease)
+		r.end(ctx)
+		return
+	}
 	err := r.renew(ctx)
 	var conflict *hemlocktally.ConflictError
 	switch {
@@ -281,8 +273,8 @@
 		}
 		r.lease = ""
 	}
-	lease, err := r.claim(ctx)
-	r.lease = lease
+	lease, version, err := r.claim(ctx, 0)
+	r.lease, r.claimed = lease, max(r.claimed, version)
 	return err
 }
 
