--- a/placer/client.go
+++ b/placer/client.go
@@ -17,7 +17,7 @@
 
 // Bounds of the questions to other instances.
 const (
-	askMargin   = 60 * time.Millisecond // askMargin is how much longer than an owner holds a question its answer may take.
+	firstAsk    = 80 * time.Millisecond // firstAsk bounds one question to an owner, the time for which it is held included.
 	endTimeout  = 150 * time.Millisecond
 	avoidFirst  = time.Second // avoidFirst is how long an owner that did not answer is not asked.
 	avoidMost   = 4 * time.Second
@@ -65,9 +65,8 @@
 	}
 	ask := AskMsg{Ticket: c.nextTicket(), From: c.Self, Zone: c.Zone, Request: request}
 	started := time.Now()
-	waitsAt := hemlocktally.InstanceID("")
 	for given := 0; ; {
-		answer := c.ask(ctx, ask, waitsAt)
+		answer := c.ask(ctx, ask)
 		switch answer := answer.(type) {
 		case GrantCmd:
 			if c.giveBack(answer.Grant) {
@@ -87,8 +86,6 @@
 			return answer.Grant, nil
 		case RefuseCmd:
 			return hemlocktally.Grant{}, answer.Error
-		case HoldCmd:
-			waitsAt = answer.Owner
 		}
 		if ctx.Err() != nil {
 			return hemlocktally.Grant{}, context.Cause(ctx)
@@ -116,13 +113,11 @@
 	return true
 }
 
-// ask asks the owner in line, and decides alone where none answers. The ticket may
-// wait in the queue of an owner already.
-func (c *Client) ask(ctx context.Context, ask AskMsg, waitsAt hemlocktally.InstanceID) any {
+// ask asks the owner in line, and decides alone where none answers.
+func (c *Client) ask(ctx context.Context, ask AskMsg) any {
 	now := time.Now()
 	tried := 0
 	for _, owner := range Ranked(ask.Request.Service, c.View.View().Serving()) {
-		ask.Waits = owner.ID == waitsAt
 		if owner.ID == c.Self {
 			if c.Server.Able(ask.Request.Service) {
 				return c.Server.Ask(ctx, ask)
@@ -143,7 +138,6 @@
 		}
 		c.Log.Log(logger.EventOwnerSilent, logger.Fields{"Owner": owner.ID, "Cause": err.Error()})
 	}
-	ask.Waits = false
 	c.awaitTargets(ctx, ask.Request.Service)
 	return c.Alone.Ask(ctx, ask)
 }
@@ -161,8 +155,7 @@
 
 func (c *Client) askPeer(ctx context.Context, p *peer, owner hemlocktally.InstanceID, ask AskMsg) (any, error) {
 	asked := time.Now()
-	limit := askMargin + ask.hold()
-	bounded, cancel := context.WithTimeout(ctx, limit)
+	bounded, cancel := context.WithTimeout(ctx, firstAsk)
 	defer cancel()
 	out, err := p.client.Place(bounded, placeRequest(ask, asked))
 	if err == nil && out.GetUnable() {
@@ -182,7 +175,7 @@
 			hemlocktally.Reason(out.GetRefused()), out.GetDetail(), microseconds(out.GetRetryAfterMicroseconds()),
 		)}, nil
 	default:
-		return HoldCmd{Ticket: ask.Ticket, Owner: owner}, nil
+		return HoldCmd{Ticket: ask.Ticket}, nil
 	}
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -43,7 +43,6 @@
 		Zone    hemlocktally.ZoneName
 		Request hemlocktally.GrantRequest
 		Hold    time.Time // Hold is when an answer is due, if only that there is none yet.
-		Waits   bool      // Waits is set where the ticket waits in the queue already.
 	}
 	// LeaveMsg withdraws a question.
 	LeaveMsg struct{ Ticket string }
@@ -73,10 +72,7 @@
 		Error  *hemlocktally.RefusedError
 	}
 	// HoldCmd answers a ticket that it has to ask again.
-	HoldCmd struct {
-		Ticket string
-		Owner  hemlocktally.InstanceID // Owner is in whose queue the ticket waits.
-	}
+	HoldCmd struct{ Ticket string }
 	// ProbeCmd asks for a target's load.
 	ProbeCmd struct {
 		Target hemlocktally.Target
--- a/placer/server.go
+++ b/placer/server.go
@@ -44,10 +44,7 @@
 	waitTick     = 5 * time.Millisecond // waitTick is the time between two looks at the queue while calls wait.
 	idleTick     = 500 * time.Millisecond
 	probeTimeout = 60 * time.Millisecond // probeTimeout bounds a question about load, a new connection included.
-	holdAnswer   = 20 * time.Millisecond // holdAnswer is how long a first question is kept before it is told to ask again: it shows that the owner is there.
-	// holdWaiting is that time for a call that waits in the queue already. In a burst
-	// hundreds wait, and each question costs the owner as much as a grant.
-	holdWaiting = 150 * time.Millisecond
+	holdAnswer   = 20 * time.Millisecond // holdAnswer is how long a question is kept before it is told to ask again.
 	// listLasts is how old the list of targets may be for a choice: targets that
 	// leave have to be left within two seconds.
 	listLasts = 1400 * time.Millisecond
@@ -154,7 +151,7 @@
 	if !s.prepare(ctx) {
 		return RefuseCmd{Ticket: msg.Ticket, Error: notRun(hemlocktally.ReasonNoTarget, "the list of targets is too old to choose by", leastAdvice)}
 	}
-	msg.Hold = time.Now().Add(msg.hold())
+	msg.Hold = time.Now().Add(holdAnswer)
 	q := question{AskMsg: msg, answer: make(chan any, 1)}
 	task.tell(q)
 	select {
@@ -174,14 +171,6 @@
 	return RefuseCmd{Ticket: msg.Ticket, Error: notRun(hemlocktally.ReasonCallerCancelled, "the question was withdrawn", 0)}
 }
 
-// hold is how long the question is kept without an answer.
-func (m AskMsg) hold() time.Duration {
-	if m.Waits {
-		return holdWaiting
-	}
-	return holdAnswer
-}
-
 // prepare readies the list of targets for a choice. It reports whether one may be
 // made: a list that is old although it could be read may name targets that left.
 func (s *Server) prepare(ctx context.Context) bool {
--- a/placer/state.go
+++ b/placer/state.go
@@ -297,7 +297,7 @@
 	var commands []any
 	for _, w := range s.queue {
 		if w.attached() && !now.Before(w.msg.Hold) {
-			commands = append(commands, HoldCmd{Ticket: w.msg.Ticket, Owner: s.Owner})
+			commands = append(commands, HoldCmd{Ticket: w.msg.Ticket})
 			w.msg.From = ""
 		}
 	}
--- a/placer/wire.go
+++ b/placer/wire.go
@@ -52,7 +52,6 @@
 	}
 	return AskMsg{
 		Ticket: in.GetTicket(), From: hemlocktally.InstanceID(in.GetInstance()), Zone: hemlocktally.ZoneName(in.GetZone()), Request: request,
-		Waits: in.GetWaits(),
 	}
 }
 
@@ -62,7 +61,7 @@
 		Ticket: ask.Ticket, Service: string(r.Service), Contract: string(r.Contract), Priority: int32(r.Priority),
 		Kind: int32(r.Kind), Zone: string(ask.Zone), Instance: string(ask.From),
 		DeadlineMicroseconds: r.Deadline.Sub(now).Microseconds(), ObjectiveMicroseconds: r.Objective.Sub(now).Microseconds(),
-		NonIdempotent: r.NonIdempotent, Waits: ask.Waits,
+		NonIdempotent: r.NonIdempotent,
 	}
 	for _, name := range r.Exclude {
 		out.Exclude = append(out.Exclude, string(name))
