--- /dev/null
+++ b/follower/handover_test.go
@@ -0,0 +1,99 @@
+package follower_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hemlocktally"
+	"hemlocktally/follower"
+	"hemlocktally/imitator"
+	"hemlocktally/messenger"
+	"hemlocktally/platform"
+)
+
+// storedFleet is instances in memory on the store's stand-in.
+type storedFleet struct {
+	store *imitator.Directory
+	peers imitator.Network
+	done  chan error
+	count int
+}
+
+func newStoredFleet() *storedFleet {
+	f := &storedFleet{store: &imitator.Directory{}, peers: imitator.Network{}, done: make(chan error)}
+	f.peers["store"] = f.store.Handler()
+	f.store.Put("op/config", version("4"))
+	return f
+}
+
+// add starts an instance of zone a.
+func (f *storedFleet) add(ctx context.Context, id hemlocktally.InstanceID, weight float64) *follower.Follower {
+	one := &follower.Follower{
+		Self:      follower.Hub{ID: id, Incarnation: string(id) + "1", Zone: "a", PeerAddress: string(id), Weight: weight},
+		Directory: &platform.Store{Address: "store", HTTP: &http.Client{Transport: f.peers}}, Interpreter: platform.Translator{},
+		HTTP: &http.Client{Transport: f.peers},
+	}
+	one.Prepare()
+	f.peers[string(id)] = messenger.NewRelayServer(one)
+	f.count++
+	go func() { f.done <- one.Run(ctx) }()
+	return one
+}
+
+func (f *storedFleet) end(c *qt.C) {
+	for range f.count {
+		c.Check(<-f.done, qt.IsNil)
+	}
+}
+
+// hubOf is who the instance takes for the hub of zone a.
+func hubOf(one *follower.Follower) hemlocktally.InstanceID { return one.Picture().Hubs["a"].ID }
+
+// The strong instances of a zone are stopped in turn and a weak one becomes its hub.
+// Once a strong one is back and stays, it takes the place, and keeps it.
+func TestWeakHubHandsItsPlaceOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		f := newStoredFleet()
+		weak := []*follower.Follower{f.add(ctx, "weak1", 0.16)}
+		time.Sleep(2 * time.Second)
+		c.Assert(hubOf(weak[0]), qt.Equals, hemlocktally.InstanceID("weak1"))
+		for n := 2; n < 6; n++ {
+			weak = append(weak, f.add(ctx, hemlocktally.InstanceID(fmt.Sprint("weak", n)), 0.16))
+		}
+		strong := f.add(ctx, "strong1", 0.8)
+		time.Sleep(2 * time.Second)
+		c.Check(hubOf(weak[2]), qt.Equals, hemlocktally.InstanceID("weak1"), qt.Commentf("nothing moves while instances come and go"))
+		time.Sleep(4 * time.Second)
+		for _, one := range append(weak, strong) {
+			c.Check(hubOf(one), qt.Equals, hemlocktally.InstanceID("strong1"))
+			c.Check(one.Current().Revision, qt.Equals, hemlocktally.Revision(4))
+		}
+		f.add(ctx, "strong2", 0.8)
+		time.Sleep(8 * time.Second)
+		for _, one := range weak {
+			c.Check(hubOf(one), qt.Equals, hemlocktally.InstanceID("strong1"), qt.Commentf("another as strong changes nothing"))
+		}
+		before := f.store.Calls()
+		time.Sleep(4 * time.Second)
+		c.Check(callsSince(f.store, before) <= 40, qt.IsTrue, qt.Commentf("%d: one instance reads the store", callsSince(f.store, before)))
+		cancel()
+		f.end(c)
+	})
+}
+
+// callsSince counts the calls of the store since then, all kinds together.
+func callsSince(store *imitator.Directory, before map[string]int) int {
+	calls := 0
+	for kind, n := range store.Calls() {
+		calls += n - before[kind]
+	}
+	return calls
+}
--- a/follower/targetlist.go
+++ b/follower/targetlist.go
@@ -1,38 +1,55 @@
 package follower
 
 import (
-	"strconv"
+	"maps"
+	"slices"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hemlocktally"
 	"hemlocktally/messenger"
 )
 
-// targetsVersion names the list of the picture among all lists of all hubs.
-func (f *Follower) targetsVersion(p *Picture) string {
-	return f.Self.Incarnation + "/" + strconv.FormatUint(p.TargetsVersion, 10)
-}
-
 // relayedTargets keeps the list in the form in which it is passed on: many ask for
 // the same one. Its zero value works.
 type relayedTargets struct {
 	mu      sync.Mutex
-	version uint64
+	version uint64 // version is the picture's own, within this life of the instance.
+	name    string // name is the list's by its content, the same at all hubs that have read the same.
 	list    []*messenger.RelayedTarget
 }
 
-func (r *relayedTargets) of(p *Picture) []*messenger.RelayedTarget {
+// of returns the list and its name.
+func (r *relayedTargets) of(p *Picture) (name string, list []*messenger.RelayedTarget) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.list == nil || r.version != p.TargetsVersion {
 		r.version, r.list = p.TargetsVersion, []*messenger.RelayedTarget{}
-		for _, targets := range p.Targets {
-			for _, t := range targets {
+		hash := xxhash.New()
+		for _, service := range slices.Sorted(maps.Keys(p.Targets)) {
+			for _, t := range p.Targets[service] {
 				r.list = append(r.list, relayedTarget(t))
+				writeTarget(hash, t)
 			}
 		}
+		r.name = nameOfSum(hash.Sum64())
+	}
+	return r.name, r.list
+}
+
+// writeTarget hashes all that is passed on of a target.
+func writeTarget(hash *xxhash.Digest, r hemlocktally.Registration) {
+	for _, field := range []string{string(r.Target.Name), string(r.Service), r.Target.Address, string(r.Target.Zone)} {
+		writeField(hash, []byte(field))
+	}
+	draining := uint64(0)
+	if r.Draining {
+		draining = 1
+	}
+	for _, n := range []uint64{uint64(r.Target.Slots), draining, uint64(r.ColdFor), uint64(r.Target.Started)} { //nolint:gosec // Only equality counts.
+		writeNumber(hash, n)
 	}
-	return r.list
 }
 
 func relayedTarget(r hemlocktally.Registration) *messenger.RelayedTarget {
--- a/follower/targets.go
+++ b/follower/targets.go
@@ -41,11 +41,14 @@
 	}
 }
 
-// untilNext is how long a list that was passed on will do.
+// untilNext is how long a list that was passed on will do. One that is stale is asked
+// for again soon, and less often the longer that is in vain.
 func (t *targetFeed) untilNext() time.Duration {
 	if at, readable := t.TargetsKnown(); readable && time.Since(at) > relayOld {
-		return firstBackoff
+		t.eager = min(relayPace, max(firstBackoff, 2*t.eager))
+		return t.eager
 	}
+	t.eager = 0
 	return relayPace
 }
 
@@ -56,8 +59,9 @@
 	known  uint64        // known is the store's revision up to which its changes are known.
 	pause  time.Duration // pause grows with failures in a row.
 	looked time.Time
-	held   string // held is the version of the list that a hub passed on last.
-	missed int    // missed counts rounds in a row in which no hub passed a list on.
+	held   string        // held is the version of the list that a hub passed on last.
+	eager  time.Duration // eager is the pause before a stale list is asked for again.
+	missed int           // missed counts rounds in a row in which no hub passed a list on.
 }
 
 // look reads the store.
@@ -146,11 +150,10 @@
 		return &messenger.TargetsResponse{Unable: true}, nil
 	}
 	at, readable := f.TargetsKnown()
-	out := &messenger.TargetsResponse{
-		Version: f.targetsVersion(p), AgeMicroseconds: time.Since(at).Microseconds(), Unreadable: !readable,
-	}
-	if out.GetVersion() != in.GetVersion() {
-		out.Targets = f.relayedTargets.of(p)
+	name, list := f.relayedTargets.of(p)
+	out := &messenger.TargetsResponse{Version: name, AgeMicroseconds: time.Since(at).Microseconds(), Unreadable: !readable}
+	if name != in.GetVersion() {
+		out.Targets = list
 	}
 	return out, nil
 }
--- a/imitator/directory.go
+++ b/imitator/directory.go
@@ -57,6 +57,11 @@
 
 // Serve answers on the listener until the context ends.
 func (d *Directory) Serve(ctx context.Context, listener net.Listener) error {
+	return serve(ctx, listener, d.Handler())
+}
+
+// Handler answers the calls of the protocol.
+func (d *Directory) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-range", d.guard("range", d.serveRange))
 	mux.HandleFunc("GET /kv-watch", d.guard("watch", d.serveWatch))
@@ -64,7 +69,7 @@
 	mux.HandleFunc("POST /kv-lease", d.guard("lease", d.serveLease))
 	mux.HandleFunc("POST /kv-keep/{lease}", d.guard("keep", d.serveKeep))
 	mux.HandleFunc("DELETE /kv-lease-end/{lease}", d.guard("end", d.serveEnd))
-	return serve(ctx, listener, mux)
+	return mux
 }
 
 // SetFaults puts faults in force from now on.
