Placer: a first question lets the owner read its targets

A hub that nobody has asked has no list of targets; Place looked at that before it said that the list is needed, so that the owner stayed unable until its resting poll (each 8 s), and the next two in line handed out the same targets, each by its own tally. After the loss of all instances it is the same.

TestFirstQuestionLetsTheOwnerReadItsTargets fails on the code before.

--- a/placer/client_test.go
+++ b/placer/client_test.go
@@ -7,8 +7,10 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -212,3 +214,35 @@
 		c.Fatal("a message to an ended owner is never taken")
 	}
 }
+
+// An owner that nobody has asked yet has read no targets. The first question lets it
+// read them and is answered; else all would pass it over until it happens to read
+// them, and two owners would hand out the same targets meanwhile.
+func TestFirstQuestionLetsTheOwnerReadItsTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		known := hemlocktally.Registration{Service: "s", Target: hemlocktally.Target{Name: "x", Address: "x", Zone: "a", Slots: 2}}
+		owner := &placer.Server{Self: "owner", Loads: calm{}, Bounds: placer.Bounds{RetryWindow: time.Second}}
+		var reading sync.Once
+		owner.Needed = func() {
+			reading.Do(func() {
+				time.AfterFunc(12*time.Millisecond, func() {
+					owner.Configure(map[hemlocktally.ServiceName]placer.TargetsMsg{"s": {
+						Service: hemlocktally.Service{Name: "s", ProbePath: "/"}, Targets: []hemlocktally.Registration{known},
+					}})
+				})
+			})
+		}
+		go func() { _ = owner.Run(ctx) }()
+		synctest.Wait()
+		out, err := owner.Place(ctx, &messenger.PlaceRequest{
+			Ticket: "1", Service: "s", Contract: "c", Instance: "i", Zone: "a", DeadlineMicroseconds: 2_000_000, ObjectiveMicroseconds: 500_000,
+		})
+		c.Assert(err, qt.IsNil)
+		c.Check(out.GetUnable(), qt.IsFalse)
+		c.Check(out.GetTarget(), qt.Equals, "x")
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/placer/server.go
+++ b/placer/server.go
@@ -96,6 +96,31 @@
 	return s.ctx != nil && !s.leaving && len(s.latest[service].Targets) > 0
 }
 
+// becomesAble reports whether the server can decide for the service, and waits a
+// moment where it may be so soon: an owner that nobody has asked yet has not read the
+// targets.
+func (s *Server) becomesAble(ctx context.Context, service hemlocktally.ServiceName) bool {
+	if s.Able(service) {
+		return true
+	}
+	if s.Needed == nil || s.isLeaving() {
+		return false
+	}
+	s.Needed()
+	for end := time.Now().Add(listWait); !s.Able(service); time.Sleep(listLook) {
+		if ctx.Err() != nil || time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Server) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 // Configure tells each service its targets.
 func (s *Server) Configure(services map[hemlocktally.ServiceName]TargetsMsg) {
 	s.mu.Lock()
--- a/placer/state.go
+++ b/placer/state.go
@@ -53,7 +53,8 @@
 	turnGrace     = 100 * time.Millisecond
 	lapseInterval = 5 * time.Millisecond // lapseInterval is the time between two looks for turns that are over: a busy owner has thousands of messages a second.
 	outlierFactor = 4
-	enoughSamples = 30 // enoughSamples is how many samples a reference is taken of.
+	widthLasts    = 20 * time.Millisecond // widthLasts is how long a target's width is kept before it is worked out again.
+	enoughSamples = 30                    // enoughSamples is how many samples a reference is taken of.
 	hedgeShare    = 0.5
 	calmShare     = 0.25 // calmShare is the part for second attempts whose first one runs on a calm target.
 	fewestAlone   = 16   // fewestAlone is how many instances are taken to decide alone at the least.
@@ -229,9 +230,12 @@
 }
 
 // width is how many calls at once the target gets: fewer than it has slots where
-// that does more.
+// nearly as much is done with fewer.
 func (s *State) width(t *tally, now time.Time) int {
-	return s.occupancy.width(t.number, t.target.SlotCount(), now)
+	if now.Sub(t.widthAt) >= widthLasts {
+		t.width, t.widthAt = s.occupancy.width(t.number, t.target.SlotCount(), now), now
+	}
+	return t.width
 }
 
 func (s *State) estimate(contract hemlocktally.ContractName) *estimate {
--- a/placer/tally.go
+++ b/placer/tally.go
@@ -23,6 +23,8 @@
 	registration hemlocktally.Registration
 	target       hemlocktally.Target
 	number       int // number is its place among the targets of the service.
+	width        int // width is how many calls at once it gets, as worked out at widthAt.
+	widthAt      time.Time
 	out          bool
 	turns        map[hemlocktally.GrantID]turn
 
--- a/placer/wire.go
+++ b/placer/wire.go
@@ -11,7 +11,7 @@
 // Place answers a question of another instance. It implements
 // messenger.Placement.
 func (s *Server) Place(ctx context.Context, in *messenger.PlaceRequest) (*messenger.PlaceResponse, error) {
-	if !s.Able(hemlocktally.ServiceName(in.GetService())) || !s.prepare(ctx) {
+	if !s.becomesAble(ctx, hemlocktally.ServiceName(in.GetService())) || !s.prepare(ctx) {
 		return &messenger.PlaceResponse{Unable: true}, nil
 	}
 	switch answer := s.Ask(ctx, askMsg(in, time.Now())).(type) {
