Mechanisms can be left off by a setting

Each mechanism that decides is one name; [Policy] Off lists those that are left off, checked with the names that there are, so that a run without one is a run of the same program.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -112,10 +112,11 @@
 	incarnation := ulid.Make().String()
 	epoch := incarnation[len(incarnation)-epochLength:]
 	self := hemlocktally.InstanceID(s.Instance.ID)
+	off, _ := hemlocktally.MechanismsOff(s.Policy.Off) // Check has read it.
 	b.recorder = &recorder.Recorder{}
 	peers := &http.Client{Transport: messenger.Bounded(peerTransport())}
 	b.follower = &follower.Follower{
-		Directory: b.Directory, Interpreter: b.Platform, Log: b.Log, Changed: b.pictureChanged, HTTP: peers,
+		Directory: b.Directory, Interpreter: b.Platform, Log: b.Log, Changed: b.pictureChanged, HTTP: peers, Off: off,
 		Self: follower.Hub{
 			ID: self, Incarnation: incarnation, Zone: hemlocktally.ZoneName(s.Instance.Zone), PeerAddress: s.Listen.Peers, Weight: s.Instance.Weight,
 		},
@@ -124,7 +125,7 @@
 	loads := &prober.LoadProber{Dialect: b.Platform, HTTP: &http.Client{Transport: transport(1, probeIdleTime, longestDial)}}
 	bounds := placer.Bounds{
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: s.Bounds.RetryWindow, RetrySlack: s.Bounds.RetrySlack,
-		ColdShare: coldShare, ProbesPerSecond: s.Bounds.ProbesPerSecond,
+		ColdShare: coldShare, ProbesPerSecond: s.Bounds.ProbesPerSecond, Off: off,
 	}
 	b.owner = &placer.Server{Self: self, Epoch: epoch, Bounds: bounds, Loads: loads, Log: b.Log, Needed: b.follower.NeedTargets, Known: b.follower.TargetsKnown}
 	// An instance that decides alone is one of many: it keeps to a small part of
@@ -133,12 +134,15 @@
 	b.alone = &placer.Server{Self: self, Epoch: epoch + "A", Bounds: bounds, Loads: loads, Log: b.Log, Needed: b.follower.NeedTargets, Known: b.follower.TargetsKnown, Alone: true}
 	b.turns = &placer.Client{
 		Self: self, Zone: hemlocktally.ZoneName(s.Instance.Zone), Epoch: epoch, View: b.follower, Server: b.owner, Alone: b.alone,
-		HTTP: peers, Log: b.Log, NeedTargets: b.follower.NeedTargets,
+		HTTP: peers, Log: b.Log, NeedTargets: b.follower.NeedTargets, Off: off,
 	}
 	b.links = &dialer.Dialer{
 		Viewer: b.follower, ProvenFor: linkProvenFor, IdleLimit: linkIdleLimit, DialTimeout: linkDialTimeout, Dial: dial,
 	}
 	b.prepareEntry()
+	if off.Off(hemlocktally.MechanismReadAhead) {
+		b.callers.Depth = 1
+	}
 }
 
 // toldPicture is what the owners were told last.
--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -20,6 +20,7 @@
 	Callers  CallerSettings
 	Platform PlatformSettings
 	Bounds   BoundSettings
+	Policy   PolicySettings
 	Log      loader.LogSettings
 }
 
@@ -58,6 +59,11 @@
 	ProbesPerSecond float64       // ProbesPerSecond bounds the questions to one target.
 }
 
+// PolicySettings change how an instance decides.
+type PolicySettings struct {
+	Off string // Off names mechanisms that are left off, separated by commas: to measure what they are worth.
+}
+
 // Defaults of the settings.
 const (
 	defaultStopTimeout     = 6 * time.Second
@@ -108,6 +114,7 @@
 	const address = "an IP address with a port, such as 127.0.0.1:8080"
 	levels := []string{"debug", "info", "warning", "error"}
 	var bad []error
+	_, unknown := hemlocktally.MechanismsOff(s.Policy.Off)
 	for _, check := range []struct {
 		section, key, found, allowed string
 		ok                           bool
@@ -122,6 +129,7 @@
 		{"Callers", "PipelineBytes", strconv.Itoa(s.Callers.PipelineBytes), "a number of bytes from 4096 to 1048576", within(s.Callers.PipelineBytes, fewestBytes, mostBytes)},
 		{"Platform", "Store", s.Platform.Store, address, loader.IsAddress(s.Platform.Store)},
 		{"Bounds", "RetryRatio", strconv.FormatFloat(s.Bounds.RetryRatio, 'g', -1, 64), "a share from 0 to 1", s.Bounds.RetryRatio <= 1},
+		{"Policy", "Off", s.Policy.Off, "names of mechanisms, separated by commas, or nothing", unknown == nil},
 		{"Log", "Format", s.Log.Format, "Text, JSON", s.Log.Format == "Text" || s.Log.Format == "JSON"},
 		{"Log", "Level", s.Log.Level, "debug, info, warning, error", slices.Contains(levels, s.Log.Level)},
 	} {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -34,6 +34,7 @@
 	Interpreter hemlocktally.Interpreter
 	HTTP        *http.Client // HTTP is for calls of hubs.
 	Log         logger.Logger
+	Off         hemlocktally.Mechanisms // Off are the mechanisms that are left off.
 	// Changed is told of each new picture, from one goroutine; it may be nil.
 	Changed func(*Picture)
 
--- a/follower/handover.go
+++ b/follower/handover.go
@@ -49,7 +49,7 @@
 
 // handsOverTo reports whether the follower that asks is to take the hub's place.
 func (f *Follower) handsOverTo(in *messenger.SyncRequest) bool {
-	if hemlocktally.ZoneName(in.GetZone()) != f.Self.Zone || in.GetWeight() < muchStronger*f.Self.Weight || f.outOfTouch() {
+	if f.Off.Off(hemlocktally.MechanismHandover) || hemlocktally.ZoneName(in.GetZone()) != f.Self.Zone || in.GetWeight() < muchStronger*f.Self.Weight || f.outOfTouch() {
 		return false
 	}
 	now := time.Now()
--- a/follower/targets.go
+++ b/follower/targets.go
@@ -26,14 +26,15 @@
 	t := &targetFeed{Follower: f, inbox: inbox}
 	for ctx.Err() == nil {
 		hub, needed := f.isHub.Load(), f.targetsNeeded()
+		reads := hub || f.readsItself() || f.Off.Off(hemlocktally.MechanismRelayedLists)
 		rested := t.looked.IsZero() || time.Since(t.looked) >= restingPace
 		switch {
 		case !needed && (!hub || !rested):
 			t.known, t.missed = 0, 0
 			sleepUntil(ctx, gateInterval, f.wakeFeeds.wait())
-		case !hub && !f.readsItself() && t.missed < relayMisses && t.ask(ctx):
+		case !reads && t.missed < relayMisses && t.ask(ctx):
 			sleep(ctx, spread(t.untilNext()))
-		case !hub && !f.readsItself() && t.missed < relayMisses && len(f.hubs()) > 0:
+		case !reads && t.missed < relayMisses && len(f.hubs()) > 0:
 			sleep(ctx, spread(firstBackoff))
 		default:
 			t.look(ctx, needed)
--- /dev/null
+++ b/mechanism_test.go
@@ -0,0 +1,27 @@
+package hemlocktally_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"hemlocktally"
+)
+
+func ExampleMechanismsOff() {
+	off, err := hemlocktally.MechanismsOff("Width, LinkPrice")
+	fmt.Println(off.Off(hemlocktally.MechanismWidth), off.Off(hemlocktally.MechanismOwners), err)
+	// Output: true false <nil>
+}
+
+func TestUnknownMechanism(t *testing.T) {
+	c := qt.New(t)
+	_, err := hemlocktally.MechanismsOff("Width,Luck")
+	var unknown *hemlocktally.UnknownMechanismError
+	c.Assert(errors.As(err, &unknown), qt.IsTrue)
+	c.Check(unknown.Name, qt.Equals, "Luck")
+	var none hemlocktally.Mechanisms
+	c.Check(none.Off(hemlocktally.MechanismWidth), qt.IsFalse)
+}
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -53,7 +53,7 @@
 	var commands []any
 	room := &room{state: s, now: now}
 	ordered := slices.Clone(s.queue)
-	if len(ordered) > 1 && room.exists() {
+	if len(ordered) > 1 && !s.off(hemlocktally.MechanismPromptFirst) && room.exists() {
 		slices.SortStableFunc(ordered, func(a, b *waiter) int { return cmp.Compare(s.lateness(a, now), s.lateness(b, now)) })
 	}
 	for _, w := range ordered {
@@ -196,7 +196,7 @@
 // answers it waits for: also of those that are being asked already.
 func (s *State) probe(w *waiter, candidates []candidate, best candidate, first *tally, now time.Time) []any {
 	w.asked = nil
-	if s.service.ProbePath == "" {
+	if s.service.ProbePath == "" || s.off(hemlocktally.MechanismLoadQuestions) {
 		return nil
 	}
 	var commands []any
@@ -268,6 +268,9 @@
 		return notRun(hemlocktally.ReasonNoTarget, "no target of the service is known", leastAdvice)
 	}
 	slots, away := s.openTo(msg.From, now)
+	if s.off(hemlocktally.MechanismAdmission) && slots > 0 {
+		return nil
+	}
 	if slots == 0 && away > 0 {
 		detail := fmt.Sprintf("all targets want nothing of this instance for %s", away.Round(time.Millisecond))
 		return notRun(hemlocktally.ReasonShed, detail, time.Duration((1+awaySpread*rand.Float64())*float64(away)))
@@ -311,5 +314,8 @@
 // advice is when to come back, spread so that not all come at once.
 func (s *State) advice(wait time.Duration) time.Duration {
 	spread := 0.75 + 0.5*rand.Float64()
+	if s.off(hemlocktally.MechanismSpreadReturn) {
+		spread = 1
+	}
 	return time.Duration(float64(min(mostAdvice, max(leastAdvice, wait))) * spread)
 }
--- a/placer/client.go
+++ b/placer/client.go
@@ -41,6 +41,7 @@
 	// NeedTargets asks for the list of targets, which an instance that decides
 	// alone may not have; it may be nil.
 	NeedTargets func()
+	Off         hemlocktally.Mechanisms // Off are the mechanisms that are left off.
 
 	shunner shunner
 	asked   atomic.Uint64
@@ -117,7 +118,7 @@
 func (c *Client) ask(ctx context.Context, ask AskMsg) any {
 	now := time.Now()
 	tried := 0
-	for _, owner := range Ranked(ask.Request.Service, c.View.View().Serving()) {
+	for _, owner := range c.owners(ask.Request.Service) {
 		if owner.ID == c.Self {
 			if c.Server.Able(ask.Request.Service) {
 				return c.Server.Ask(ctx, ask)
@@ -142,6 +143,14 @@
 	return c.Alone.Ask(ctx, ask)
 }
 
+// owners ranks the instances that may own the service.
+func (c *Client) owners(service hemlocktally.ServiceName) []hemlocktally.Instance {
+	if c.Off.Off(hemlocktally.MechanismOwners) {
+		return nil
+	}
+	return Ranked(service, c.View.View().Serving())
+}
+
 // awaitTargets waits a moment until the instance knows targets itself.
 func (c *Client) awaitTargets(ctx context.Context, service hemlocktally.ServiceName) {
 	if c.NeedTargets == nil {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -22,6 +22,8 @@
 	ColdShare float64
 	// ProbesPerSecond bounds the questions to one target.
 	ProbesPerSecond float64
+	// Off are the mechanisms that are left off, to measure what they are worth.
+	Off hemlocktally.Mechanisms
 }
 
 // Messages to the state.
--- a/placer/room.go
+++ b/placer/room.go
@@ -70,7 +70,7 @@
 // service no more than a small one.
 func (s *State) choose(w *waiter, room *room, now time.Time) (list []candidate, best candidate, ok bool) {
 	left := w.msg.Request.Objective.Sub(now)
-	if near := room.of(w.msg.Zone); len(near) >= enoughNear {
+	if near := room.of(w.msg.Zone); len(near) >= enoughNear && !s.off(hemlocktally.MechanismZoneFirst) {
 		if list, best, ok = s.rank(w, near, left, now); ok && best.quick(left) {
 			return list, best, true
 		}
@@ -117,9 +117,12 @@
 
 // candidate is what speaks for and against a target for the waiter's call.
 func (s *State) candidate(t *tally, w *waiter, left time.Duration, now time.Time) candidate {
-	c := candidate{t: t, near: t.target.Zone == w.msg.Zone, fresh: t.fresh(now)}
+	c := candidate{t: t, near: t.target.Zone == w.msg.Zone || s.off(hemlocktally.MechanismZoneFirst), fresh: t.fresh(now)}
 	c.expected = s.expect(t, w.msg.Request.Contract, now)
-	c.doubted = time.Duration(float64(c.expected) / (1 - math.Min(worstFaulty, t.faulty)))
+	c.doubted = c.expected
+	if !s.off(hemlocktally.MechanismFaultRanking) {
+		c.doubted = time.Duration(float64(c.expected) / (1 - math.Min(worstFaulty, t.faulty)))
+	}
 	if t.suspect {
 		c.doubted *= outlierFactor
 	}
@@ -127,10 +130,10 @@
 	if !c.near {
 		c.cost += farPenalty
 	}
-	if !t.linked(w.msg.From, now) {
+	if !t.linked(w.msg.From, now) && !s.off(hemlocktally.MechanismLinkPrice) {
 		c.cost += max(newLink, time.Duration(newLinkPart*float64(left)))
 	}
-	if t.joined && t.usedAt.IsZero() && !t.suspect && !t.cold(now) && (!c.fresh || t.pace < calmPace) && c.quick(left) {
+	if t.joined && !s.off(hemlocktally.MechanismJoinFirst) && t.usedAt.IsZero() && !t.suspect && !t.cold(now) && (!c.fresh || t.pace < calmPace) && c.quick(left) {
 		c.cost = 0 // Else a target that joins would wait until the known ones are busy.
 	}
 	return c
--- a/placer/state.go
+++ b/placer/state.go
@@ -151,6 +151,8 @@
 		}
 	}
 	switch {
+	case msg.Request.Kind == hemlocktally.AttemptHedge && s.off(hemlocktally.MechanismSecondAttempts):
+		return []any{RefuseCmd{Ticket: msg.Ticket, Error: notRun(hemlocktally.ReasonShed, "second attempts are off", 0)}}
 	case msg.Request.Kind == hemlocktally.AttemptFirst:
 		s.spent.call(now, s.Bounds.RetryWindow)
 	case !s.spent.room(now, s.ownBounds(), budgetShare(msg.Request.Kind)):
@@ -160,7 +162,11 @@
 		return []any{RefuseCmd{Ticket: msg.Ticket, Error: refused}}
 	}
 	w := &waiter{msg: msg, arrived: now}
-	i, _ := slices.BinarySearchFunc(s.queue, w, goesBefore)
+	order := goesBefore
+	if s.off(hemlocktally.MechanismPriorityOrder) {
+		order = func(a, b *waiter) int { return a.arrived.Compare(b.arrived) }
+	}
+	i, _ := slices.BinarySearchFunc(s.queue, w, order)
 	s.queue = slices.Insert(s.queue, i, w)
 	return nil
 }
@@ -229,9 +235,15 @@
 	}
 }
 
+// off reports whether a mechanism is left off.
+func (s *State) off(mechanism hemlocktally.Mechanism) bool { return s.Bounds.Off.Off(mechanism) }
+
 // width is how many calls at once the target gets: fewer than it has slots where
 // nearly as much is done with fewer.
 func (s *State) width(t *tally, now time.Time) int {
+	if s.off(hemlocktally.MechanismWidth) {
+		return t.target.SlotCount()
+	}
 	if now.Sub(t.widthAt) >= widthLasts {
 		t.width, t.widthAt = s.occupancy.width(t.number, t.target.SlotCount(), now), now
 	}
