--- a/placer/client.go
+++ b/placer/client.go
@@ -19,7 +19,7 @@
 const (
 	firstAsk    = 80 * time.Millisecond // firstAsk bounds one question to an owner, the time for which it is held included.
 	endTimeout  = 150 * time.Millisecond
-	avoidFirst  = time.Second // avoidFirst is how long an owner that did not answer is not asked.
+	avoidFirst  = 150 * time.Millisecond // avoidFirst is how long an owner that did not answer is not asked; each further silence doubles it.
 	avoidMost   = 4 * time.Second
 	avoidUnable = 60 * time.Millisecond // avoidUnable is that time for one that answers that it can't decide: it reads the list of targets by then.
 	aloneWait   = 60 * time.Millisecond // aloneWait is how long an instance that decides alone waits for the list of targets.
