--- a/cmd/hemlocktally/explain.go
+++ b/cmd/hemlocktally/explain.go
@@ -24,9 +24,7 @@
 		ArgsUsage: "ID FILE...",
 		Description: "Prints what the logs say of the call and what its instances believed then, with ages.\n" +
 			"Example:\n  hemlocktally explain 9c41d07be2a35f68 edge-1.log edge-2.log",
-		Flags: []cli.Flag{&cli.StringSliceFlag{
-			Name: "offset", Usage: "add a time to the clock of an instance, as `INSTANCE=TIME`, such as edge-2=-1.5s",
-		}},
+		Flags:  []cli.Flag{offsetFlag()},
 		Action: explain,
 	}
 }
@@ -36,15 +34,11 @@
 	if c.Args().Len() < least {
 		return &usageError{fmt.Errorf("expected ID FILE...; see %s --help", c.FullName())}
 	}
-	logs := tracer.Logs{Call: c.Args().First(), Offsets: map[string]time.Duration{}}
-	for _, text := range c.StringSlice("offset") {
-		instance, value, ok := strings.Cut(text, "=")
-		offset, err := time.ParseDuration(value)
-		if !ok || err != nil {
-			return &usageError{fmt.Errorf("--offset: found %q, allowed: INSTANCE=TIME such as edge-2=-1.5s", text)}
-		}
-		logs.Offsets[instance] = offset
+	offsets, err := offsetsOf(c)
+	if err != nil {
+		return err
 	}
+	logs := tracer.Logs{Call: c.Args().First(), Offsets: offsets}
 	for _, path := range c.Args().Tail() {
 		if err := readLog(&logs, path); err != nil {
 			return err
@@ -53,8 +47,33 @@
 	return logs.Story(c.Root().Writer)
 }
 
+func offsetFlag() cli.Flag {
+	return &cli.StringSliceFlag{
+		Name: "offset", Usage: "add a time to the clock of an instance, as `INSTANCE=TIME`, such as edge-2=-1.5s",
+	}
+}
+
+// offsetsOf reads the flag.
+func offsetsOf(c *cli.Command) (map[string]time.Duration, error) {
+	offsets := map[string]time.Duration{}
+	for _, text := range c.StringSlice("offset") {
+		instance, value, ok := strings.Cut(text, "=")
+		offset, err := time.ParseDuration(value)
+		if !ok || err != nil {
+			return nil, &usageError{fmt.Errorf("--offset: found %q, allowed: INSTANCE=TIME such as edge-2=-1.5s", text)}
+		}
+		offsets[instance] = offset
+	}
+	return offsets, nil
+}
+
+// logReader takes logs in.
+type logReader interface {
+	Read(r io.Reader, name string) error
+}
+
 // readLog reads one file, with its progress where it is large.
-func readLog(logs *tracer.Logs, path string) error {
+func readLog(logs logReader, path string) error {
 	file, err := os.Open(path) //nolint:gosec // The operator names the file.
 	if err != nil {
 		return err
--- a/dispatcher/trouble.go
+++ b/dispatcher/trouble.go
@@ -18,7 +18,7 @@
 	}
 	d.Log.Log(logger.EventCallTroubled, logger.Fields{
 		"Call": r.Call, "Contract": r.Contract, "Service": r.Service, "Revision": r.Revision, "Outcome": r.Outcome, "Reason": r.Reason,
-		"Detail": r.Detail, "Status": r.Status, "Total": r.Total.String(), "Queue": r.Granting.String(),
+		"Detail": r.Detail, "Status": r.Status, "Total": r.Total.String(), "Queue": r.Granting.String(), "Serving": r.Serving.String(),
 		"Objective": c.contract.Objective.String(), "Attempts": attemptsText(r.Attempts),
 	})
 }
--- a/logger/entry_events.go
+++ b/logger/entry_events.go
@@ -25,9 +25,9 @@
 	EventCallTroubled = Event{
 		Number: 2004, Name: "call refused, failed, repeated or late", Level: logrus.InfoLevel,
 		Fields: []string{
-			"Call", "Contract", "Service", "Revision", "Outcome", "Reason", "Detail", "Status", "Total", "Queue", "Objective", "Attempts",
+			"Call", "Contract", "Service", "Revision", "Outcome", "Reason", "Detail", "Status", "Total", "Queue", "Serving", "Objective", "Attempts",
 		},
-		Meaning: "One line for each call that was not answered promptly by its first attempt. Attempts lists kind, target, outcome and time of each.",
+		Meaning: "One line for each call that was not answered promptly by its first attempt. Queue is the time until it had a turn, Serving that of its targets. Attempts lists kind, target, outcome and time of each.",
 		Action:  "None for a single call; `hemlocktally explain` joins the lines of several instances.",
 	}
 	EventAheadDiffers = Event{
