--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -145,6 +145,12 @@
 	}
 }
 
+// NoteGeneration takes in the store's generation, as each of its answers names it. It
+// returns an error for an answer of an earlier one.
+func (b *Balancer) NoteGeneration(named hemlocktally.StoreGeneration) error {
+	return b.follower.NoteGeneration(named)
+}
+
 // toldPicture is what the owners were told last.
 type toldPicture struct {
 	version, targets uint64
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -40,6 +40,7 @@
 		{Name: "instances", Help: "Instances that there seem to be.", Type: typeGauge, Value: float64(b.follower.View().Instances)},
 		{Name: "targets_age_seconds", Help: "Age of the list of targets.", Type: typeGauge, Value: time.Since(p.TargetsAt).Seconds()},
 		{Name: "store_age_seconds", Help: "Time since the store last answered this instance itself.", Type: typeGauge, Value: ages.Store.Seconds()},
+		{Name: "store_generation", Help: "How often the store has come back from a copy, as it says; 0 where it says nothing.", Type: typeGauge, Value: float64(b.follower.Generation())},
 		{Name: "hub_age_seconds", Help: "Time since a hub in touch with the store last answered this instance.", Type: typeGauge, Value: ages.Hub.Seconds()},
 	}
 	gauges = append(gauges, recorder.Gauge{
--- a/cmd/hemlocktally/balance.go
+++ b/cmd/hemlocktally/balance.go
@@ -51,5 +51,6 @@
 	b := &balancer.Balancer{
 		Settings: settings, Platform: platform.Translator{}, Log: log, Directory: store, StoreCalls: store.Calls, LinesDropped: lines.Dropped,
 	}
+	store.Answered = b.NoteGeneration
 	return b.Run(ctx)
 }
--- a/directory.go
+++ b/directory.go
@@ -11,6 +11,8 @@
 type Snapshot struct {
 	Entries  []DirectoryEntry
 	Revision uint64
+	// Generation is the store's; revisions are comparable within it only.
+	Generation StoreGeneration
 }
 
 // DirectoryEntry is one key of a directory.
@@ -70,6 +72,7 @@
 	Target   Target
 	Draining bool
 	ColdFor  time.Duration // ColdFor is how much longer it was cold when it wrote the entry.
+	Sequence uint64        // Sequence counts the target's own writes since its start.
 }
 
 // Interpreter reads the entries of a directory. It knows the platform's names
--- a/follower/feed.go
+++ b/follower/feed.go
@@ -60,10 +60,10 @@
 // follow reads everything once and then what changes, while the instance has to
 // read the store itself.
 func (f *Follower) follow(ctx context.Context, inbox chan<- any, fd feed) {
-	known, pause := uint64(0), firstBackoff
+	known, pause, generation := uint64(0), firstBackoff, f.Generation()
 	for ctx.Err() == nil {
-		if f.gate(ctx) {
-			known = 0
+		if f.gate(ctx) || f.Generation() != generation {
+			known, generation = 0, f.Generation() // Revisions of another generation tell nothing.
 		}
 		if ctx.Err() != nil {
 			return
@@ -102,10 +102,15 @@
 	defer cancel()
 	if known == 0 {
 		all, err := f.Directory.Snapshot(ctx, fd.prefix, false)
-		return SnapshotMsg{Kind: fd.kind, Entries: all.Entries}, all.Revision, err
+		return SnapshotMsg{Kind: fd.kind, Entries: all.Entries, Generation: all.Generation}, all.Revision, err
 	}
+	ctx, end := f.generations.during(ctx)
+	defer end()
 	changes, err := f.Directory.Follow(ctx, fd.prefix, known, fd.wait)
-	return ChangesMsg{Kind: fd.kind, Entries: changes.Entries}, newest(known, changes.Entries), err
+	if err != nil && errors.Is(context.Cause(ctx), errRestored) {
+		err = errRestored
+	}
+	return ChangesMsg{Kind: fd.kind, Entries: changes.Entries, Generation: changes.Generation}, newest(known, changes.Entries), err
 }
 
 // newest is the revision of the last change seen. An answer without changes
@@ -120,7 +125,7 @@
 // failed notes a failure and returns from which revision to go on.
 func (f *Follower) failed(ctx context.Context, inbox chan<- any, fd feed, known uint64, err error) uint64 {
 	var lost *hemlocktally.HistoryError
-	if errors.As(err, &lost) {
+	if errors.As(err, &lost) || errors.Is(err, errRestored) {
 		return 0
 	}
 	if ctx.Err() != nil {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -60,6 +60,7 @@
 	looks        looks
 	followers    followers
 	handover     handover
+	generations  generations
 	versions     contentVersions
 	packed       packed
 	// relayedTargets is the list of targets as a hub passes it on.
@@ -216,6 +217,9 @@
 		case msg = <-inbox:
 		case <-ticker.C:
 		}
+		if to, fell := f.generations.takeFall(); fell {
+			state.Update(FellMsg{Generation: to}, time.Now())
+		}
 		changed, notes := state.Update(msg, time.Now())
 		if changed {
 			f.publish(state.Picture())
--- a/follower/handover.go
+++ b/follower/handover.go
@@ -60,7 +60,7 @@
 // place. Where something has changed the key meanwhile, nothing happens.
 func (r *role) takeOver(ctx context.Context, from Hub) {
 	present, ok := r.Picture().relayedEntry(r.Interpreter.HubPrefix() + string(r.Self.Zone))
-	if !ok || !holds(present, from.ID) || r.leaving.Load() {
+	if !ok || !holds(present, from.ID) || r.leaving.Load() || present.Generation != r.Generation() {
 		return
 	}
 	r.become(ctx, present.Version)
@@ -68,11 +68,11 @@
 
 // become claims the place of the zone's hub, where its key still has the version.
 func (r *role) become(ctx context.Context, over hemlocktally.StoreVersion) {
-	lease, version, err := r.claim(ctx, over)
+	lease, claimed, err := r.claim(ctx, over, false)
 	var conflict *hemlocktally.ConflictError
 	switch {
 	case err == nil:
-		r.lease, r.claimed, r.renewed, r.failing = lease, version, time.Now(), false
+		r.lease, r.claimed, r.renewed, r.failing = lease, claimed, time.Now(), false
 		r.handover.begin(r.renewed)
 		r.fire(ctx, eventChosen, logger.Fields{"Lease": lease})
 	case errors.As(err, &conflict):
@@ -86,7 +86,7 @@
 // hub's.
 func (r *role) displaced() bool {
 	present, ok := r.Picture().relayedEntry(r.Interpreter.HubPrefix() + string(r.Self.Zone))
-	return ok && present.Version > r.claimed && !holds(present, r.Self.ID)
+	return ok && present.Point().After(r.claimed) && !holds(present, r.Self.ID)
 }
 
 // holds reports whether the entry of a hub names the instance.
--- a/follower/handover_test.go
+++ b/follower/handover_test.go
@@ -34,11 +34,12 @@
 
 // add starts an instance of zone a.
 func (f *storedFleet) add(ctx context.Context, id hemlocktally.InstanceID, weight float64) *follower.Follower {
+	store := &platform.Store{Address: "store", HTTP: &http.Client{Transport: f.peers}}
 	one := &follower.Follower{
 		Self:      follower.Hub{ID: id, Incarnation: string(id) + "1", Zone: "a", PeerAddress: string(id), Weight: weight},
-		Directory: &platform.Store{Address: "store", HTTP: &http.Client{Transport: f.peers}}, Interpreter: platform.Translator{},
-		HTTP: &http.Client{Transport: f.peers},
+		Directory: store, Interpreter: platform.Translator{}, HTTP: &http.Client{Transport: f.peers},
 	}
+	store.Answered = one.NoteGeneration
 	one.Prepare()
 	f.peers[string(id)] = messenger.NewRelayServer(one)
 	f.count++
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -94,7 +94,8 @@
 	age := f.storeAge()
 	out := &messenger.SyncResponse{
 		Look:    age > inTouch && f.mayLook(time.Now()),
-		Version: version, StoreAgeMicroseconds: age.Microseconds(), Followers: int64(count),
+		Version: version, StoreAgeMicroseconds: age.Microseconds(), Followers: int64(count), Generation: uint64(f.Generation()),
+		Remembers: f.generations.sawReturn(),
 	}
 	if p == nil {
 		return out, nil
@@ -136,7 +137,7 @@
 func pack(entries []hemlocktally.Entry) ([]byte, error) {
 	all := &messenger.RelayedEntries{}
 	for _, e := range entries {
-		all.Entries = append(all.Entries, &messenger.RelayedEntry{Key: e.Key, Value: e.Value, Revision: uint64(e.Version)})
+		all.Entries = append(all.Entries, &messenger.RelayedEntry{Key: e.Key, Value: e.Value, Revision: uint64(e.Version), Generation: uint64(e.Generation)})
 	}
 	plain, err := proto.Marshal(all)
 	if err != nil {
@@ -174,6 +175,7 @@
 	for _, e := range all.GetEntries() {
 		entries = append(entries, hemlocktally.DirectoryEntry{Entry: hemlocktally.Entry{
 			Key: e.GetKey(), Value: e.GetValue(), Version: hemlocktally.StoreVersion(e.GetRevision()),
+			Generation: hemlocktally.StoreGeneration(e.GetGeneration()),
 		}})
 	}
 	return entries, nil
@@ -194,6 +196,9 @@
 		}
 		return false, false
 	}
+	if r.noteRelayed(out.GetGeneration()) != nil {
+		return false, true // The hub has not noticed that the store came back from a copy.
+	}
 	touch = microseconds(out.GetStoreAgeMicroseconds()) <= inTouch
 	if touch {
 		r.mark(&r.followed)
@@ -212,7 +217,7 @@
 		r.Log.Log(logger.EventHubSilent, logger.Fields{"Hub": hub.ID, "Cause": err.Error()})
 		return false, false
 	}
-	r.take(ctx, entries, touch)
+	r.take(ctx, entries, out.GetRemembers(), touch)
 	if touch {
 		r.held, r.added = out.GetVersion(), ""
 	} else {
@@ -223,7 +228,7 @@
 
 // take hands the entries of a hub to the state. Those of a hub that is out of
 // touch may add but not remove.
-func (r *role) take(ctx context.Context, entries []hemlocktally.DirectoryEntry, touch bool) {
+func (r *role) take(ctx context.Context, entries []hemlocktally.DirectoryEntry, held, touch bool) {
 	byKind := map[hemlocktally.EntryKind][]hemlocktally.DirectoryEntry{hemlocktally.EntryDeclaration: nil, hemlocktally.EntryHub: nil}
 	for _, entry := range entries {
 		kind, _ := r.Interpreter.Kind(entry.Key)
@@ -234,9 +239,9 @@
 	}
 	for _, kind := range []hemlocktally.EntryKind{hemlocktally.EntryDeclaration, hemlocktally.EntryHub} {
 		if touch {
-			send(ctx, r.inbox, SnapshotMsg{Kind: kind, Entries: byKind[kind]})
+			send(ctx, r.inbox, SnapshotMsg{Kind: kind, Entries: byKind[kind], Generation: r.Generation(), Held: held})
 		} else {
-			send(ctx, r.inbox, ChangesMsg{Kind: kind, Entries: byKind[kind]})
+			send(ctx, r.inbox, ChangesMsg{Kind: kind, Entries: byKind[kind], Generation: r.Generation()})
 		}
 	}
 }
--- a/follower/role.go
+++ b/follower/role.go
@@ -84,12 +84,12 @@
 	inbox      chan<- any
 	machine    *fsm.FSM
 	lease      string
-	renewed    time.Time                 // renewed is when the place was last renewed.
-	failing    bool                      // failing is set after a failed renewal or claim.
-	claimAt    time.Time                 // claimAt is when the instance tries to become its zone's hub; zero while there is one.
-	claimed    hemlocktally.StoreVersion // claimed is the version of the key as this hub wrote it.
-	held       string                    // held names the entries that a hub passed on last and that were taken over as a whole.
-	added      string                    // added names those that a hub out of touch passed on since.
+	renewed    time.Time               // renewed is when the place was last renewed.
+	failing    bool                    // failing is set after a failed renewal or claim.
+	claimAt    time.Time               // claimAt is when the instance tries to become its zone's hub; zero while there is one.
+	claimed    hemlocktally.StorePoint // claimed is when this hub wrote its key.
+	held       string                  // held names the entries that a hub passed on last and that were taken over as a whole.
+	added      string                  // added names those that a hub out of touch passed on since.
 	looked     time.Time
 	listed     bool // listed is set once a cheap question to the store has named hubs.
 	mayLookNow bool // mayLookNow is set where a hub that is out of touch wants this instance to look.
@@ -198,38 +198,39 @@
 		return true
 	}
 	r.mark(&r.served)
-	send(ctx, r.inbox, ChangesMsg{Kind: hemlocktally.EntryHub, Entries: all.Entries})
+	send(ctx, r.inbox, ChangesMsg{Kind: hemlocktally.EntryHub, Entries: all.Entries, Generation: all.Generation})
 	return slices.ContainsFunc(all.Entries, func(e hemlocktally.DirectoryEntry) bool {
 		return e.Key == r.Interpreter.HubPrefix()+string(r.Self.Zone) && !holds(e.Entry, r.Self.ID)
 	})
 }
 
 // claim writes the key of the zone's hub under a new lease, over the version that is
-// known, or over what an earlier life of the instance wrote.
-func (r *role) claim(ctx context.Context, over hemlocktally.StoreVersion) (lease string, version hemlocktally.StoreVersion, err error) {
+// known, or over what an earlier life of the instance wrote. Where it was the hub until
+// the store came back from a copy, it claims over whatever the copy names.
+func (r *role) claim(ctx context.Context, over hemlocktally.StoreVersion, anyway bool) (lease string, claimed hemlocktally.StorePoint, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	granted, err := r.Directory.Grant(ctx, hubTTL)
 	if err != nil {
-		return "", 0, err
+		return "", claimed, err
 	}
 	value, err := json.Marshal(r.Self)
 	if err != nil {
-		return "", 0, err
+		return "", claimed, err
 	}
 	entry := hemlocktally.Entry{Key: r.Interpreter.HubPrefix() + string(r.Self.Zone), Value: value, Lease: granted.ID, Version: over}
-	version, err = r.Directory.Swap(ctx, entry)
+	version, err := r.Directory.Swap(ctx, entry)
 	var conflict *hemlocktally.ConflictError
-	if errors.As(err, &conflict) && holds(conflict.Present, r.Self.ID) {
+	if errors.As(err, &conflict) && (anyway || holds(conflict.Present, r.Self.ID)) {
 		entry.Version = conflict.Present.Version
 		version, err = r.Directory.Swap(ctx, entry)
 	}
 	if err != nil {
 		r.revoke(ctx, granted.ID)
-		return "", 0, err
+		return "", claimed, err
 	}
 	r.answered()
-	return granted.ID, version, nil
+	return granted.ID, hemlocktally.StorePoint{Generation: r.Generation(), Version: version}, nil
 }
 
 // keep renews the hub's place once.
@@ -263,7 +264,8 @@
 // the store, the place is taken anew at once if nobody else has it: else all
 // instances would read the store at its return.
 func (r *role) renew(ctx context.Context) error {
-	if r.lease != "" {
+	restored := r.Generation() != r.claimed.Generation
+	if r.lease != "" && !restored {
 		bounded, cancel := context.WithTimeout(ctx, renewTimeout)
 		defer cancel()
 		err := r.Directory.Renew(bounded, r.lease)
@@ -273,8 +275,12 @@
 		}
 		r.lease = ""
 	}
-	lease, version, err := r.claim(ctx, 0)
-	r.lease, r.claimed = lease, max(r.claimed, version)
+	// The lease of an earlier generation is gone; its number may be another's by now.
+	lease, claimed, err := r.claim(ctx, 0, restored)
+	r.lease = lease
+	if err == nil {
+		r.claimed = claimed
+	}
 	return err
 }
 
@@ -383,7 +389,7 @@
 	r.mark(&r.served)
 	r.wakeFeeds.signal()
 	published := r.published.wait()
-	send(ctx, r.inbox, ChangesMsg{Kind: hemlocktally.EntryHub, Entries: all.Entries})
+	send(ctx, r.inbox, ChangesMsg{Kind: hemlocktally.EntryHub, Entries: all.Entries, Generation: all.Generation})
 	sleepUntil(ctx, seekPause, published)
 	r.listed = len(all.Entries) > 0
 }
--- a/follower/state.go
+++ b/follower/state.go
@@ -30,6 +30,8 @@
 	Targets       map[hemlocktally.ServiceName][]hemlocktally.Registration
 	Hubs          map[hemlocktally.ZoneName]Hub
 	TargetsAt     time.Time // TargetsAt is when the targets were last read; zero means never.
+	// ListName is the name of the list that a hub passed on, as long as Targets is that.
+	ListName string
 	// TargetsVersion changes whenever Targets does.
 	TargetsVersion uint64
 	// Relayed holds the entries that hubs pass on, as they stand in the store.
@@ -42,19 +44,30 @@
 type (
 	// SnapshotMsg holds all entries below a prefix.
 	SnapshotMsg struct {
-		Kind    hemlocktally.EntryKind // Kind is what is read below the prefix.
-		Entries []hemlocktally.DirectoryEntry
+		Kind       hemlocktally.EntryKind // Kind is what is read below the prefix.
+		Entries    []hemlocktally.DirectoryEntry
+		Generation hemlocktally.StoreGeneration // Generation is the store's; zero where it is not known.
+		// Held is set where a hub passed them on that has held what it knew over the
+		// store's copy itself.
+		Held bool
 	}
 	// ChangesMsg holds entries that changed.
 	ChangesMsg struct {
-		Kind    hemlocktally.EntryKind
-		Entries []hemlocktally.DirectoryEntry
+		Kind       hemlocktally.EntryKind
+		Entries    []hemlocktally.DirectoryEntry
+		Generation hemlocktally.StoreGeneration
 	}
 	// TargetListMsg holds all targets as a hub passed them on.
 	TargetListMsg struct {
-		At        time.Time // At is when the hub read them.
-		Unchanged bool      // Unchanged is set where they are those of the last list.
-		Targets   []hemlocktally.Registration
+		At         time.Time // At is when the hub read them.
+		Name       string    // Name is the list's, by its content.
+		Unchanged  bool      // Unchanged is set where they are those of the last list.
+		Targets    []hemlocktally.Registration
+		Generation hemlocktally.StoreGeneration
+	}
+	// FellMsg says that the store names a lower generation for good.
+	FellMsg struct {
+		Generation hemlocktally.StoreGeneration
 	}
 	// FailedMsg says that the store did not answer.
 	FailedMsg struct{ Kind hemlocktally.EntryKind }
@@ -104,6 +117,8 @@
 	config    *hemlocktally.Configuration
 	stops     map[hemlocktally.ZoneName]bool
 	targets   map[hemlocktally.TargetName]hemlocktally.Registration
+	sequences map[hemlocktally.TargetName]uint64 // sequences counts each target's own writes, as far as they were read.
+	restored  restored
 	hubs      map[hemlocktally.ZoneName]Hub
 	relayed   map[string]hemlocktally.Entry
 	version   uint64
@@ -111,6 +126,7 @@
 	// listed is Targets of the last picture, as long as nothing of it changes.
 	listed         map[hemlocktally.ServiceName][]hemlocktally.Registration
 	targetsVersion uint64
+	listName       string
 	feeds          map[hemlocktally.EntryKind]*feedState
 }
 
@@ -126,14 +142,25 @@
 func (s *State) Update(msg any, now time.Time) (changed bool, notes []any) {
 	switch msg := msg.(type) {
 	case SnapshotMsg:
+		if s.enter(msg.Generation, now) {
+			return false, nil
+		}
 		notes = s.snapshot(msg, now)
 	case ChangesMsg:
+		if s.enter(msg.Generation, now) {
+			return false, nil
+		}
 		f := s.answered(msg.Kind, now)
 		for _, entry := range msg.Entries {
 			notes = append(notes, s.apply(f, entry, now)...)
 		}
 	case TargetListMsg:
-		notes = s.takeTargets(msg)
+		if s.enter(msg.Generation, now) {
+			return false, nil
+		}
+		notes = s.takeTargets(msg, now)
+	case FellMsg:
+		s.fall(msg.Generation)
 	case FailedMsg:
 		s.feed(msg.Kind).failing = true
 		return false, nil
@@ -142,6 +169,7 @@
 	for _, f := range s.feeds {
 		notes = append(notes, s.settle(f, now)...)
 	}
+	notes = append(notes, s.release(now)...)
 	_, tick := msg.(TickMsg)
 	return !tick || len(notes) > 0, notes
 }
@@ -151,6 +179,8 @@
 		s.feeds = map[hemlocktally.EntryKind]*feedState{}
 		s.stops = map[hemlocktally.ZoneName]bool{}
 		s.targets = map[hemlocktally.TargetName]hemlocktally.Registration{}
+		s.sequences = map[hemlocktally.TargetName]uint64{}
+		s.restored.doubtful = map[string]hemlocktally.DirectoryEntry{}
 		s.hubs = map[hemlocktally.ZoneName]Hub{}
 		s.relayed = map[string]hemlocktally.Entry{}
 	}
@@ -178,19 +208,37 @@
 func (s *State) snapshot(msg SnapshotMsg, now time.Time) []any {
 	f := s.answered(msg.Kind, now)
 	present := make(map[string]bool, len(msg.Entries))
+	holds := s.restored.holds(now) && !msg.Held
 	var notes []any
 	for _, entry := range msg.Entries {
 		present[entry.Key] = true
+		kind, name := s.Interpreter.Kind(entry.Key)
+		if holds && s.contradicted(kind, name, entry) {
+			s.restored.doubtful[entry.Key] = entry
+			delete(f.missing, entry.Key)
+			continue
+		}
 		notes = append(notes, s.apply(f, entry, now)...)
 	}
 	for _, key := range s.keys(msg.Kind) {
 		if !present[key] {
-			notes = append(notes, s.apply(f, hemlocktally.DirectoryEntry{Entry: hemlocktally.Entry{Key: key}, Removed: true}, now)...)
+			notes = append(notes, s.absent(f, key, holds, now)...)
 		}
 	}
+	s.dropDoubtful(msg.Kind, present)
 	return notes
 }
 
+// absent takes over that the whole lacks a key. A copy of the store may lack what was
+// written since.
+func (s *State) absent(f *feedState, key string, holds bool, now time.Time) []any {
+	if kind, _ := s.Interpreter.Kind(key); kind == hemlocktally.EntryZoneStop && holds {
+		f.missing[key] = true
+		return nil
+	}
+	return s.apply(f, hemlocktally.DirectoryEntry{Entry: hemlocktally.Entry{Key: key}, Removed: true}, now)
+}
+
 // keys lists the keys that the state holds of one prefix.
 func (s *State) keys(kind hemlocktally.EntryKind) []string {
 	var keys []string
@@ -217,16 +265,24 @@
 // until the entry has had time to come back.
 func (s *State) apply(f *feedState, entry hemlocktally.DirectoryEntry, now time.Time) []any {
 	kind, name := s.Interpreter.Kind(entry.Key)
+	if entry.Generation == 0 {
+		entry.Generation = s.restored.generation // The store names none.
+	}
 	if entry.Removed {
 		if kind != hemlocktally.EntryZoneStop && now.Before(f.settled) {
 			f.missing[entry.Key] = true
 			return nil
 		}
+		delete(s.restored.doubtful, entry.Key)
+		s.remember(kind, entry.Key, name, now)
 		s.unrelay(entry.Key)
 		return s.remove(kind, name)
 	}
 	delete(f.missing, entry.Key)
-	s.relay(kind, entry.Entry)
+	delete(s.restored.doubtful, entry.Key)
+	if kind != hemlocktally.EntryDeclaration {
+		s.relay(kind, entry.Entry)
+	}
 	switch kind {
 	case hemlocktally.EntryDeclaration:
 		return s.declare(entry)
@@ -249,10 +305,13 @@
 	var notes []any
 	for _, key := range slices.Sorted(maps.Keys(f.missing)) {
 		kind, name := s.Interpreter.Kind(key)
+		if kind == hemlocktally.EntryZoneStop && s.restored.holds(now) {
+			continue
+		}
+		delete(f.missing, key)
 		s.unrelay(key)
 		notes = append(notes, s.remove(kind, name)...)
 	}
-	clear(f.missing)
 	return notes
 }
 
@@ -266,6 +325,7 @@
 			return nil
 		}
 		delete(s.targets, hemlocktally.TargetName(name))
+		delete(s.sequences, hemlocktally.TargetName(name))
 		s.touchTargets()
 		return []any{TargetChange{Service: known.Service, Target: known.Target.Name, State: targetRemoved}}
 	case hemlocktally.EntryHub:
@@ -282,6 +342,9 @@
 // declare puts a newer configuration in force; an older one is ignored.
 func (s *State) declare(entry hemlocktally.DirectoryEntry) []any {
 	config, bad := s.Interpreter.Declaration(entry.Value)
+	if config != nil && (s.config == nil || config.Revision >= s.config.Revision) {
+		s.relay(hemlocktally.EntryDeclaration, entry.Entry)
+	}
 	var notes []any
 	for _, cause := range bad {
 		notes = append(notes, BadEntry{Key: entry.Key, Cause: cause})
@@ -315,7 +378,7 @@
 
 func (s *State) join(entry hemlocktally.DirectoryEntry, zone hemlocktally.ZoneName) []any {
 	var hub Hub
-	if err := json.Unmarshal(entry.Value, &hub); err != nil {
+	if err := decodeHub(entry.Value, &hub); err != nil {
 		return []any{BadEntry{Key: entry.Key, Cause: err}}
 	}
 	known := s.hubs[zone]
@@ -326,10 +389,12 @@
 	return []any{HubChange{Zone: zone, Hub: hub.ID}}
 }
 
+func decodeHub(value []byte, hub *Hub) error { return json.Unmarshal(value, hub) }
+
 // relay keeps an entry for others. Targets are read by whoever places work.
 func (s *State) relay(kind hemlocktally.EntryKind, entry hemlocktally.Entry) {
 	known, ok := s.relayed[entry.Key]
-	if kind == hemlocktally.EntryTarget || kind == hemlocktally.EntryForeign || (ok && known.Version >= entry.Version) {
+	if kind == hemlocktally.EntryTarget || kind == hemlocktally.EntryForeign || (ok && !entry.Point().After(known.Point())) {
 		return
 	}
 	s.relayed[entry.Key] = entry
@@ -357,7 +422,7 @@
 	}
 	p := &Picture{
 		Configuration: &config, Hubs: maps.Clone(s.hubs), TargetsAt: s.targetsAt, Version: s.version,
-		Targets: s.listed, TargetsVersion: s.targetsVersion,
+		Targets: s.listed, TargetsVersion: s.targetsVersion, ListName: s.listName,
 	}
 	for _, key := range slices.Sorted(maps.Keys(s.relayed)) {
 		p.Relayed = append(p.Relayed, s.relayed[key])
--- a/follower/targets.go
+++ b/follower/targets.go
@@ -56,24 +56,27 @@
 // targetFeed is the task that follows the targets.
 type targetFeed struct {
 	*Follower
-	inbox  chan<- any
-	known  uint64        // known is the store's revision up to which its changes are known.
-	pause  time.Duration // pause grows with failures in a row.
-	looked time.Time
-	held   string        // held is the version of the list that a hub passed on last.
-	eager  time.Duration // eager is the pause before a stale list is asked for again.
-	missed int           // missed counts rounds in a row in which no hub passed a list on.
+	inbox      chan<- any
+	generation hemlocktally.StoreGeneration // generation is the one that known counts in.
+	known      uint64                       // known is the store's revision up to which its changes are known.
+	pause      time.Duration                // pause grows with failures in a row.
+	looked     time.Time
+	eager      time.Duration // eager is the pause before a stale list is asked for again.
+	missed     int           // missed counts rounds in a row in which no hub passed a list on.
 }
 
 // look reads the store.
 func (t *targetFeed) look(ctx context.Context, needed bool) {
 	fd := feed{hemlocktally.EntryTarget, t.Interpreter.TargetPrefix(), targetWait, targetPace}
+	if generation := t.Generation(); generation != t.generation {
+		t.known, t.generation = 0, generation // Revisions of another generation tell nothing.
+	}
 	if t.known > 0 {
 		t.mark(&t.watching)
 	}
 	msg, revision, err := t.Follower.look(ctx, fd, t.known)
 	t.watching.Store(0)
-	t.looked, t.held = time.Now(), ""
+	t.looked = time.Now()
 	if err != nil {
 		t.unreadable.Store(true)
 		t.known = t.failed(ctx, t.inbox, fd, t.known, err)
@@ -97,9 +100,9 @@
 // old one is better than none. It reports whether a list was passed on.
 func (t *targetFeed) ask(ctx context.Context) bool {
 	var best *messenger.TargetsResponse
-	asked, silent := time.Now(), false
+	asked, silent, held := time.Now(), false, t.Picture().ListName
 	for _, hub := range t.hubs() {
-		out, err := t.askHub(ctx, hub)
+		out, err := t.askHub(ctx, hub, held)
 		if err != nil {
 			silent = true
 			if ctx.Err() == nil {
@@ -107,7 +110,7 @@
 			}
 			continue
 		}
-		if out.GetUnable() {
+		if out.GetUnable() || t.noteRelayed(out.GetGeneration()) != nil {
 			continue
 		}
 		if best == nil || out.GetAgeMicroseconds() < best.GetAgeMicroseconds() {
@@ -127,16 +130,16 @@
 	t.missed, t.known = 0, 0
 	t.unreadable.Store(best.GetUnreadable())
 	send(ctx, t.inbox, TargetListMsg{
-		At: asked.Add(-microseconds(best.GetAgeMicroseconds())), Unchanged: best.GetVersion() == t.held, Targets: registrationsOf(best.GetTargets()),
+		At: asked.Add(-microseconds(best.GetAgeMicroseconds())), Name: best.GetVersion(), Unchanged: best.GetVersion() == held, Targets: registrationsOf(best.GetTargets()),
+		Generation: hemlocktally.StoreGeneration(best.GetGeneration()),
 	})
-	t.held = best.GetVersion()
 	return true
 }
 
-func (t *targetFeed) askHub(ctx context.Context, hub Hub) (*messenger.TargetsResponse, error) {
+func (t *targetFeed) askHub(ctx context.Context, hub Hub, held string) (*messenger.TargetsResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	return t.hubClients.of(hub.PeerAddress, t.Follower).Targets(ctx, &messenger.TargetsRequest{Instance: string(t.Self.ID), Version: t.held})
+	return t.hubClients.of(hub.PeerAddress, t.Follower).Targets(ctx, &messenger.TargetsRequest{Instance: string(t.Self.ID), Version: held})
 }
 
 // Targets passes the list of targets on. It implements messenger.Relay.
@@ -152,7 +155,9 @@
 	}
 	at, readable := f.TargetsKnown()
 	name, list := f.relayedTargets.of(p)
-	out := &messenger.TargetsResponse{Version: name, AgeMicroseconds: time.Since(at).Microseconds(), Unreadable: !readable}
+	out := &messenger.TargetsResponse{
+		Version: name, AgeMicroseconds: time.Since(at).Microseconds(), Unreadable: !readable, Generation: uint64(f.Generation()),
+	}
 	if name != in.GetVersion() {
 		out.Targets = list
 	}
--- a/follower/targetstate.go
+++ b/follower/targetstate.go
@@ -4,20 +4,21 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"hemlocktally"
 )
 
 // takeTargets takes over a list that a hub passed on, unless it is older than what
 // is known.
-func (s *State) takeTargets(msg TargetListMsg) []any {
+func (s *State) takeTargets(msg TargetListMsg, now time.Time) []any {
 	f := s.feed(hemlocktally.EntryTarget)
 	if msg.At.Before(s.targetsAt) {
 		return nil
 	}
 	s.targetsAt = msg.At
 	if msg.Unchanged {
-		return nil
+		return nil // Where something else was read meanwhile, the next question brings the whole list.
 	}
 	clear(f.missing) // The hub has waited for what may come back.
 	var notes []any
@@ -28,15 +29,17 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.targets)) {
 		if !present[name] {
+			s.remember(hemlocktally.EntryTarget, s.Interpreter.TargetPrefix()+string(name), string(name), now)
 			notes = append(notes, s.remove(hemlocktally.EntryTarget, string(name))...)
 		}
 	}
+	s.listName = msg.Name
 	return notes
 }
 
 // touchTargets notes that the targets are no longer those of the last picture.
 func (s *State) touchTargets() {
-	s.listed = nil
+	s.listed, s.listName = nil, ""
 	s.targetsVersion++
 }
 
@@ -44,6 +47,8 @@
 func (s *State) list(read hemlocktally.Registration) []any {
 	name := read.Target.Name
 	known, ok := s.targets[name]
+	s.sequences[name] = max(read.Sequence, s.sequencesOf(known, read))
+	read.Sequence = 0 // It changes with each heartbeat, which is no news.
 	if ok && known == read {
 		return nil
 	}
@@ -58,6 +63,15 @@
 	return nil
 }
 
+// sequencesOf returns how many writes are known of the target's incarnation that is
+// read.
+func (s *State) sequencesOf(known, read hemlocktally.Registration) uint64 {
+	if known.Target.Started != read.Target.Started {
+		return 0
+	}
+	return s.sequences[read.Target.Name]
+}
+
 // listTargets sorts the targets by service and name.
 func (s *State) listTargets() map[hemlocktally.ServiceName][]hemlocktally.Registration {
 	all := map[hemlocktally.ServiceName][]hemlocktally.Registration{}
--- a/follower/version.go
+++ b/follower/version.go
@@ -35,6 +35,7 @@
 		writeField(hash, []byte(e.Key))
 		writeField(hash, e.Value)
 		writeNumber(hash, uint64(e.Version))
+		writeNumber(hash, uint64(e.Generation))
 	}
 	return nameOfSum(hash.Sum64())
 }
--- a/imitator/directory.go
+++ b/imitator/directory.go
@@ -36,6 +36,9 @@
 	refused  map[string]bool
 	calls    map[string]int
 	lost     float64
+	copy     directoryCopy
+	era      uint64  // era counts the returns from a copy.
+	namedEra *string // namedEra is what the header says in its place.
 }
 
 // directoryItem is one key as it goes over the wire.
@@ -204,6 +207,7 @@
 			}
 		}
 		d.mu.Unlock()
+		d.nameEra(w)
 		switch {
 		case faults.Busy || refused:
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -257,11 +261,18 @@
 	}
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	era := d.eraNow()
 	for {
 		d.mu.Lock()
+		if d.era != era {
+			d.mu.Unlock()
+			d.nameEra(w) // It is answered by the store that has come back.
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		d.expire()
 		found := d.since(r.URL.Query().Get("prefix"), after)
-		gone, deaf, revision := after < d.dropped, d.faults.Deaf, d.revision
+		gone, deaf, revision := after < d.dropped || after > d.revision, d.faults.Deaf, d.revision
 		if d.changed == nil {
 			d.changed = make(chan struct{})
 		}
--- a/logger/membership_events.go
+++ b/logger/membership_events.go
@@ -112,6 +112,18 @@
 		Meaning: "A question to a hub failed; the instance asks the next one, and reads the store itself where none answers.",
 		Action:  "Look at the hub where this goes on.",
 	}
+	EventStoreRestored = Event{
+		Number: 4020, Name: "store came back from a copy", Level: logrus.WarnLevel,
+		Fields:  []string{"Generation", "Before"},
+		Meaning: "An answer of the store, or a hub, names a later generation: what was written since the copy is gone. What was known holds over the copy until it is written again, ten seconds at the most.",
+		Action:  "See that operators' tools have written their last decisions again: docs/operators/store-outage.md.",
+	}
+	EventStaleAnswer = Event{
+		Number: 4021, Name: "answer of an earlier generation dropped", Level: logrus.InfoLevel,
+		Fields:  []string{"Generation", "Known"},
+		Meaning: "An answer of the store, or of a hub, is of a generation before the one that is known; logged once each time the store comes back from a copy.",
+		Action:  "None, unless the store was set up anew: what it says holds again ten seconds after the later generation was last heard of.",
+	}
 	EventRegistrationFailed = Event{
 		Number: 4016, Name: "hub not registered", Level: logrus.WarnLevel,
 		Fields:  []string{"Instance", "Cause"},
@@ -124,4 +136,5 @@
 	EventStoreDown, EventStoreBack, EventRegistered, EventMemberState, EventLeaseRelayed, EventConfigurationInForce,
 	EventConfigurationDivergent, EventConfigurationStale, EventProvisionalStop, EventProvisionalSettled,
 	EventConfigurationRestored, EventEntryUnusable, EventZoneStop, EventTargetListed, EventTargetsListed, EventHubListed, EventRegistrationFailed, EventRole, EventHubSilent,
+	EventStoreRestored, EventStaleAnswer,
 }
--- a/store.go
+++ b/store.go
@@ -14,6 +14,9 @@
 	Value   []byte
 	Version StoreVersion
 	Lease   string // Lease is the lease that the key goes away with.
+	// Generation is the one in which the key was written or read; zero where the store
+	// names none.
+	Generation StoreGeneration
 }
 
 // Lease is a promise of the store to keep keys until it runs out unrenewed.
