The store may come back from a copy

Found by TestGenerationThatFalls, which did not end: followers asked a hub that had not noticed the return again at once, without a pause.

--- a/follower/relay.go
+++ b/follower/relay.go
@@ -197,7 +197,10 @@
 		return false, false
 	}
 	if r.noteRelayed(out.GetGeneration()) != nil {
-		return false, true // The hub has not noticed that the store came back from a copy.
+		// The hub has not noticed that the store came back from a copy. It would answer
+		// again at once, since what it passes on is not taken.
+		sleep(ctx, spread(seekPause))
+		return false, true
 	}
 	touch = microseconds(out.GetStoreAgeMicroseconds()) <= inTouch
 	if touch {
--- a/imitator/copy.go
+++ b/imitator/copy.go
@@ -51,6 +51,7 @@
 	if d.namedEra != nil {
 		text = *d.namedEra
 	}
+	w.Header().Del("Store-Era")
 	if text != "" {
 		w.Header().Set("Store-Era", text)
 	}
--- a/imitator/directory.go
+++ b/imitator/directory.go
@@ -278,6 +278,7 @@
 		}
 		changed := d.changed
 		d.mu.Unlock()
+		d.nameEra(w)
 		switch {
 		case gone && !deaf:
 			w.WriteHeader(http.StatusGone)
