Soak: the store comes back from a copy

The process soak takes copies, lets the store be silent for 0.3 s and come back from one up to 1.8 s old; the operator writes again 0.2 s later.

--- a/balancer/soak_test.go
+++ b/balancer/soak_test.go
@@ -41,6 +41,7 @@
 	targets   []*link
 	processes []*process
 	version   atomic.Int64
+	declared  string // declared is the operator's newest document.
 	mu        sync.Mutex
 	refused   map[string]bool // refused holds the calls that were said not to have run.
 	problems  []string
@@ -174,7 +175,7 @@
 	i := s.random.IntN(len(s.upstreams))
 	span := time.Duration(300+s.random.IntN(1500)) * time.Millisecond
 	after := func(f func()) { time.AfterFunc(span, f) }
-	switch s.random.IntN(12) {
+	switch s.random.IntN(13) {
 	case 0: // A planned stop; one that overlaps with other faults is excused by them.
 		s.restart(p, syscall.SIGTERM, 7*time.Second)
 	case 1:
@@ -210,9 +211,31 @@
 		zone := []string{"a", "b", "c"}[s.random.IntN(3)]
 		s.directory.StopZone(zone, true)
 		after(func() { s.directory.StopZone(zone, false) })
+	case 12:
+		s.drill(span)
 	}
 }
 
+// drill lets the store be away for a moment and come back from a copy that is as old
+// as the span. The operator writes its newest configuration again; targets do so by
+// themselves.
+func (s *soak) drill(span time.Duration) {
+	const away, rewrite = 300 * time.Millisecond, 200 * time.Millisecond
+	s.directory.TakeCopy()
+	time.AfterFunc(span, func() {
+		s.directory.SetFaults(imitator.DirectoryFaults{Silent: true})
+		time.Sleep(away)
+		s.directory.Restore()
+		s.directory.SetFaults(imitator.DirectoryFaults{})
+		time.Sleep(rewrite)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.declared != "" {
+			s.directory.Declare(s.declared)
+		}
+	})
+}
+
 // change writes a new configuration with one more route.
 func (s *soak) change() {
 	next := s.version.Load() + 1 + int64(s.random.IntN(3))
@@ -220,7 +243,10 @@
 	for v := int64(5); v <= next; v++ {
 		routes = append(routes, imitator.Route{Name: fmt.Sprintf("v%d", v), Prefix: fmt.Sprintf("/v%d/", v), Repeatable: true})
 	}
-	s.directory.Declare(document(int(next), routes...))
+	s.mu.Lock()
+	s.declared = document(int(next), routes...)
+	s.directory.Declare(s.declared)
+	s.mu.Unlock()
 	s.version.Store(next)
 }
 
