Placer: what no target takes is refused at once

Cause, by reading: where all targets of a service were held off after failures, left or were out of service, a call was admitted (no slots counted as one) and waited until its deadline was nearly over. It can't be served in time, and its caller can do something else.

Now such a call is refused at once as NotRun: with the time when the first target is tried again, or a quarter of a second where none will be; it waits where one is back in time for a prompt answer, or a cold one takes a few.

Tests that fail on the code before: TestCallsOfAServiceThatIsDownAreRefusedAtOnce, TestCallsOfAServiceThatLeavesAreRefusedAtOnce.

--- a/placer/choice.go
+++ b/placer/choice.go
@@ -29,6 +29,7 @@
 	coldValidity = 100 * time.Millisecond // coldValidity is how long a turn on a cold target may be begun.
 	leastAdvice  = 50 * time.Millisecond  // leastAdvice is the shortest advice when to come back.
 	mostAdvice   = 2 * time.Second
+	closedAdvice = 250 * time.Millisecond // closedAdvice is when to come back where no target takes calls at all: the list of targets is renewed twice a second.
 )
 
 // candidate is a target that could take a waiter's call now.
@@ -267,13 +268,15 @@
 	if len(s.order) == 0 {
 		return notRun(hemlocktally.ReasonNoTarget, "no target of the service is known", leastAdvice)
 	}
-	slots, away := s.openTo(msg.From, now)
+	open := s.openTo(msg.From, now)
+	slots := open.slots
 	if s.off(hemlocktally.MechanismAdmission) && slots > 0 {
 		return nil
 	}
-	if slots == 0 && away > 0 {
-		detail := fmt.Sprintf("all targets want nothing of this instance for %s", away.Round(time.Millisecond))
-		return notRun(hemlocktally.ReasonShed, detail, time.Duration((1+awaySpread*rand.Float64())*float64(away)))
+	if slots == 0 {
+		if refused := s.refuseClosed(msg.Request, open, now); refused != nil {
+			return refused
+		}
 	}
 	ahead := 0
 	for _, w := range s.queue {
@@ -292,23 +295,51 @@
 	return nil
 }
 
-// openTo returns the slots of the targets that may take calls of the instance,
-// and how long it takes until the first of those that want nothing of it does
-// again; zero where there is none.
-func (s *State) openTo(from hemlocktally.InstanceID, now time.Time) (slots int, away time.Duration) {
+// refuseClosed refuses a call at once that no target takes now, unless one is back in
+// time for a prompt answer.
+func (s *State) refuseClosed(request hemlocktally.GrantRequest, open openings, now time.Time) *hemlocktally.RefusedError {
+	spread := 1 + awaySpread*rand.Float64()
+	switch {
+	case open.cold:
+		return nil // They take a few.
+	case open.back == 0:
+		return notRun(hemlocktally.ReasonNoTarget, "all targets leave or are out of service", s.advice(closedAdvice))
+	case open.away:
+		detail := fmt.Sprintf("all targets want nothing of this instance for %s", open.back.Round(time.Millisecond))
+		return notRun(hemlocktally.ReasonShed, detail, time.Duration(spread*float64(open.back)))
+	case now.Add(open.back + s.usual(request.Contract)).Before(request.Objective):
+		return nil
+	}
+	detail := fmt.Sprintf("no target answers; the first one is tried again in %s", open.back.Round(time.Millisecond))
+	return notRun(hemlocktally.ReasonNoTarget, detail, time.Duration(spread*float64(open.back)))
+}
+
+// openings are what the targets have to offer an instance.
+type openings struct {
+	slots int           // slots are those of targets that may take its calls now.
+	back  time.Duration // back is the time until the first of the others may; zero where none will.
+	away  bool          // away is set where that one itself wants nothing of the instance.
+	cold  bool          // cold is set where a target that is cold takes calls.
+}
+
+func (s *State) openTo(from hemlocktally.InstanceID, now time.Time) openings {
+	var o openings
 	for _, t := range s.order {
-		if !t.open(now) || t.cold(now) {
+		if !t.mayReturn() {
 			continue
 		}
-		left := t.awayFor(from, now)
+		held, away := max(0, t.holdUntil.Sub(now)), t.awayFor(from, now)
+		back := max(held, away)
 		switch {
-		case left == 0:
-			slots += s.width(t, now)
-		case away == 0 || left < away:
-			away = left
+		case back == 0 && t.cold(now):
+			o.cold = o.cold || !s.Alone
+		case back == 0:
+			o.slots += s.width(t, now)
+		case o.back == 0 || back < o.back:
+			o.back, o.away = back, away >= held
 		}
 	}
-	return slots, away
+	return o
 }
 
 // advice is when to come back, spread so that not all come at once.
--- a/placer/tally.go
+++ b/placer/tally.go
@@ -81,9 +81,12 @@
 
 // open reports whether the target may get a call now, leaving its slots aside.
 func (t *tally) open(now time.Time) bool {
-	return !t.out && !t.registration.Draining && !t.left && !now.Before(t.holdUntil)
+	return t.mayReturn() && !now.Before(t.holdUntil)
 }
 
+// mayReturn reports whether nothing but time keeps the target from getting calls.
+func (t *tally) mayReturn() bool { return !t.out && !t.registration.Draining && !t.left }
+
 // stayAway keeps the target from getting calls of an instance. The end is spread,
 // so that those who wait for it don't all come back at once.
 func (t *tally) stayAway(from hemlocktally.InstanceID, span time.Duration, now time.Time) {
