--- a/follower/restore_test.go
+++ b/follower/restore_test.go
@@ -117,6 +117,16 @@
 	return out
 }
 
+// moveZones takes a copy of the store, and after it zone out out and zone back back.
+func (f *restoredFleet) moveZones() {
+	f.store.Put("op/evacuate/back", "{}")
+	f.need(time.Second)
+	f.store.TakeCopy()
+	f.store.Put("op/evacuate/out", "{}")
+	f.store.Remove("op/evacuate/back")
+	f.need(2 * time.Second)
+}
+
 // A zone was taken out after the copy was made, and another one brought back. Both
 // decisions hold until they are written again; at the end of the hold the store's word
 // does.
@@ -124,12 +134,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		f := newRestoredFleet()
-		f.store.Put("op/evacuate/back", "{}")
-		f.need(time.Second)
-		f.store.TakeCopy()
-		f.store.Put("op/evacuate/out", "{}")
-		f.store.Remove("op/evacuate/back")
-		f.need(2 * time.Second)
+		f.moveZones()
 		f.store.Restore()
 		for range 8 {
 			f.need(time.Second)
@@ -153,12 +158,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		f := newRestoredFleet()
-		f.store.Put("op/evacuate/back", "{}")
-		f.need(time.Second)
-		f.store.TakeCopy()
-		f.store.Put("op/evacuate/out", "{}")
-		f.store.Remove("op/evacuate/back")
-		f.need(2 * time.Second)
+		f.moveZones()
 		f.store.Restore()
 		f.need(13 * time.Second)
 		for _, one := range f.all {
