--- a/follower/relay.go
+++ b/follower/relay.go
@@ -34,11 +34,17 @@
 		return &messenger.SyncResponse{TakeOver: true, Version: in.GetVersion(), StoreAgeMicroseconds: f.storeAge().Microseconds(), Followers: int64(count)}, nil
 	}
 	f.noteInstances(count + 1)
-	hold := time.NewTimer(f.holdFor(microseconds(in.GetHoldMicroseconds())))
-	defer hold.Stop()
 	if in.GetStoreAnswers() && f.outOfTouch() {
 		f.othersAreServed()
 	}
+	return f.awaitNews(ctx, in, count)
+}
+
+// awaitNews answers as soon as there is something that the caller lacks, or when the
+// hold is over.
+func (f *Follower) awaitNews(ctx context.Context, in *messenger.SyncRequest, count int) (*messenger.SyncResponse, error) {
+	hold := time.NewTimer(f.holdFor(microseconds(in.GetHoldMicroseconds())))
+	defer hold.Stop()
 	for woken := false; ; woken = true {
 		changed := f.published.wait()
 		p := f.Picture()
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -201,10 +201,7 @@
 		return nil
 	}
 	var commands []any
-	pause := probePause
-	if s.Bounds.ProbesPerSecond > 0 {
-		pause = max(pause, time.Duration(float64(time.Second)/s.Bounds.ProbesPerSecond))
-	}
+	pause := s.probePause()
 	ask := func(t *tally) {
 		if len(w.asked) >= probesAtOnce || slices.Contains(w.asked, t) || t.awayFor(s.Owner, now) > 0 {
 			return
@@ -237,6 +234,14 @@
 	return commands
 }
 
+// probePause is the least time between two questions to a target.
+func (s *State) probePause() time.Duration {
+	if s.Bounds.ProbesPerSecond <= 0 {
+		return probePause
+	}
+	return max(probePause, time.Duration(float64(time.Second)/s.Bounds.ProbesPerSecond))
+}
+
 func (s *State) give(w *waiter, c candidate, now time.Time) GrantCmd {
 	r := w.msg.Request
 	grant := hemlocktally.Grant{
