--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -134,7 +134,7 @@
 	b.alone = &placer.Server{Self: self, Epoch: epoch + "A", Bounds: bounds, Loads: loads, Log: b.Log, Needed: b.follower.NeedTargets, Known: b.follower.TargetsKnown, Alone: true}
 	b.turns = &placer.Client{
 		Self: self, Zone: hemlocktally.ZoneName(s.Instance.Zone), Epoch: epoch, View: b.follower, Server: b.owner, Alone: b.alone,
-		HTTP: peers, Log: b.Log, NeedTargets: b.follower.NeedTargets, Services: b.services, Off: off,
+		HTTP: peers, Log: b.Log, NeedTargets: b.follower.NeedTargets, Off: off,
 	}
 	b.links = &dialer.Dialer{
 		Viewer: b.follower, ProvenFor: linkProvenFor, IdleLimit: linkIdleLimit, DialTimeout: linkDialTimeout, Dial: dial,
@@ -145,16 +145,6 @@
 	}
 }
 
-// services lists the services of the configuration in force.
-func (b *Balancer) services() []hemlocktally.ServiceName {
-	declared := b.follower.Current().Services
-	names := make([]hemlocktally.ServiceName, len(declared))
-	for i, service := range declared {
-		names[i] = service.Name
-	}
-	return names
-}
-
 // NoteGeneration takes in the store's generation, as each of its answers names it. It
 // returns an error for an answer of an earlier one.
 func (b *Balancer) NoteGeneration(named hemlocktally.StoreGeneration) error {
--- a/mechanism.go
+++ b/mechanism.go
@@ -13,7 +13,6 @@
 // The mechanisms. What each costs while it is off stands in docs/DECISIONS.md.
 const (
 	MechanismOwners         Mechanism = "Owners"         // MechanismOwners has one owner decide for a service; off, each instance decides alone.
-	MechanismEvenOwners     Mechanism = "EvenOwners"     // MechanismEvenOwners deals services out evenly; off, two may fall to one owner.
 	MechanismLoadQuestions  Mechanism = "LoadQuestions"  // MechanismLoadQuestions asks targets for their load before a choice.
 	MechanismZoneFirst      Mechanism = "ZoneFirst"      // MechanismZoneFirst prefers quick targets of the caller's zone.
 	MechanismLinkPrice      Mechanism = "LinkPrice"      // MechanismLinkPrice counts a new connection as time.
@@ -33,7 +32,7 @@
 // AllMechanisms lists all of them.
 func AllMechanisms() []Mechanism {
 	return []Mechanism{
-		MechanismOwners, MechanismEvenOwners, MechanismLoadQuestions, MechanismZoneFirst, MechanismLinkPrice, MechanismJoinFirst,
+		MechanismOwners, MechanismLoadQuestions, MechanismZoneFirst, MechanismLinkPrice, MechanismJoinFirst,
 		MechanismFaultRanking, MechanismWidth, MechanismAdmission, MechanismPriorityOrder, MechanismPromptFirst,
 		MechanismSecondAttempts, MechanismReadAhead, MechanismRelayedLists, MechanismHandover, MechanismSpreadReturn,
 	}
--- a/placer/client.go
+++ b/placer/client.go
@@ -41,12 +41,8 @@
 	// NeedTargets asks for the list of targets, which an instance that decides
 	// alone may not have; it may be nil.
 	NeedTargets func()
-	// Services lists all services, which are dealt out among the owners; nil ranks the
-	// owners of each one by itself.
-	Services func() []hemlocktally.ServiceName
-	Off      hemlocktally.Mechanisms // Off are the mechanisms that are left off.
+	Off         hemlocktally.Mechanisms // Off are the mechanisms that are left off.
 
-	dealer  dealer
 	shunner shunner
 	asked   atomic.Uint64
 	mu      sync.Mutex
@@ -152,11 +148,7 @@
 	if c.Off.Off(hemlocktally.MechanismOwners) {
 		return nil
 	}
-	members := c.View.View().Serving()
-	if c.Services == nil || c.Off.Off(hemlocktally.MechanismEvenOwners) {
-		return Ranked(service, members)
-	}
-	return c.dealer.line(service, c.Services(), members)
+	return Ranked(service, c.View.View().Serving())
 }
 
 // awaitTargets waits a moment until the instance knows targets itself.
