--- a/follower/cut_test.go
+++ b/follower/cut_test.go
@@ -104,3 +104,43 @@
 	r.asked.Add(1)
 	return r.Relay.Sync(ctx, in)
 }
+
+// Two hubs are cut off from the store and know different things. Their followers hear
+// what each has to say once, and then as rarely as ever: neither sends all of it again
+// because the other one did.
+func TestHubsThatDifferAreAskedRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		hubs := []follower.Hub{{ID: "a1", Zone: "a", PeerAddress: "a1"}, {ID: "b1", Zone: "b", PeerAddress: "b1"}}
+		peers := imitator.Network{}
+		ctx, cancel := context.WithCancel(context.Background())
+		var stores []*directory
+		var relays []*countedRelay
+		done := make(chan error, 3)
+		for n, hub := range hubs {
+			store := storeWithHubs(c, hubs...)
+			store.put(fmt.Sprint("op/evacuate/z", n), "{}")
+			one := instance(hub.ID, hub.Zone, slowDirectory{store, usual}, peers)
+			relay := &countedRelay{Relay: one}
+			peers[hub.PeerAddress] = messenger.NewRelayServer(relay)
+			stores, relays = append(stores, store), append(relays, relay)
+			go func() { done <- one.Run(ctx) }()
+		}
+		own := storeWithHubs(c, hubs...)
+		other := instance("a2", "a", slowDirectory{own, usual}, peers)
+		go func() { done <- other.Run(ctx) }()
+		time.Sleep(3 * time.Second)
+		for _, store := range append(stores, own) {
+			store.cut.Store(true)
+		}
+		time.Sleep(2 * time.Second)
+		before := relays[0].asked.Load() + relays[1].asked.Load()
+		time.Sleep(5 * time.Second)
+		asked := relays[0].asked.Load() + relays[1].asked.Load() - before
+		c.Check(asked <= 20*5, qt.IsTrue, qt.Commentf("%d questions in 5 s", asked))
+		cancel()
+		for range 3 {
+			c.Check(<-done, qt.IsNil)
+		}
+	})
+}
--- a/follower/handover_test.go
+++ b/follower/handover_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,14 +21,34 @@
 // storedFleet is instances in memory on the store's stand-in.
 type storedFleet struct {
 	store *imitator.Directory
-	peers imitator.Network
+	peers *growingNetwork
 	done  chan error
 	count int
 }
 
+// growingNetwork is a network to which instances are added while others call.
+type growingNetwork struct {
+	mu       sync.Mutex
+	handlers imitator.Network
+}
+
+func (n *growingNetwork) add(address string, handler http.Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[address] = handler
+}
+
+// RoundTrip makes one call.
+func (n *growingNetwork) RoundTrip(r *http.Request) (*http.Response, error) {
+	n.mu.Lock()
+	one := imitator.Network{r.URL.Host: n.handlers[r.URL.Host]}
+	n.mu.Unlock()
+	return one.RoundTrip(r)
+}
+
 func newStoredFleet() *storedFleet {
-	f := &storedFleet{store: &imitator.Directory{}, peers: imitator.Network{}, done: make(chan error)}
-	f.peers["store"] = f.store.Handler()
+	f := &storedFleet{store: &imitator.Directory{}, peers: &growingNetwork{handlers: imitator.Network{}}, done: make(chan error)}
+	f.peers.add("store", f.store.Handler())
 	f.store.Put("op/config", version("4"))
 	return f
 }
@@ -41,7 +62,7 @@
 	}
 	store.Answered = one.NoteGeneration
 	one.Prepare()
-	f.peers[string(id)] = messenger.NewRelayServer(one)
+	f.peers.add(string(id), messenger.NewRelayServer(one))
 	f.count++
 	go func() { f.done <- one.Run(ctx) }()
 	return one
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -193,7 +193,7 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	out, err := r.hubClients.of(hub.PeerAddress, r.Follower).Sync(ctx, &messenger.SyncRequest{
-		Instance: string(r.Self.ID), Version: r.held, Added: r.added, HoldMicroseconds: hold.Microseconds(),
+		Instance: string(r.Self.ID), Version: r.held, Added: r.added[hub.ID], HoldMicroseconds: hold.Microseconds(),
 		StoreAnswers: r.since(&r.served) <= servedLasts, Zone: string(r.Self.Zone), Weight: r.Self.Weight,
 	})
 	if err != nil || out.GetLeaving() {
@@ -228,9 +228,11 @@
 	}
 	r.take(ctx, entries, out.GetRemembers(), touch)
 	if touch {
-		r.held, r.added = out.GetVersion(), ""
+		r.held = out.GetVersion()
+		clear(r.added)
 	} else {
-		r.held, r.added = "", out.GetVersion()
+		r.held = ""
+		r.added[hub.ID] = out.GetVersion()
 	}
 	return touch, true
 }
--- a/follower/role.go
+++ b/follower/role.go
@@ -81,15 +81,17 @@
 // role is the task that finds a hub, follows it, or is one.
 type role struct {
 	*Follower
-	inbox      chan<- any
-	machine    *fsm.FSM
-	lease      string
-	renewed    time.Time               // renewed is when the place was last renewed.
-	failing    bool                    // failing is set after a failed renewal or claim.
-	claimAt    time.Time               // claimAt is when the instance tries to become its zone's hub; zero while there is one.
-	claimed    hemlocktally.StorePoint // claimed is when this hub wrote its key.
-	held       string                  // held names the entries that a hub passed on last and that were taken over as a whole.
-	added      string                  // added names those that a hub out of touch passed on since.
+	inbox   chan<- any
+	machine *fsm.FSM
+	lease   string
+	renewed time.Time               // renewed is when the place was last renewed.
+	failing bool                    // failing is set after a failed renewal or claim.
+	claimAt time.Time               // claimAt is when the instance tries to become its zone's hub; zero while there is one.
+	claimed hemlocktally.StorePoint // claimed is when this hub wrote its key.
+	held    string                  // held names the entries that a hub passed on last and that were taken over as a whole.
+	// added names those that each hub out of touch passed on since: two of them may differ,
+	// and neither is to send its own again and again.
+	added      map[hemlocktally.InstanceID]string
 	looked     time.Time
 	listed     bool // listed is set once a cheap question to the store has named hubs.
 	mayLookNow bool // mayLookNow is set where a hub that is out of touch wants this instance to look.
@@ -98,7 +100,7 @@
 }
 
 func (f *Follower) runRole(ctx context.Context, inbox chan<- any) {
-	r := &role{Follower: f, inbox: inbox, machine: newRole()}
+	r := &role{Follower: f, inbox: inbox, machine: newRole(), added: map[hemlocktally.InstanceID]string{}}
 	for ctx.Err() == nil && !f.leaving.Load() {
 		switch r.machine.Current() {
 		case roleHub:
