One piece for what the change wrote twice

Found in the last read of the diff; behaviour stays as it is, no assertion changes. - decodeHub returns a Hub and serves join, the comparison with a copy and registers (was holds, a second decoder beside a method of the same name with another meaning). - placeKey is the key of a zone's hub, spelled out four times before. - Server.awaitAble is the wait for targets of becomesAble and of Client.awaitTargets. - Mechanisms.Has in place of Off.Off; nearlyFull stands beside its only use. - Tests: ofGrowingFleets in place of two loops over fleet sizes, checkOut and checkUsable in place of five over instances.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -140,7 +140,7 @@
 		Viewer: b.follower, ProvenFor: linkProvenFor, IdleLimit: linkIdleLimit, DialTimeout: linkDialTimeout, Dial: dial,
 	}
 	b.prepareEntry()
-	if off.Off(hemlocktally.MechanismReadAhead) {
+	if off.Has(hemlocktally.MechanismReadAhead) {
 		b.callers.Depth = 1
 	}
 }
--- a/follower/handover.go
+++ b/follower/handover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"sync"
 	"time"
@@ -49,7 +48,7 @@
 
 // handsOverTo reports whether the follower that asks is to take the hub's place.
 func (f *Follower) handsOverTo(in *messenger.SyncRequest) bool {
-	if f.Off.Off(hemlocktally.MechanismHandover) || hemlocktally.ZoneName(in.GetZone()) != f.Self.Zone || in.GetWeight() < muchStronger*f.Self.Weight || f.outOfTouch() {
+	if f.Off.Has(hemlocktally.MechanismHandover) || hemlocktally.ZoneName(in.GetZone()) != f.Self.Zone || in.GetWeight() < muchStronger*f.Self.Weight || f.outOfTouch() {
 		return false
 	}
 	now := time.Now()
@@ -59,8 +58,8 @@
 // takeOver writes this instance's registration over that of the hub that offers its
 // place. Where something has changed the key meanwhile, nothing happens.
 func (r *role) takeOver(ctx context.Context, from Hub) {
-	present, ok := r.Picture().relayedEntry(r.Interpreter.HubPrefix() + string(r.Self.Zone))
-	if !ok || !holds(present, from.ID) || r.leaving.Load() || present.Generation != r.Generation() {
+	present, ok := r.Picture().relayedEntry(r.placeKey())
+	if !ok || !registers(present, from.ID) || r.leaving.Load() || present.Generation != r.Generation() {
 		return
 	}
 	r.become(ctx, present.Version)
@@ -85,14 +84,17 @@
 // displaced reports whether another instance has written its registration over this
 // hub's.
 func (r *role) displaced() bool {
-	present, ok := r.Picture().relayedEntry(r.Interpreter.HubPrefix() + string(r.Self.Zone))
-	return ok && present.Point().After(r.claimed) && !holds(present, r.Self.ID)
+	present, ok := r.Picture().relayedEntry(r.placeKey())
+	return ok && present.Point().After(r.claimed) && !registers(present, r.Self.ID)
 }
 
-// holds reports whether the entry of a hub names the instance.
-func holds(entry hemlocktally.Entry, id hemlocktally.InstanceID) bool {
-	var hub Hub
-	return json.Unmarshal(entry.Value, &hub) == nil && hub.ID == id
+// placeKey is the key of the zone's hub.
+func (f *Follower) placeKey() string { return f.Interpreter.HubPrefix() + string(f.Self.Zone) }
+
+// registers reports whether the entry of a hub names the instance.
+func registers(entry hemlocktally.Entry, id hemlocktally.InstanceID) bool {
+	hub, err := decodeHub(entry.Value)
+	return err == nil && hub.ID == id
 }
 
 // relayedEntry returns the relayed entry of a key.
--- a/follower/restore.go
+++ b/follower/restore.go
@@ -116,9 +116,9 @@
 		}
 		return false
 	case hemlocktally.EntryHub:
-		var known, read Hub
 		known, ok := s.hubs[hemlocktally.ZoneName(name)]
-		return ok && decodeHub(entry.Value, &read) == nil && read.Incarnation != known.Incarnation
+		read, err := decodeHub(entry.Value)
+		return ok && err == nil && read.Incarnation != known.Incarnation
 	case hemlocktally.EntryDeclaration, hemlocktally.EntryForeign:
 	}
 	return false
--- a/follower/restore_test.go
+++ b/follower/restore_test.go
@@ -127,6 +127,20 @@
 	f.need(2 * time.Second)
 }
 
+// checkOut checks which zones all instances take for out of service.
+func (f *restoredFleet) checkOut(c *qt.C, zones ...hemlocktally.ZoneName) {
+	for _, one := range f.all {
+		c.Check(outZones(one), qt.DeepEquals, zones)
+	}
+}
+
+// checkUsable checks which targets all instances may use.
+func (f *restoredFleet) checkUsable(c *qt.C, targets []string) {
+	for _, one := range f.all {
+		c.Check(usable(one), qt.DeepEquals, targets)
+	}
+}
+
 // A zone was taken out after the copy was made, and another one brought back. Both
 // decisions hold until they are written again; at the end of the hold the store's word
 // does.
@@ -138,16 +152,12 @@
 		f.store.Restore()
 		for range 8 {
 			f.need(time.Second)
-			for _, one := range f.all {
-				c.Check(outZones(one), qt.DeepEquals, []hemlocktally.ZoneName{"out"})
-			}
+			f.checkOut(c, "out")
 		}
 		f.store.Put("op/evacuate/out", "{}") // Written again, and the other one taken back again.
 		f.store.Remove("op/evacuate/back")
 		f.need(5 * time.Second)
-		for _, one := range f.all {
-			c.Check(outZones(one), qt.DeepEquals, []hemlocktally.ZoneName{"out"})
-		}
+		f.checkOut(c, "out")
 		f.finish(c)
 	})
 }
@@ -161,9 +171,7 @@
 		f.moveZones()
 		f.store.Restore()
 		f.need(13 * time.Second)
-		for _, one := range f.all {
-			c.Check(outZones(one), qt.DeepEquals, []hemlocktally.ZoneName{"back"})
-		}
+		f.checkOut(c, "back")
 		f.finish(c)
 	})
 }
@@ -208,16 +216,12 @@
 		f.beat(9, 2, "ready")
 		for range 8 {
 			f.need(time.Second)
-			for _, one := range f.all {
-				c.Check(usable(one), qt.DeepEquals, want)
-			}
+			f.checkUsable(c, want)
 		}
 		f.store.Remove("servers/t0") // Both have lapsed from the copy by now.
 		f.store.Remove("servers/t1")
 		f.need(6 * time.Second)
-		for _, one := range f.all {
-			c.Check(usable(one), qt.DeepEquals, want)
-		}
+		f.checkUsable(c, want)
 		f.finish(c)
 	})
 }
--- a/follower/role.go
+++ b/follower/role.go
@@ -202,7 +202,7 @@
 	r.mark(&r.served)
 	send(ctx, r.inbox, ChangesMsg{Kind: hemlocktally.EntryHub, Entries: all.Entries, Generation: all.Generation})
 	return slices.ContainsFunc(all.Entries, func(e hemlocktally.DirectoryEntry) bool {
-		return e.Key == r.Interpreter.HubPrefix()+string(r.Self.Zone) && !holds(e.Entry, r.Self.ID)
+		return e.Key == r.placeKey() && !registers(e.Entry, r.Self.ID)
 	})
 }
 
@@ -220,10 +220,10 @@
 	if err != nil {
 		return "", claimed, err
 	}
-	entry := hemlocktally.Entry{Key: r.Interpreter.HubPrefix() + string(r.Self.Zone), Value: value, Lease: granted.ID, Version: over}
+	entry := hemlocktally.Entry{Key: r.placeKey(), Value: value, Lease: granted.ID, Version: over}
 	version, err := r.Directory.Swap(ctx, entry)
 	var conflict *hemlocktally.ConflictError
-	if errors.As(err, &conflict) && (anyway || holds(conflict.Present, r.Self.ID)) {
+	if errors.As(err, &conflict) && (anyway || registers(conflict.Present, r.Self.ID)) {
 		entry.Version = conflict.Present.Version
 		version, err = r.Directory.Swap(ctx, entry)
 	}
--- a/follower/state.go
+++ b/follower/state.go
@@ -307,8 +307,8 @@
 }
 
 func (s *State) join(entry hemlocktally.DirectoryEntry, zone hemlocktally.ZoneName) []any {
-	var hub Hub
-	if err := decodeHub(entry.Value, &hub); err != nil {
+	hub, err := decodeHub(entry.Value)
+	if err != nil {
 		return []any{BadEntry{Key: entry.Key, Cause: err}}
 	}
 	known := s.hubs[zone]
@@ -319,7 +319,10 @@
 	return []any{HubChange{Zone: zone, Hub: hub.ID}}
 }
 
-func decodeHub(value []byte, hub *Hub) error { return json.Unmarshal(value, hub) }
+func decodeHub(value []byte) (hub Hub, err error) {
+	err = json.Unmarshal(value, &hub)
+	return hub, err
+}
 
 // relay keeps an entry for others. Targets are read by whoever places work.
 func (s *State) relay(kind hemlocktally.EntryKind, entry hemlocktally.Entry) {
--- a/follower/targets.go
+++ b/follower/targets.go
@@ -26,7 +26,7 @@
 	t := &targetFeed{Follower: f, inbox: inbox}
 	for ctx.Err() == nil {
 		hub, needed := f.isHub.Load(), f.targetsNeeded()
-		reads := hub || f.readsItself() || f.Off.Off(hemlocktally.MechanismRelayedLists)
+		reads := hub || f.readsItself() || f.Off.Has(hemlocktally.MechanismRelayedLists)
 		rested := t.looked.IsZero() || time.Since(t.looked) >= restingPace
 		switch {
 		case !needed && (!hub || !rested):
--- a/follower/targets_test.go
+++ b/follower/targets_test.go
@@ -94,31 +94,37 @@
 	}
 }
 
-// The owners don't answer, and each instance decides alone: they all need the list
-// of targets at once. They get it from their hubs, so that the fleet's calls to the
-// store do not grow with it.
-func TestListsOfTargetsCostNoCallForEachInstance(t *testing.T) {
-	var calls []int64
+// ofGrowingFleets plays a test on fleets of 16, 100 and 300 followers.
+func ofGrowingFleets(t *testing.T, play func(c *qt.C, f *fleetInMemory)) {
 	for _, count := range []int{16, 100, 300} {
 		if count > mostUnderRace {
 			continue // .ci/run plays it without the race detector.
 		}
 		synctest.Test(t, func(t *testing.T) {
 			c := qt.New(t)
-			f := startFollowers(c, count)
-			time.Sleep(2 * time.Second)
-			before := f.counted.targets.Load()
-			f.need(5 * time.Second)
-			for _, one := range f.followers {
-				c.Assert(one.Picture().Targets["s"], qt.HasLen, 40)
-				at, readable := one.TargetsKnown()
-				c.Check(readable, qt.IsTrue)
-				c.Check(time.Since(at) < 2*time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(at)))
-			}
-			calls = append(calls, f.counted.targets.Load()-before)
-			f.stop()
+			play(c, startFollowers(c, count))
 		})
 	}
+}
+
+// The owners don't answer, and each instance decides alone: they all need the list
+// of targets at once. They get it from their hubs, so that the fleet's calls to the
+// store do not grow with it.
+func TestListsOfTargetsCostNoCallForEachInstance(t *testing.T) {
+	var calls []int64
+	ofGrowingFleets(t, func(c *qt.C, f *fleetInMemory) {
+		time.Sleep(2 * time.Second)
+		before := f.counted.targets.Load()
+		f.need(5 * time.Second)
+		for _, one := range f.followers {
+			c.Assert(one.Picture().Targets["s"], qt.HasLen, 40)
+			at, readable := one.TargetsKnown()
+			c.Check(readable, qt.IsTrue)
+			c.Check(time.Since(at) < 2*time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(at)))
+		}
+		calls = append(calls, f.counted.targets.Load()-before)
+		f.stop()
+	})
 	// Two hubs look twice a second at the most.
 	for _, n := range calls {
 		qt.Check(t, n <= 2*2*8, qt.IsTrue, qt.Commentf("%v", calls))
@@ -227,28 +233,21 @@
 // An outage of the store: the calls of a fleet stay level from 16 to 300 followers.
 func TestCallsInAnOutageDontGrowWithTheFleet(t *testing.T) {
 	var calls []int64
-	for _, count := range []int{16, 100, 300} {
-		if count > mostUnderRace {
-			continue // .ci/run plays it without the race detector.
+	ofGrowingFleets(t, func(c *qt.C, f *fleetInMemory) {
+		time.Sleep(3 * time.Second)
+		f.store.cut.Store(true)
+		time.Sleep(time.Second)
+		before := f.counted.targets.Load() + f.counted.others.Load()
+		f.need(6 * time.Second)
+		calls = append(calls, f.counted.targets.Load()+f.counted.others.Load()-before)
+		f.store.cut.Store(false)
+		f.store.put("op/config", version("7"))
+		f.need(3 * time.Second)
+		for _, one := range f.followers {
+			c.Check(one.Current().Revision, qt.Equals, hemlocktally.Revision(7))
 		}
-		synctest.Test(t, func(t *testing.T) {
-			c := qt.New(t)
-			f := startFollowers(c, count)
-			time.Sleep(3 * time.Second)
-			f.store.cut.Store(true)
-			time.Sleep(time.Second)
-			before := f.counted.targets.Load() + f.counted.others.Load()
-			f.need(6 * time.Second)
-			calls = append(calls, f.counted.targets.Load()+f.counted.others.Load()-before)
-			f.store.cut.Store(false)
-			f.store.put("op/config", version("7"))
-			f.need(3 * time.Second)
-			for _, one := range f.followers {
-				c.Check(one.Current().Revision, qt.Equals, hemlocktally.Revision(7))
-			}
-			f.stop()
-		})
-	}
+		f.stop()
+	})
 	for _, n := range calls {
 		qt.Check(t, n <= 90, qt.IsTrue, qt.Commentf("%v in 6 s", calls))
 	}
--- a/mechanism.go
+++ b/mechanism.go
@@ -41,8 +41,8 @@
 // Mechanisms are those that are off. Its zero value has all of them on.
 type Mechanisms map[Mechanism]bool
 
-// Off reports whether the mechanism is off.
-func (m Mechanisms) Off(mechanism Mechanism) bool { return m[mechanism] }
+// Has reports whether the mechanism is among them.
+func (m Mechanisms) Has(mechanism Mechanism) bool { return m[mechanism] }
 
 // UnknownMechanismError names a mechanism that there is not.
 type UnknownMechanismError struct{ Name string }
--- a/mechanism_test.go
+++ b/mechanism_test.go
@@ -12,7 +12,7 @@
 
 func ExampleMechanismsOff() {
 	off, err := hemlocktally.MechanismsOff("Width, LinkPrice")
-	fmt.Println(off.Off(hemlocktally.MechanismWidth), off.Off(hemlocktally.MechanismOwners), err)
+	fmt.Println(off.Has(hemlocktally.MechanismWidth), off.Has(hemlocktally.MechanismOwners), err)
 	// Output: true false <nil>
 }
 
@@ -23,5 +23,5 @@
 	c.Assert(errors.As(err, &unknown), qt.IsTrue)
 	c.Check(unknown.Name, qt.Equals, "Luck")
 	var none hemlocktally.Mechanisms
-	c.Check(none.Off(hemlocktally.MechanismWidth), qt.IsFalse)
+	c.Check(none.Has(hemlocktally.MechanismWidth), qt.IsFalse)
 }
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -21,7 +21,6 @@
 	farPenalty   = 10 * time.Millisecond // farPenalty is added for a target in another zone.
 	newLink      = 25 * time.Millisecond // newLink is added where a new connection is needed: it takes time and a part of a slot.
 	newLinkPart  = 0.35                  // newLinkPart is the part of the time left that is added at least: time that is not needed is better spent than a connection.
-	nearlyFull   = 1.3                   // nearlyFull is how much longer work takes with the last slot taken, until that is known.
 	late         = 1.1                   // late is the multiple of the usual work below which no prompt answer is hoped for.
 	promptMargin = 1.4                   // promptMargin is the multiple of the usual work that has to be left for a prompt answer to be likely.
 	worstFaulty  = 0.75
--- a/placer/client.go
+++ b/placer/client.go
@@ -145,7 +145,7 @@
 
 // owners ranks the instances that may own the service.
 func (c *Client) owners(service hemlocktally.ServiceName) []hemlocktally.Instance {
-	if c.Off.Off(hemlocktally.MechanismOwners) {
+	if c.Off.Has(hemlocktally.MechanismOwners) {
 		return nil
 	}
 	return Ranked(service, c.View.View().Serving())
@@ -157,9 +157,7 @@
 		return
 	}
 	c.NeedTargets()
-	for end := time.Now().Add(aloneWait); !c.Alone.Able(service) && time.Now().Before(end) && ctx.Err() == nil; {
-		time.Sleep(aloneLook)
-	}
+	c.Alone.awaitAble(ctx, service, aloneWait, aloneLook)
 }
 
 func (c *Client) askPeer(ctx context.Context, p *peer, owner hemlocktally.InstanceID, ask AskMsg) (any, error) {
--- a/placer/occupancy.go
+++ b/placer/occupancy.go
@@ -27,6 +27,7 @@
 	levelLasts    = 20 * time.Second       // levelLasts is how long a level without new samples stays known: what changes is found again.
 	trialLasts    = 250 * time.Millisecond // trialLasts is how long a target is filled to one level before the next is tried.
 	nearlyMost    = 0.9                    // nearlyMost is the part of the most that can be done that has to be left where slots stay free.
+	nearlyFull    = 1.3                    // nearlyFull is how much longer work takes with the last slot taken, until that is known.
 	mostSlowdown  = 3.0
 	leastSlowdown = 1.15 // leastSlowdown is what counts as slower; less is an error of the estimates.
 	leastTried    = 3    // leastTried is the fewest slots of a target for which leaving some free is tried.
--- a/placer/server.go
+++ b/placer/server.go
@@ -107,7 +107,13 @@
 		return false
 	}
 	s.Needed()
-	for end := time.Now().Add(listWait); !s.Able(service); time.Sleep(listLook) {
+	return s.awaitAble(ctx, service, listWait, listLook)
+}
+
+// awaitAble waits until the server can decide for the service, at most for the wait,
+// and reports whether it can.
+func (s *Server) awaitAble(ctx context.Context, service hemlocktally.ServiceName, wait, pause time.Duration) bool {
+	for end := time.Now().Add(wait); !s.Able(service); time.Sleep(pause) {
 		if ctx.Err() != nil || time.Now().After(end) {
 			return false
 		}
--- a/placer/state.go
+++ b/placer/state.go
@@ -236,7 +236,7 @@
 }
 
 // off reports whether a mechanism is left off.
-func (s *State) off(mechanism hemlocktally.Mechanism) bool { return s.Bounds.Off.Off(mechanism) }
+func (s *State) off(mechanism hemlocktally.Mechanism) bool { return s.Bounds.Off.Has(mechanism) }
 
 // width is how many calls at once the target gets: fewer than it has slots where
 // nearly as much is done with fewer.
