Follower: poll in place of look

Names and comments say what the field says: a poll of the targets, staggered polls in an outage, read again, set up again. look.go is poll.go; the wire's field Look keeps its name. Words only: no behaviour, bound or assertion changes.

--- a/acceptor/pipeline.go
+++ b/acceptor/pipeline.go
@@ -18,7 +18,7 @@
 	DefaultBytes = 64 << 10 // DefaultBytes bounds what is read ahead of the request that is served, in bytes.
 )
 
-const awaitInterval = 5 * time.Millisecond // awaitInterval is the time between two looks at whether requests are still ahead.
+const awaitInterval = 5 * time.Millisecond // awaitInterval is the time between two checks whether requests are still ahead.
 
 // Pipeline is the handler of callers' connections. Some callers send further
 // requests before the first one has its answer. Those that are idempotent are
--- a/follower/feed.go
+++ b/follower/feed.go
@@ -18,11 +18,11 @@
 	operatorWait = 2200 * time.Millisecond
 	hubWait      = 10 * time.Second       // hubWait is how long a watch of the hubs waits.
 	rarePace     = 250 * time.Millisecond // rarePace is the least time between two watches of rare changes.
-	targetPace   = 700 * time.Millisecond // targetPace is the time between two looks at the targets while they are needed.
-	// targetWait is how long a look at the targets waits for a change. While it
-	// waits, the list is as new as the start of the look.
+	targetPace   = 700 * time.Millisecond // targetPace is the time between two polls of the targets while they are needed.
+	// targetWait is how long a poll of the targets waits for a change. While it
+	// waits, the list is as new as the start of the poll.
 	targetWait    = 700 * time.Millisecond
-	targetOverdue = targetWait + 250*time.Millisecond // targetOverdue is when a look that has no answer shows that the list can't be read.
+	targetOverdue = targetWait + 250*time.Millisecond // targetOverdue is when a poll that has no answer shows that the list can't be read.
 	alonePace     = time.Second                       // alonePace is that time for an instance that is no hub and decides alone.
 	restingPace   = 8 * time.Second                   // restingPace is how often a hub reads the targets that nobody needs.
 	callTimeout   = 800 * time.Millisecond            // callTimeout bounds a call that does not wait.
@@ -68,7 +68,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		msg, revision, err := f.look(ctx, fd, known)
+		msg, revision, err := f.poll(ctx, fd, known)
 		if err != nil {
 			f.noteBehind(fd, true)
 			f.failed(ctx, inbox, fd, known, err)
@@ -96,8 +96,8 @@
 	return time.Duration(float64(d) * (1 - spreadBoff + 2*spreadBoff*rand.Float64()))
 }
 
-// look makes one call: everything where nothing is known, else what changed.
-func (f *Follower) look(ctx context.Context, fd feed, known uint64) (any, uint64, error) {
+// poll makes one call: everything where nothing is known, else what changed.
+func (f *Follower) poll(ctx context.Context, fd feed, known uint64) (any, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout+fd.wait)
 	defer cancel()
 	if known == 0 {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -24,7 +24,7 @@
 	tickInterval = 200 * time.Millisecond
 	inboxLength  = 16
 	needLasts    = 3 * time.Second        // needLasts is how long a need for targets lasts without being renewed.
-	gateInterval = 100 * time.Millisecond // gateInterval is the time between two looks at whether a feed has to run.
+	gateInterval = 100 * time.Millisecond // gateInterval is the time between two checks whether a feed has to run.
 )
 
 // Follower follows the directory. Its fields are set before Prepare.
@@ -44,7 +44,7 @@
 	needed     atomic.Int64 // needed is until when targets are needed, in nanoseconds since base.
 	heard      atomic.Int64 // heard is when the store last answered, in nanoseconds since base.
 	followed   atomic.Int64 // followed is when a hub in touch with the store last answered, likewise.
-	watching   atomic.Int64 // watching is when the look at the targets that waits for changes began, likewise; 0 while none does.
+	watching   atomic.Int64 // watching is when the poll of the targets that waits for changes began, likewise; 0 while none does.
 	served     atomic.Int64 // served is when the store last answered a cheap question while no hub was in touch, likewise.
 	instances  atomic.Int64 // instances is how many instances there seem to be.
 	isHub      atomic.Bool
@@ -57,7 +57,7 @@
 	// othersServed is when the store last answered a follower of this hub while it
 	// did not answer the hub, likewise.
 	othersServed atomic.Int64
-	looks        looks
+	polls        polls
 	followers    followers
 	handover     handover
 	generations  generations
@@ -149,7 +149,7 @@
 }
 
 // TargetsKnown returns as of when the targets are known, and whether they can be
-// read now. A look that waits for changes would have returned with those made
+// read now. A poll that waits for changes would have returned with those made
 // before it began; one that is overdue shows that the store does not answer.
 func (f *Follower) TargetsKnown() (at time.Time, readable bool) {
 	at, readable = f.Picture().TargetsAt, !f.unreadable.Load()
--- a/follower/generation.go
+++ b/follower/generation.go
@@ -13,7 +13,7 @@
 
 // fallLasts is how long answers of an earlier generation are dropped after one of the
 // present generation was heard. A store that names nothing but a lower generation for
-// so long has been set up anew, and what it says holds.
+// so long has been set up again, and what it says holds.
 const fallLasts = 10 * time.Second
 
 // errRestored ends the calls that wait while the store comes back from a copy.
--- a/follower/look.go
+++ b/follower/poll.go
@@ -8,27 +8,27 @@
 // In an outage the followers of a hub would all ask the store whether it answers
 // them. Every call is priced, also one that is turned away, and hundreds of
 // instances bring nothing that a few would not: a hub that is out of touch lets one
-// follower look at a time. The store may serve some instances and not others, and an
+// follower poll at a time. The store may serve some instances and not others, and an
 // operator's decision has to be in force on those in seconds; so once it has
-// answered one of them, all may look.
+// answered one of them, all may poll.
 const (
-	lookEvery   = 300 * time.Millisecond // lookEvery is the time between two looks that a hub asks for.
-	servedKnown = 2 * time.Second        // servedKnown is how long all may look after the store has answered one.
+	pollEvery   = 300 * time.Millisecond // pollEvery is the time between two polls that a hub asks for.
+	servedKnown = 2 * time.Second        // servedKnown is how long all may poll after the store has answered one.
 )
 
-// looks deals a hub's looks out. Its zero value works.
-type looks struct {
+// polls staggers the polls of a hub's followers. Its zero value works.
+type polls struct {
 	mu   sync.Mutex
 	last time.Time
 }
 
-func (l *looks) next(now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now.Sub(l.last) < lookEvery {
+func (p *polls) next(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.last) < pollEvery {
 		return false
 	}
-	l.last = now
+	p.last = now
 	return true
 }
 
@@ -46,15 +46,15 @@
 // othersAreServed notes that the store answers a follower, and tells those that
 // wait.
 func (f *Follower) othersAreServed() {
-	news := f.since(&f.othersServed) > lookEvery
+	news := f.since(&f.othersServed) > pollEvery
 	f.mark(&f.othersServed)
 	if news {
 		f.published.signal()
 	}
 }
 
-// mayLook reports whether the follower that is answered now may see for itself
+// mayPoll reports whether the follower that is answered now may see for itself
 // whether the store answers it.
-func (f *Follower) mayLook(now time.Time) bool {
-	return f.since(&f.othersServed) <= servedKnown || f.looks.next(now)
+func (f *Follower) mayPoll(now time.Time) bool {
+	return f.since(&f.othersServed) <= servedKnown || f.polls.next(now)
 }
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -53,7 +53,7 @@
 		}
 		// Only one that waits is told at once: answered on arrival, it would ask again
 		// without a pause.
-		if woken && !in.GetStoreAnswers() && f.outOfTouch() && f.since(&f.othersServed) < lookEvery {
+		if woken && !in.GetStoreAnswers() && f.outOfTouch() && f.since(&f.othersServed) < pollEvery {
 			return f.answerSync(nil, in.GetVersion(), count)
 		}
 		select {
@@ -99,7 +99,7 @@
 func (f *Follower) answerSync(p *Picture, version string, count int) (*messenger.SyncResponse, error) {
 	age := f.storeAge()
 	out := &messenger.SyncResponse{
-		Look:    age > inTouch && f.mayLook(time.Now()),
+		Look:    age > inTouch && f.mayPoll(time.Now()),
 		Version: version, StoreAgeMicroseconds: age.Microseconds(), Followers: int64(count), Generation: uint64(f.Generation()),
 		Remembers: f.generations.sawReturn(),
 	}
@@ -213,7 +213,7 @@
 		r.mark(&r.followed)
 	}
 	r.noteInstances(int(out.GetFollowers()) + 1)
-	r.mayLookNow = r.mayLookNow || out.GetLook()
+	r.mayPollNow = r.mayPollNow || out.GetLook()
 	if out.GetTakeOver() {
 		r.takeOver(ctx, hub)
 		return touch, true
--- a/follower/role.go
+++ b/follower/role.go
@@ -36,7 +36,7 @@
 	inTouch       = 1300 * time.Millisecond // inTouch is how long after the store's last answer a hub speaks for it.
 	disownLasts   = 300 * time.Millisecond  // disownLasts is that time where every hub that answers says that it is out of touch.
 	followLasts   = 900 * time.Millisecond  // followLasts is how long an answer of a hub in touch keeps an instance from reading itself.
-	longestLook   = 2 * time.Second         // longestLook is the longest time between two cheap questions to the store while no hub is in touch.
+	longestPoll   = 2 * time.Second         // longestPoll is the longest time between two cheap questions to the store while no hub is in touch.
 	servedLasts   = 3 * time.Second         // servedLasts is how long its answer lets the instance read the store itself.
 	seekPause     = 150 * time.Millisecond
 	claimDelay    = 600 * time.Millisecond // claimDelay holds instances with little of a core back, so that strong ones become hubs.
@@ -75,7 +75,7 @@
 	return f.since(&f.followed) > limit
 }
 
-// seeksLong reports whether a starting instance has looked for a hub long enough.
+// seeksLong reports whether a starting instance has searched for a hub long enough.
 func (f *Follower) seeksLong() bool { return time.Since(f.base) > claimDelay+claimSpread }
 
 // role is the task that finds a hub, follows it, or is one.
@@ -92,11 +92,11 @@
 	// added names those that each hub out of touch passed on since: two of them may differ,
 	// and neither is to send its own again and again.
 	added      map[hemlocktally.InstanceID]string
-	looked     time.Time
+	polled     time.Time
 	listed     bool // listed is set once a cheap question to the store has named hubs.
-	mayLookNow bool // mayLookNow is set where a hub that is out of touch wants this instance to look.
-	// lookPause is the time from one cheap question to the store to the next.
-	lookPause time.Duration
+	mayPollNow bool // mayPollNow is set where a hub that is out of touch wants this instance to poll.
+	// pollPause is the time from one cheap question to the store to the next.
+	pollPause time.Duration
 }
 
 func (f *Follower) runRole(ctx context.Context, inbox chan<- any) {
@@ -189,7 +189,7 @@
 	return time.Duration((1-min(1, weight))*float64(claimDelay) + random*float64(claimSpread))
 }
 
-// takenMeanwhile reads the list of hubs anew, at a tenth of the price: that costs
+// takenMeanwhile reads the list of hubs again, at a tenth of the price: that costs
 // less than a claim that comes too late. Where the answer is old, the claim fails.
 func (r *role) takenMeanwhile(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -343,7 +343,7 @@
 // While none is in touch, the answer of one that is not is better than none.
 func (r *role) followAny(ctx context.Context) bool {
 	heard := false
-	r.mayLookNow = false
+	r.mayPollNow = false
 	hold := syncHold
 	if r.disowned.Load() && r.since(&r.followed) <= followLasts {
 		hold = disownLasts / 2 // Only until the store itself is asked; an outage may last.
@@ -352,7 +352,7 @@
 		touch, ok := r.sync(ctx, hub, hold)
 		heard = heard || ok
 		if touch {
-			r.lookPause = 0
+			r.pollPause = 0
 			r.served.Store(0)
 			r.disowned.Store(false)
 			return true
@@ -364,21 +364,21 @@
 	r.disowned.Store(heard)
 	switch {
 	case !r.lostHubs():
-	case !heard, r.mayLookNow && r.since(&r.served) > servedLasts/2:
-		r.lookCheaply(ctx)
+	case !heard, r.mayPollNow && r.since(&r.served) > servedLasts/2:
+		r.pollCheaply(ctx)
 	}
 	return heard
 }
 
-// lookCheaply reads the list of hubs by a call of a tenth of the price, less often
+// pollCheaply reads the list of hubs by a call of a tenth of the price, less often
 // the longer it is in vain. It finds hubs at a start, and whether the store
 // answers this instance while it answers no hub.
-func (r *role) lookCheaply(ctx context.Context) {
-	if time.Since(r.looked) < r.lookPause {
+func (r *role) pollCheaply(ctx context.Context) {
+	if time.Since(r.polled) < r.pollPause {
 		sleep(ctx, spread(seekPause)/2)
 		return
 	}
-	r.looked, r.lookPause = time.Now(), spread(min(longestLook, max(seekPause, 2*r.lookPause)))
+	r.polled, r.pollPause = time.Now(), spread(min(longestPoll, max(seekPause, 2*r.pollPause)))
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	all, err := r.Directory.Snapshot(ctx, r.Interpreter.HubPrefix(), true)
--- a/follower/targets.go
+++ b/follower/targets.go
@@ -12,22 +12,22 @@
 // Bounds of the lists of targets that hubs pass on.
 const (
 	relayPace    = 500 * time.Millisecond  // relayPace is the time between two questions of an instance that needs targets.
-	relayFresh   = 1200 * time.Millisecond // relayFresh is how old a list may be that a hub passes on without reading it anew.
+	relayFresh   = 1200 * time.Millisecond // relayFresh is how old a list may be that a hub passes on without reading it again.
 	relayWait    = 250 * time.Millisecond  // relayWait is how long a hub waits for a newer list.
 	relayTimeout = relayWait + 150*time.Millisecond
 	relayOld     = 1400 * time.Millisecond // relayOld is how old a list may be that ends the search for a newer one.
 	relayMisses  = 2                       // relayMisses is how many rounds without a new list let the instance read the store itself.
 )
 
-// followTargets looks at the targets often while this instance places work. A hub
-// reads the store; it looks rarely while nobody places work. Others ask the hubs:
+// followTargets polls the targets often while this instance places work. A hub
+// reads the store; it polls rarely while nobody places work. Others ask the hubs:
 // when owners fall silent, all instances need the list at the same moment.
 func (f *Follower) followTargets(ctx context.Context, inbox chan<- any) {
 	t := &targetFeed{Follower: f, inbox: inbox}
 	for ctx.Err() == nil {
 		hub, needed := f.isHub.Load(), f.targetsNeeded()
 		reads := hub || f.readsItself() || f.Off.Has(hemlocktally.MechanismRelayedLists)
-		rested := t.looked.IsZero() || time.Since(t.looked) >= restingPace
+		rested := t.polled.IsZero() || time.Since(t.polled) >= restingPace
 		switch {
 		case !needed && (!hub || !rested):
 			t.known, t.missed = 0, 0
@@ -37,7 +37,7 @@
 		case !reads && t.missed < relayMisses && len(f.hubs()) > 0:
 			sleep(ctx, spread(firstBackoff))
 		default:
-			t.look(ctx, needed)
+			t.poll(ctx, needed)
 		}
 	}
 }
@@ -60,13 +60,13 @@
 	generation hemlocktally.StoreGeneration // generation is the one that known counts in.
 	known      uint64                       // known is the store's revision up to which its changes are known.
 	pause      time.Duration                // pause grows with failures in a row.
-	looked     time.Time
+	polled     time.Time
 	eager      time.Duration // eager is the pause before a stale list is asked for again.
 	missed     int           // missed counts rounds in a row in which no hub passed a list on.
 }
 
-// look reads the store.
-func (t *targetFeed) look(ctx context.Context, needed bool) {
+// poll reads the store.
+func (t *targetFeed) poll(ctx context.Context, needed bool) {
 	fd := feed{hemlocktally.EntryTarget, t.Interpreter.TargetPrefix(), targetWait, targetPace}
 	if generation := t.Generation(); generation != t.generation {
 		t.known, t.generation = 0, generation // Revisions of another generation tell nothing.
@@ -74,9 +74,9 @@
 	if t.known > 0 {
 		t.mark(&t.watching)
 	}
-	msg, revision, err := t.Follower.look(ctx, fd, t.known)
+	msg, revision, err := t.Follower.poll(ctx, fd, t.known)
 	t.watching.Store(0)
-	t.looked = time.Now()
+	t.polled = time.Now()
 	if err != nil {
 		t.unreadable.Store(true)
 		t.known = t.failed(ctx, t.inbox, fd, t.known, err)
--- a/follower/targets_test.go
+++ b/follower/targets_test.go
@@ -96,6 +96,7 @@
 
 // ofGrowingFleets plays a test on fleets of 16, 100 and 300 followers.
 func ofGrowingFleets(t *testing.T, play func(c *qt.C, f *fleetInMemory)) {
+	t.Helper()
 	for _, count := range []int{16, 100, 300} {
 		if count > mostUnderRace {
 			continue // .ci/run plays it without the race detector.
@@ -125,7 +126,7 @@
 		calls = append(calls, f.counted.targets.Load()-before)
 		f.stop()
 	})
-	// Two hubs look twice a second at the most.
+	// Two hubs poll twice a second at the most.
 	for _, n := range calls {
 		qt.Check(t, n <= 2*2*8, qt.IsTrue, qt.Commentf("%v", calls))
 	}
--- a/logger/membership_events.go
+++ b/logger/membership_events.go
@@ -122,7 +122,7 @@
 		Number: 4021, Name: "answer of an earlier generation dropped", Level: logrus.InfoLevel,
 		Fields:  []string{"Generation", "Known"},
 		Meaning: "An answer of the store, or of a hub, is of a generation before the one that is known; logged once each time the store comes back from a copy.",
-		Action:  "None, unless the store was set up anew: what it says holds again ten seconds after the later generation was last heard of.",
+		Action:  "None, unless the store was set up again: what it says holds again ten seconds after the later generation was last heard of.",
 	}
 	EventRegistrationFailed = Event{
 		Number: 4016, Name: "hub not registered", Level: logrus.WarnLevel,
--- a/placer/server.go
+++ b/placer/server.go
@@ -41,7 +41,7 @@
 
 const (
 	serviceInbox = 256
-	waitTick     = 5 * time.Millisecond // waitTick is the time between two looks at the queue while calls wait.
+	waitTick     = 5 * time.Millisecond // waitTick is the time between two checks of the queue while calls wait.
 	idleTick     = 500 * time.Millisecond
 	probeTimeout = 60 * time.Millisecond // probeTimeout bounds a question about load, a new connection included.
 	holdAnswer   = 20 * time.Millisecond // holdAnswer is how long a question is kept before it is told to ask again.
--- a/placer/state.go
+++ b/placer/state.go
@@ -51,7 +51,7 @@
 	meanWeight    = 0.02
 	keepPlace     = 80 * time.Millisecond // keepPlace is how long a waiter keeps its place after its last answer.
 	turnGrace     = 100 * time.Millisecond
-	lapseInterval = 5 * time.Millisecond // lapseInterval is the time between two looks for turns that are over: a busy owner has thousands of messages a second.
+	lapseInterval = 5 * time.Millisecond // lapseInterval is the time between two searches for turns that are over: a busy owner has thousands of messages a second.
 	outlierFactor = 4
 	widthLasts    = 20 * time.Millisecond // widthLasts is how long a target's width is kept before it is worked out again.
 	enoughSamples = 30                    // enoughSamples is how many samples a reference is taken of.
