--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -46,6 +46,12 @@
 	gauges = append(gauges, recorder.Metric{
 		Name: "requests_read_ahead_total", Help: "Requests that were served before those ahead of them had their answers.", Type: typeCounter, Value: float64(b.pipeline.ReadAheadCount()),
 	})
+	limited, granted := b.granter.Limits()
+	gauges = append(gauges, recorder.Metric{
+		Name: "limited_targets", Help: "Targets that name a limit, as far as this instance knows.", Type: typeGauge, Value: float64(limited),
+	}, recorder.Metric{
+		Name: "limited_grants_total", Help: "Grants on targets that this instance knew to have a limit.", Type: typeCounter, Value: float64(granted),
+	})
 	gauges = append(gauges, serviceGauges("owner", b.owner.Stats(ctx))...)
 	gauges = append(gauges, serviceGauges("alone", b.fallback.Stats(ctx))...)
 	if b.LinesDropped != nil {
--- a/balancer/metrics_test.go
+++ b/balancer/metrics_test.go
@@ -19,7 +19,7 @@
 func TestMetricsCoverServicesAndDroppedLogLines(t *testing.T) {
 	c := qt.New(t)
 	b := &Balancer{
-		follower: &follower.Follower{}, owner: &placer.Server{}, fallback: &placer.Server{}, recorder: &recorder.Recorder{},
+		follower: &follower.Follower{}, owner: &placer.Server{}, fallback: &placer.Server{}, granter: &placer.Client{}, recorder: &recorder.Recorder{},
 		LinesDropped: func() uint64 { return 7 },
 	}
 	b.follower.Prepare()
@@ -40,7 +40,7 @@
 	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	c.Assert(err, qt.IsNil)
 	b := &Balancer{
-		follower: &follower.Follower{}, owner: &placer.Server{}, fallback: &placer.Server{},
+		follower: &follower.Follower{}, owner: &placer.Server{}, fallback: &placer.Server{}, granter: &placer.Client{},
 		LinesDropped: func() uint64 { return 0 }, StoreCalls: func() map[string]uint64 { return map[string]uint64{"*": 1} },
 	}
 	b.follower.Prepare()
--- a/dialect.go
+++ b/dialect.go
@@ -39,6 +39,7 @@
 	Leaving     bool          // Leaving is set if the target announces that it is leaving for good.
 	RetryAfter  time.Duration // RetryAfter is how long the target wants no requests from this instance; zero if not given.
 	Load        *Load         // Load is nil if the response reports none.
+	Limit       *RateLimit    // Limit is nil if the response does not say whether the target has a limit. Its time is not set.
 }
 
 // HeaderCodec reads and writes the HTTP headers that callers, instances and targets
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -219,6 +219,7 @@
 	stopWatch := a.watchSilence()
 	stopUnblock := a.unblockBodyRead(ctx)
 	response, err := a.link.RoundTrip(a.targetRequest(ctx))
+	received := time.Now()
 	stopWatch()
 	stopUnblock()
 	if err != nil {
@@ -231,6 +232,9 @@
 	}
 	result.ReportedCold, result.ReportedDraining, result.RetryAfter = headers.Cold, headers.Draining || headers.Leaving, headers.RetryAfter
 	result.Load, result.Misdirected = headers.Load, headers.Misdirected
+	if headers.Limit != nil && !headers.Misdirected {
+		result.Limit = &hemlocktally.RateLimit{PerSecond: headers.Limit.PerSecond, Named: headers.Limit.Named, At: received}
+	}
 	if headers.NotRun {
 		result.Outcome = hemlocktally.AttemptRefused
 		return &FailedMsg{
--- a/grant.go
+++ b/grant.go
@@ -76,7 +76,10 @@
 	RetryAfter  time.Duration
 	Misdirected bool  // Misdirected is set if another target responded at the address.
 	Load        *Load // Load is the report in the target's response, or nil.
-	Unreachable bool  // Unreachable is set if no connection to the target was available.
+	// Limit is what the target's response says about its limit, or nil if it says
+	// nothing.
+	Limit       *RateLimit
+	Unreachable bool // Unreachable is set if no connection to the target was available.
 }
 
 // Granter hands out grants. Acquire returns a *RefusedError if no grant is
--- a/imitator/upstream.go
+++ b/imitator/upstream.go
@@ -22,6 +22,8 @@
 	// Leaving says in each answer that the upstream leaves. It is no part of its
 	// entry, which goes on saying that it is ready.
 	Leaving bool
+	// Limit is the limit that each answer names, in requests a second; "" for none.
+	Limit string
 	// StayAway turns every request away and wants nothing of the asker for so long.
 	StayAway time.Duration
 	// ResetFull resets the connection of a request that finds no place in the queue.
@@ -30,6 +32,13 @@
 	Bytes UpstreamBytes
 }
 
+func (f UpstreamFaults) nameLimit(header http.Header) {
+	header.Del("Server-Limit")
+	if f.Limit != "" {
+		header.Set("Server-Limit", f.Limit)
+	}
+}
+
 // Upstream imitates a target of the users' platform: it runs Slots requests at
 // once, queues a few, reports its load, registers itself in a Directory, and
 // keeps what it ran.
@@ -159,6 +168,7 @@
 	if u.faults.Leaving {
 		header.Set("Server-Leaving", "1")
 	}
+	u.faults.nameLimit(header)
 	header.Set("Server-Load", fmt.Sprintf("%d,%d,%d,%d", u.running, u.waiting, u.Slots, pace))
 }
 
@@ -185,6 +195,7 @@
 	}
 	id := r.Header.Get("Request-Id")
 	faults, hang := u.enter()
+	faults.nameLimit(w.Header())
 	switch {
 	case faults.Bytes != BytesPlain:
 		u.answerRaw(w, r, faults, string(body))
--- a/logger/owner_events.go
+++ b/logger/owner_events.go
@@ -53,8 +53,14 @@
 		Meaning: "A response of the target announced that it is shutting down. This instance sends it no more calls until it has restarted.",
 		Action:  "None.",
 	}
+	EventTargetLimit = Event{
+		Number: 3009, Name: "target limit changed", Level: logrus.InfoLevel,
+		Fields:  []string{"Service", "Target", "Limit", "Before"},
+		Meaning: "A response of the target to this instance named a limit of requests a second from all instances together, changed it, or named none any more.",
+		Action:  "Find out what the target lacks.",
+	}
 )
 
 var ownerEvents = []Event{
-	EventOwnerInvariant, EventTargetState, EventOwnerUnresponsive, EventColdTargetsWithheld, EventColdTargetsServed, EventLoadQueryFailed, EventTargetGranted, EventTargetLeaving,
+	EventOwnerInvariant, EventTargetState, EventOwnerUnresponsive, EventColdTargetsWithheld, EventColdTargetsServed, EventLoadQueryFailed, EventTargetGranted, EventTargetLeaving, EventTargetLimit,
 }
--- a/placer/client.go
+++ b/placer/client.go
@@ -54,6 +54,7 @@
 	Disabled       hemlocktally.Mechanisms // Disabled holds the mechanisms that are disabled.
 
 	avoidList avoidList
+	limits    limitList
 	tickets   atomic.Uint64
 	mu        sync.Mutex
 	peers     map[string]*peer // peers is keyed by address.
@@ -90,6 +91,9 @@
 				msg.Ticket = c.nextTicket()
 				break
 			}
+			if limit, _ := c.limits.find(answer.Grant.Target, time.Now()); limit.Named {
+				c.limits.granted.Add(1)
+			}
 			c.Log.Log(logger.EventTargetGranted, logger.Fields{
 				"Call": request.Call, "Service": request.Service, "Target": answer.Grant.Target.Name, "Owner": answer.Grant.Owner,
 				"Alone": answer.Grant.Alone, "Cold": answer.Grant.Cold, "Expected": answer.Rationale.Expected, "Pace": answer.Rationale.Pace,
@@ -234,9 +238,22 @@
 	p.avoidUntil = time.Now().Add(p.avoidance)
 }
 
-// Release returns a grant to the server that issued it, and records whether its target is
-// leaving or told the instance to stay away.
+// Limits returns how many targets have a limit, as far as this instance knows, and how many
+// grants on such targets it has used.
+func (c *Client) Limits() (targets int, granted uint64) {
+	return c.limits.limited(time.Now()), c.limits.granted.Load()
+}
+
+// Release returns a grant to the server that issued it. It records whether its target is
+// leaving, told the instance to stay away or named a limit.
 func (c *Client) Release(result hemlocktally.GrantResult) {
+	if result.Limit != nil {
+		if before, changed := c.limits.record(result.Grant.Service, result.Grant.Target, *result.Limit); changed {
+			c.Log.Log(logger.EventTargetLimit, logger.Fields{
+				"Service": result.Grant.Service, "Target": result.Grant.Target.Name, "Limit": result.Limit.String(), "Before": before.String(),
+			})
+		}
+	}
 	if c.avoidList.record(result, time.Now()) {
 		c.Log.Log(logger.EventTargetLeaving, logger.Fields{
 			"Service": result.Grant.Service, "Target": result.Grant.Target.Name, "Address": result.Grant.Target.Address,
