Count calls against the limits that targets name, over all instances

What callers and targets saw: a target that named a limit of 1 request a second went on getting its usual share, 21 requests in 4 s (11 allowed), until it failed under it. Cause: a bound for the whole fleet, stated in answers, that nothing read, and that no instance could have kept by itself. Ruled out: each instance counting for itself (the share didn't move when the limit was named), counts lost at a handover (the first breach came before any).

What targets say travels with its age: by ended turns, with the next question to any owner, and with the owner's answers, so that a new owner is told at once and an instance knows when it has to decide alone; a turn that was not counted is given back. Limited targets come after others that are prompt; what no limit allows in time is refused at once (TargetLimit).

--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -50,7 +50,7 @@
 	gauges = append(gauges, recorder.Metric{
 		Name: "limited_targets", Help: "Targets that name a limit, as far as this instance knows.", Type: typeGauge, Value: float64(limited),
 	}, recorder.Metric{
-		Name: "limited_grants_total", Help: "Grants on targets that this instance knew to have a limit.", Type: typeCounter, Value: float64(granted),
+		Name: "limited_grants_total", Help: "Grants that were counted against a limit of their target.", Type: typeCounter, Value: float64(granted),
 	})
 	gauges = append(gauges, serviceGauges("owner", b.owner.Stats(ctx))...)
 	gauges = append(gauges, serviceGauges("alone", b.fallback.Stats(ctx))...)
@@ -84,6 +84,8 @@
 		{"targets", "Targets known.", typeGauge, func(s placer.Stats) float64 { return float64(s.Targets) }},
 		{"granted_total", "Turns given.", typeCounter, func(s placer.Stats) float64 { return float64(s.Granted) }},
 		{"probes_total", "Questions to targets about their load.", typeCounter, func(s placer.Stats) float64 { return float64(s.Probes) }},
+		{"limited_targets", "Targets whose limits are counted.", typeGauge, func(s placer.Stats) float64 { return float64(s.Limited) }},
+		{"limit_refusals_total", "Calls refused because of targets' limits.", typeCounter, func(s placer.Stats) float64 { return float64(s.LimitRefusals) }},
 		{"retry_budget_used", "Part of the window's retry budget that is spent.", typeGauge, func(s placer.Stats) float64 { return s.BudgetUsed }},
 	} {
 		for _, stats := range services {
--- a/grant.go
+++ b/grant.go
@@ -62,6 +62,9 @@
 	Waited   time.Duration
 	Cold     bool
 	Alone    bool // Alone is set if the entry instance decided without the service's owner.
+	// Limit is what the server that issued the grant knew of the target's limit. If
+	// it names one, the grant is counted against it.
+	Limit RateLimit
 }
 
 // GrantResult releases a grant and reports how the attempt went.
--- a/imitator/upstream.go
+++ b/imitator/upstream.go
@@ -63,8 +63,8 @@
 	address  string
 	sequence int
 	started  int64
-	arrivals int // arrivals counts all requests.
-	late     int // late counts requests that came after the upstream should have been left.
+	arrivals []time.Time // arrivals holds when requests came.
+	late     int         // late counts requests that came after the upstream should have been left.
 	leftBy   time.Time
 }
 
@@ -153,7 +153,24 @@
 func (u *Upstream) Arrivals() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.arrivals
+	return len(u.arrivals)
+}
+
+// MostArrivals returns the most requests that came in any window of the given length that
+// ends after the given time.
+func (u *Upstream) MostArrivals(after time.Time, window time.Duration) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	most, first := 0, 0
+	for last, end := range u.arrivals {
+		for end.Sub(u.arrivals[first]) >= window {
+			first++
+		}
+		if end.After(after) {
+			most = max(most, last-first+1)
+		}
+	}
+	return most
 }
 
 // text is the body of the answer to a request.
@@ -229,7 +246,7 @@
 func (u *Upstream) enter() (faults UpstreamFaults, hang bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.arrivals++
+	u.arrivals = append(u.arrivals, time.Now())
 	if !u.leftBy.IsZero() && time.Now().After(u.leftBy) {
 		u.late++
 	}
--- a/limit.go
+++ b/limit.go
@@ -18,6 +18,13 @@
 	At time.Time
 }
 
+// TargetLimit is a RateLimit with the incarnation of the target that it is about.
+type TargetLimit struct {
+	Target  TargetName
+	Started int64 // Started is as in Target.
+	Limit   RateLimit
+}
+
 // String returns the limit for logs, such as 2.5/s, or none.
 func (l RateLimit) String() string {
 	if !l.Named {
--- a/logger/owner_events.go
+++ b/logger/owner_events.go
@@ -43,7 +43,7 @@
 	}
 	EventTargetGranted = Event{
 		Number: 3007, Name: "target granted", Level: logrus.DebugLevel,
-		Fields:  []string{"Call", "Service", "Target", "Owner", "Alone", "Cold", "Expected", "Pace", "Age", "Waited"},
+		Fields:  []string{"Call", "Service", "Target", "Owner", "Alone", "Cold", "Limit", "Expected", "Pace", "Age", "Waited"},
 		Meaning: "The call is sent to the target. Expected, Pace and Age (of the report of Pace) are known if the instance chose the target itself.",
 		Action:  "None.",
 	}
@@ -55,12 +55,18 @@
 	}
 	EventTargetLimit = Event{
 		Number: 3009, Name: "target limit changed", Level: logrus.InfoLevel,
-		Fields:  []string{"Service", "Target", "Limit", "Before"},
-		Meaning: "A response of the target to this instance named a limit of requests a second from all instances together, changed it, or named none any more.",
+		Fields:  []string{"Service", "Target", "Limit", "Before", "Age"},
+		Meaning: "The instance learned, from a response of the target or from an owner, that the target names another limit of requests a second from all instances together, or none any more. Age is how old that response is.",
 		Action:  "Find out what the target lacks.",
 	}
+	EventLimitCounted = Event{
+		Number: 3010, Name: "target limit counted", Level: logrus.InfoLevel,
+		Fields:  []string{"Service", "Target", "Limit", "Before", "ReportedBy", "Alone", "Share"},
+		Meaning: "The instance decides for the service and counts its calls to the target against another limit from now on, of which it uses Share. ReportedBy is the instance that received the response.",
+		Action:  "None; docs/operators/limits.md.",
+	}
 )
 
 var ownerEvents = []Event{
-	EventOwnerInvariant, EventTargetState, EventOwnerUnresponsive, EventColdTargetsWithheld, EventColdTargetsServed, EventLoadQueryFailed, EventTargetGranted, EventTargetLeaving, EventTargetLimit,
+	EventOwnerInvariant, EventTargetState, EventOwnerUnresponsive, EventColdTargetsWithheld, EventColdTargetsServed, EventLoadQueryFailed, EventTargetGranted, EventTargetLeaving, EventTargetLimit, EventLimitCounted,
 }
--- a/outcome.go
+++ b/outcome.go
@@ -25,6 +25,7 @@
 	ReasonQueueFull       Reason = "QueueFull"
 	ReasonShed            Reason = "Shed"
 	ReasonNoTarget        Reason = "NoTarget"
+	ReasonTargetLimit     Reason = "TargetLimit"
 	ReasonTargetFailed    Reason = "TargetFailed"
 	ReasonAnswerBroken    Reason = "AnswerBroken"
 	ReasonLeaving         Reason = "Leaving"
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -64,6 +64,7 @@
 	cost     time.Duration
 	sameZone bool
 	fresh    bool
+	spared   bool // spared is set for a limited target, which is used only if no other is prompt.
 }
 
 // serveQueue grants targets to the waiters in queue order, as far as targets have capacity.
@@ -194,7 +195,7 @@
 }
 
 func (s *State) hasCapacity(t *targetState, now time.Time) bool {
-	if !t.accepting(now) || t.busy(now) >= s.concurrencyLimit(t, now) {
+	if !t.accepting(now) || t.busy(now) >= s.concurrencyLimit(t, now) || !s.withinLimit(t, now) {
 		return false
 	}
 	return !t.cold(now) || (!s.Alone && t.allowsColdCall(s.coldRate(), s.Bounds.ColdShare, now))
@@ -227,7 +228,6 @@
 		return nil
 	}
 	var commands []any
-	interval := s.probeInterval()
 	probe := func(t *targetState) {
 		if len(w.probedTargets) >= maxProbes || slices.Contains(w.probedTargets, t) || t.avoidedFor(s.Owner, now) > 0 {
 			return
@@ -236,13 +236,11 @@
 			w.probedTargets = append(w.probedTargets, t)
 			return
 		}
-		if now.Sub(t.probedAt) < interval {
+		if now.Sub(t.probedAt) < s.probeInterval(t) {
 			return
 		}
-		t.probing, t.probedAt = true, now
 		w.probedTargets = append(w.probedTargets, t)
-		s.probes++
-		commands = append(commands, ProbeCmd{Target: t.target, Path: s.service.ProbePath})
+		commands = append(commands, s.probe(t, now))
 	}
 	if hedged != nil && !hedged.fresh(now) {
 		probe(hedged)
@@ -260,8 +258,19 @@
 	return commands
 }
 
-// probeInterval returns the minimum time between two probes of a target.
-func (s *State) probeInterval() time.Duration {
+// probe returns the command to probe the target.
+func (s *State) probe(t *targetState, now time.Time) ProbeCmd {
+	t.probing, t.probedAt = true, now
+	s.probes++
+	return ProbeCmd{Target: t.target, Path: s.service.ProbePath}
+}
+
+// probeInterval returns the minimum time between two probes of a target. One that names a
+// limit is spared.
+func (s *State) probeInterval(t *targetState) time.Duration {
+	if t.rate.limit.Named {
+		return t.rate.probeInterval()
+	}
 	if s.Bounds.ProbesPerSecond <= 0 {
 		return minProbeInterval
 	}
@@ -272,8 +281,9 @@
 	r := w.msg.Request
 	grant := hemlocktally.Grant{
 		ID: s.nextID(), Service: r.Service, Target: c.t.target, Owner: s.Owner, Revision: s.revision,
-		Deadline: r.Deadline, Waited: now.Sub(w.enqueuedAt), Cold: c.t.cold(now), Alone: s.Alone,
+		Deadline: r.Deadline, Waited: now.Sub(w.enqueuedAt), Cold: c.t.cold(now), Alone: s.Alone, Limit: c.t.rate.limit,
 	}
+	s.spendLimit(c.t, now)
 	if grant.Cold {
 		grant.LeaseEnd = now.Add(coldGrantTTL)
 		c.t.coldGrants = append(c.t.coldGrants, now)
@@ -283,7 +293,7 @@
 	}
 	c.t.grants[grant.ID] = activeGrant{
 		contract: r.Contract, from: w.msg.From, deadline: r.Deadline, pace: c.t.expectedPace(s.meanPace, now),
-		level: c.t.nextLevel(now),
+		level: c.t.nextLevel(now), counted: c.t.rate.limit.Named,
 	}
 	c.t.grantedAt = now
 	c.t.takeConnection(w.msg.From)
@@ -303,19 +313,25 @@
 	if s.disabled(hemlocktally.MechanismAdmission) && slots > 0 {
 		return nil
 	}
-	if slots == 0 {
-		if refused := s.refuseUnavailable(msg.Request, available, now); refused != nil {
-			return refused
-		}
-	}
 	ahead := 0
 	for _, w := range s.queue {
 		if w.msg.Request.Priority >= msg.Request.Priority {
 			ahead++
 		}
 	}
+	if available.onlyLimited() {
+		return s.refuseOverLimits(msg.Request, available, ahead, now)
+	}
+	if slots == 0 {
+		if refused := s.refuseUnavailable(msg.Request, available, now); refused != nil {
+			return refused
+		}
+	}
 	typical := s.typicalWork(msg.Request.Contract)
-	wait := time.Duration(float64(ahead) * float64(typical) * s.meanPace / float64(max(1, slots)))
+	work := typical.Seconds() * s.meanPace
+	// A limit is worth as many slots as its calls keep busy on average.
+	capacity := max(1, float64(slots)+available.limitedRate*work)
+	wait := secondsOrForever(float64(ahead) * work / capacity)
 	inTime := msg.Request.Objective.Add(-s.promptTime(msg.Request.Contract))
 	if now.Add(wait+typical).After(msg.Request.Deadline) || (wait > 0 && now.Add(wait).After(inTime)) {
 		detail := fmt.Sprintf("%d calls ahead and %d slots: a wait of %s and work of %s would exceed the objective (%s left) or the deadline",
@@ -358,8 +374,17 @@
 	avoided bool
 	// cold is set when a cold target accepts calls.
 	cold bool
+	// limited is the number of warm targets that accept its calls within a limit; limitedRate
+	// is how many calls a second they get together, and limitedIn the time until the first of
+	// their limits allows a call.
+	limited     int
+	limitedRate float64
+	limitedIn   time.Duration
 }
 
+// onlyLimited reports whether limited targets are the only ones that accept calls now.
+func (a availability) onlyLimited() bool { return a.limited > 0 && a.slots == 0 && !a.cold }
+
 func (s *State) availabilityFor(from hemlocktally.InstanceID, now time.Time) availability {
 	var available availability
 	for _, t := range s.sorted {
@@ -371,6 +396,8 @@
 		switch {
 		case retryIn == 0 && t.cold(now):
 			available.cold = available.cold || !s.Alone
+		case retryIn == 0 && t.rate.limit.Named:
+			s.addLimited(&available, t, now)
 		case retryIn == 0:
 			available.slots += s.concurrencyLimit(t, now)
 		case available.retryIn == 0 || retryIn < available.retryIn:
@@ -380,6 +407,16 @@
 	return available
 }
 
+// addLimited adds a target that accepts calls within a limit.
+func (s *State) addLimited(available *availability, t *targetState, now time.Time) {
+	wait := s.limitWait(t, now)
+	if available.limited == 0 || wait < available.limitedIn {
+		available.limitedIn = wait
+	}
+	available.limited++
+	available.limitedRate += s.limitRate(t)
+}
+
 // retryAfter returns the Retry-After for an expected wait. It is randomized so that callers
 // don't all come back at once.
 func (s *State) retryAfter(wait time.Duration) time.Duration {
--- a/placer/client.go
+++ b/placer/client.go
@@ -58,8 +58,30 @@
 	tickets   atomic.Uint64
 	mu        sync.Mutex
 	peers     map[string]*peer // peers is keyed by address.
+	// limitsExchanged is what each server was told of the limits of a service's targets, and told
+	// this instance.
+	limitsExchanged map[limitsKey]limitsExchange
 }
 
+// limitsExchange is the state of the exchange with one server.
+type limitsExchange struct {
+	toldAt time.Time // toldAt is when the server was last told all that the instance knows.
+	heard  uint64    // heard is the version of the server's last news.
+}
+
+// limitsKey identifies an exchange. The server is a peer's address or one of the
+// instance's own servers.
+type limitsKey struct {
+	server  string
+	service hemlocktally.ServiceName
+}
+
+// Names of the instance's own servers in a limitsKey.
+const (
+	ownServer   = "own"
+	aloneServer = "alone"
+)
+
 // peer is the connection state of another instance.
 type peer struct {
 	client     messenger.Placement
@@ -82,7 +104,7 @@
 		answer := c.acquire(ctx, msg)
 		switch answer := answer.(type) {
 		case GrantCmd:
-			if c.returnIfAvoided(answer.Grant) {
+			if c.returnIfAvoided(answer.Grant) || c.returnIfUncounted(answer.Grant) {
 				if returned++; returned > maxReturnedGrants {
 					return hemlocktally.Grant{}, notRunError(hemlocktally.ReasonNoTarget, "all offered targets are leaving or told this instance to stay away", minRetryAfter)
 				}
@@ -91,12 +113,12 @@
 				msg.Ticket = c.nextTicket()
 				break
 			}
-			if limit, _ := c.limits.find(answer.Grant.Target, time.Now()); limit.Named {
+			if answer.Grant.Limit.Named {
 				c.limits.granted.Add(1)
 			}
 			c.Log.Log(logger.EventTargetGranted, logger.Fields{
 				"Call": request.Call, "Service": request.Service, "Target": answer.Grant.Target.Name, "Owner": answer.Grant.Owner,
-				"Alone": answer.Grant.Alone, "Cold": answer.Grant.Cold, "Expected": answer.Rationale.Expected, "Pace": answer.Rationale.Pace,
+				"Alone": answer.Grant.Alone, "Cold": answer.Grant.Cold, "Limit": answer.Grant.Limit.String(), "Expected": answer.Rationale.Expected, "Pace": answer.Rationale.Pace,
 				"Age": answer.Rationale.Age, "Waited": time.Since(started),
 			})
 			return answer.Grant, nil
@@ -129,6 +151,79 @@
 	return true
 }
 
+// returnIfUncounted returns the grant to its server, with what this instance knows of the
+// target's limit, if the server did not know it and therefore did not count the grant. It
+// reports whether it did. A server that knows better tells this instance.
+func (c *Client) returnIfUncounted(grant hemlocktally.Grant) bool {
+	now := time.Now()
+	if !grant.Limit.At.IsZero() {
+		c.recordLimit(grant.Service, targetLimit(grant.Target, grant.Limit), now)
+	}
+	known, ok := c.limits.find(grant.Target, now)
+	if !ok || !known.Named || grant.Limit.Named {
+		return false
+	}
+	c.forgetLimitsTold(grant)
+	c.release(hemlocktally.GrantResult{Grant: grant, Outcome: hemlocktally.AttemptUnused, Limit: &known})
+	return true
+}
+
+func targetLimit(target hemlocktally.Target, limit hemlocktally.RateLimit) hemlocktally.TargetLimit {
+	return hemlocktally.TargetLimit{Target: target.Name, Started: target.Started, Limit: limit}
+}
+
+// recordLimit applies what a response or a server said of a target's limit.
+func (c *Client) recordLimit(service hemlocktally.ServiceName, said hemlocktally.TargetLimit, now time.Time) {
+	before, changed := c.limits.record(service, said, now)
+	if !changed {
+		return
+	}
+	c.Log.Log(logger.EventTargetLimit, logger.Fields{
+		"Service": service, "Target": said.Target, "Limit": said.Limit.String(), "Before": before.String(), "Age": now.Sub(said.Limit.At).String(),
+	})
+}
+
+// exchangeLimits adds to the request what the server has not been told of targets' limits. The
+// returned function must be called with the news in the server's answer.
+func (c *Client) exchangeLimits(server string, msg AcquireMsg) (AcquireMsg, func(LimitNews)) {
+	key, now := limitsKey{server: server, service: msg.Request.Service}, time.Now()
+	c.mu.Lock()
+	exchanged := c.limitsExchanged[key]
+	c.mu.Unlock()
+	msg.Limits, msg.LimitsVersion = c.limits.changedSince(key.service, exchanged.toldAt), exchanged.heard
+	return msg, func(news LimitNews) {
+		if news.Version == 0 || (news.Version == exchanged.heard && len(msg.Limits) == 0) {
+			return // There is nothing new, or the request did not get as far as the state.
+		}
+		exchanged.toldAt = now
+		for _, said := range news.Limits {
+			c.recordLimit(key.service, said, time.Now())
+		}
+		exchanged.heard = news.Version
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.limitsExchanged == nil {
+			c.limitsExchanged = map[limitsKey]limitsExchange{}
+		}
+		c.limitsExchanged[key] = exchanged
+	}
+}
+
+// forgetLimitsTold makes the client tell the grant's server all limits again.
+func (c *Client) forgetLimitsTold(grant hemlocktally.Grant) {
+	key := limitsKey{server: ownServer, service: grant.Service}
+	switch {
+	case grant.Alone:
+		key.server = aloneServer
+	case grant.Owner != c.Self:
+		owner, _ := c.View.View().Find(grant.Owner)
+		key.server = owner.PeerAddress
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.limitsExchanged, key)
+}
+
 // acquire asks the owners in order of rank, and decides alone if none of them answers.
 func (c *Client) acquire(ctx context.Context, msg AcquireMsg) any {
 	now := time.Now()
@@ -136,7 +231,7 @@
 	for _, owner := range c.owners(msg.Request.Service) {
 		if owner.ID == c.Self {
 			if c.Server.CanDecide(msg.Request.Service) {
-				return c.Server.Acquire(ctx, msg)
+				return c.acquireLocal(ctx, c.Server, ownServer, msg)
 			}
 			continue
 		}
@@ -149,14 +244,29 @@
 			continue
 		}
 		tried++
-		answer, err := c.acquireRemote(ctx, p, owner.ID, msg)
+		answer, err := c.acquireRemote(ctx, p, owner, msg)
 		if err == nil || ctx.Err() != nil {
 			return answer
 		}
 		c.Log.Log(logger.EventOwnerUnresponsive, logger.Fields{"Owner": owner.ID, "Cause": err.Error()})
 	}
 	c.awaitTargets(ctx, msg.Request.Service)
-	return c.Alone.Acquire(ctx, msg)
+	return c.acquireLocal(ctx, c.Alone, aloneServer, msg)
+}
+
+// acquireLocal asks one of the instance's own servers.
+func (c *Client) acquireLocal(ctx context.Context, server *Server, name string, msg AcquireMsg) any {
+	msg, heard := c.exchangeLimits(name, msg)
+	answer := server.Acquire(ctx, msg)
+	switch answer := answer.(type) {
+	case GrantCmd:
+		heard(answer.News)
+	case RefuseCmd:
+		heard(answer.News)
+	case PendingCmd:
+		heard(answer.News)
+	}
+	return answer
 }
 
 // owners returns the instances that may own the service, in order of rank.
@@ -176,7 +286,8 @@
 	c.Alone.pollCanDecide(ctx, service, aloneTargetsWait, alonePollInterval)
 }
 
-func (c *Client) acquireRemote(ctx context.Context, p *peer, owner hemlocktally.InstanceID, msg AcquireMsg) (any, error) {
+func (c *Client) acquireRemote(ctx context.Context, p *peer, owner hemlocktally.Instance, msg AcquireMsg) (any, error) {
+	msg, heard := c.exchangeLimits(owner.PeerAddress, msg)
 	sentAt := time.Now()
 	requestCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
@@ -188,11 +299,13 @@
 		return RefuseCmd{Ticket: msg.Ticket, Error: notRunError(hemlocktally.ReasonCallerCancelled, "the caller disconnected before a target was available", 0)}, err
 	}
 	c.recordAnswer(p, err)
-	switch {
-	case err != nil:
+	if err != nil {
 		return nil, err
+	}
+	heard(limitNews(out))
+	switch {
 	case out.GetGrant() != "":
-		return GrantCmd{Ticket: msg.Ticket, Grant: grantFromResponse(out, msg, owner, sentAt)}, nil
+		return GrantCmd{Ticket: msg.Ticket, Grant: grantFromResponse(out, msg, owner.ID, sentAt)}, nil
 	case out.GetRefused() != "":
 		return RefuseCmd{Ticket: msg.Ticket, Error: notRunError(
 			hemlocktally.Reason(out.GetRefused()), out.GetDetail(), microseconds(out.GetRetryAfterMicroseconds()),
@@ -248,11 +361,7 @@
 // leaving, told the instance to stay away or named a limit.
 func (c *Client) Release(result hemlocktally.GrantResult) {
 	if result.Limit != nil {
-		if before, changed := c.limits.record(result.Grant.Service, result.Grant.Target, *result.Limit); changed {
-			c.Log.Log(logger.EventTargetLimit, logger.Fields{
-				"Service": result.Grant.Service, "Target": result.Grant.Target.Name, "Limit": result.Limit.String(), "Before": before.String(),
-			})
-		}
+		c.recordLimit(result.Grant.Service, targetLimit(result.Grant.Target, *result.Limit), time.Now())
 	}
 	if c.avoidList.record(result, time.Now()) {
 		c.Log.Log(logger.EventTargetLeaving, logger.Fields{
--- a/placer/limit_fleet_test.go
+++ b/placer/limit_fleet_test.go
@@ -54,6 +54,13 @@
 	}
 }
 
+// lift makes the responses name no limit from now on.
+func (t *limitedTarget) lift() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limit = hemlocktally.RateLimit{}
+}
+
 func (t *limitedTarget) arrive(from hemlocktally.InstanceID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -99,6 +106,19 @@
 	return most
 }
 
+// between returns how many requests arrived in the span.
+func (t *limitedTarget) between(from, to time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, a := range t.arrivals {
+		if !a.at.Before(from) && a.at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
 // limitFleet is a number of instances, some of which own services, in front of limited
 // targets. It has no network and runs under the clock of synctest.
 type limitFleet struct {
@@ -109,6 +129,8 @@
 	network   imitator.Network
 	instances []*limitInstance
 	work      time.Duration
+	// mute makes answers to probes name no limits.
+	mute bool
 
 	mu      sync.Mutex
 	served  int
@@ -118,10 +140,23 @@
 
 // limitInstance is one instance of the fleet.
 type limitInstance struct {
+	fleet  *limitFleet
 	id     hemlocktally.InstanceID
 	client *placer.Client
 	owner  *placer.Server
 	view   *changingView
+	cut    map[string]bool // cut holds the addresses that the instance doesn't reach.
+}
+
+// RoundTrip makes one call to another instance.
+func (i *limitInstance) RoundTrip(r *http.Request) (*http.Response, error) {
+	i.fleet.mu.Lock()
+	handler := i.fleet.network[r.URL.Host]
+	if i.cut[r.URL.Host] {
+		handler = nil
+	}
+	i.fleet.mu.Unlock()
+	return imitator.Network{r.URL.Host: handler}.RoundTrip(r)
 }
 
 // changingView is a view of the fleet that tests replace.
@@ -171,21 +206,41 @@
 }
 
 // addInstance starts an instance, which other instances reach under its ID.
-func (f *limitFleet) addInstance(id hemlocktally.InstanceID) *limitInstance {
-	bounds := placer.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 56, ColdShare: 0.8}
-	start := func(alone bool) *placer.Server {
-		server := &placer.Server{Self: id, Epoch: string(id), Prober: f.prober(id), Bounds: bounds, Alone: alone}
-		go func() { _ = server.Run(f.ctx) }()
-		server.Configure(map[hemlocktally.ServiceName]placer.TargetsMsg{"s": f.msg})
-		return server
-	}
-	i := &limitInstance{id: id, owner: start(false), view: &changingView{}}
-	f.network[string(id)] = messenger.NewPlacementServer(i.owner)
+func (f *limitFleet) addInstance(id hemlocktally.InstanceID) {
+	i := &limitInstance{fleet: f, id: id, view: &changingView{}, cut: map[string]bool{}}
 	i.client = &placer.Client{
-		Self: id, Zone: "a", Epoch: string(id), View: i.view, Server: i.owner, Alone: start(true), HTTP: &http.Client{Transport: f.network},
+		Self: id, Zone: "a", Epoch: string(id), View: i.view, Alone: f.startServer(id, "alone", true, nil), HTTP: &http.Client{Transport: i},
 	}
 	f.instances = append(f.instances, i)
-	return i
+	f.restartOwner(i, "first")
+}
+
+// cutOff cuts the instances off the numbered one.
+func (f *limitFleet) cutOff(instances []*limitInstance, from int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, i := range instances {
+		i.cut[string(f.instances[from].id)] = true
+	}
+}
+
+// restartOwner replaces the server with which the instance decides for others.
+func (f *limitFleet) restartOwner(i *limitInstance, epoch string) {
+	i.owner = f.startServer(i.id, epoch, false, i.view)
+	i.client.Server = i.owner
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.network[string(i.id)] = messenger.NewPlacementServer(i.owner)
+}
+
+func (f *limitFleet) startServer(id hemlocktally.InstanceID, epoch string, alone bool, view hemlocktally.ViewSource) *placer.Server {
+	server := &placer.Server{
+		Self: id, Epoch: epoch, Prober: limitProber{fleet: f}, Alone: alone, View: view,
+		Bounds: placer.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 56, ColdShare: 0.8},
+	}
+	go func() { _ = server.Run(f.ctx) }()
+	server.Configure(map[hemlocktally.ServiceName]placer.TargetsMsg{"s": f.msg})
+	return server
 }
 
 // setOwners makes the instances see the numbered ones as the owners, in this order.
@@ -203,20 +258,16 @@
 }
 
 // limitProber answers probes as the targets of the fleet do.
-type limitProber struct {
-	fleet *limitFleet
-	id    hemlocktally.InstanceID
-}
-
-func (f *limitFleet) prober(id hemlocktally.InstanceID) limitProber {
-	return limitProber{fleet: f, id: id}
-}
+type limitProber struct{ fleet *limitFleet }
 
 func (p limitProber) Load(_ context.Context, target hemlocktally.Target, _ string) (hemlocktally.ResponseInfo, error) {
 	t := p.fleet.targets[target.Name]
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	limit := t.limit
+	if p.fleet.mute {
+		limit = hemlocktally.RateLimit{}
+	}
 	return hemlocktally.ResponseInfo{Load: &hemlocktally.Load{Slots: 2, Pace: 1}, Limit: &limit}, nil
 }
 
--- a/placer/limitlist.go
+++ b/placer/limitlist.go
@@ -11,7 +11,7 @@
 
 // rateLimitTTL is how long a limit is remembered after the last response that named it. A limit
 // whose target gets no calls for so long is learned anew from its next response.
-const rateLimitTTL = time.Minute
+const rateLimitTTL = 10 * time.Minute
 
 // limitList holds what the targets' responses say about their limits, as far as this instance
 // knows. The zero value is ready to use.
@@ -25,25 +25,23 @@
 // limitEntry is the last known limit of one incarnation of a target.
 type limitEntry struct {
 	service hemlocktally.ServiceName
-	address string
 	started int64
 	limit   hemlocktally.RateLimit
-}
-
-func (e limitEntry) matches(target hemlocktally.Target) bool {
-	return e.address == target.Address && e.started == target.Started
+	// changedAt is when this instance learned that the limit is another one.
+	changedAt time.Time
 }
 
 // record applies what a response said, unless a later one is known. It returns the limit known
 // before, and whether it differs.
-func (l *limitList) record(service hemlocktally.ServiceName, target hemlocktally.Target, limit hemlocktally.RateLimit) (before hemlocktally.RateLimit, changed bool) {
+func (l *limitList) record(service hemlocktally.ServiceName, said hemlocktally.TargetLimit, now time.Time) (before hemlocktally.RateLimit, changed bool) {
+	limit := said.Limit
 	if !limit.Named && l.size.Load() == 0 {
 		return before, false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	entry, known := l.targets[target.Name]
-	if known && !entry.matches(target) {
+	entry, known := l.targets[said.Target]
+	if known && entry.started != said.Started {
 		entry, known = limitEntry{}, false
 	}
 	if limit.At.Before(entry.limit.At) || (!known && !limit.Named) {
@@ -53,11 +51,33 @@
 		l.targets = map[hemlocktally.TargetName]limitEntry{}
 	}
 	if len(l.targets) >= pruneThreshold {
-		maps.DeleteFunc(l.targets, func(_ hemlocktally.TargetName, e limitEntry) bool { return limit.At.Sub(e.limit.At) > rateLimitTTL })
+		maps.DeleteFunc(l.targets, func(_ hemlocktally.TargetName, e limitEntry) bool { return now.Sub(e.limit.At) > rateLimitTTL })
 	}
-	l.targets[target.Name] = limitEntry{service: service, address: target.Address, started: target.Started, limit: limit}
+	before, changed = entry.limit, !limit.Same(entry.limit)
+	next := limitEntry{service: service, started: said.Started, limit: limit, changedAt: entry.changedAt}
+	if changed {
+		next.changedAt = now
+	}
+	l.targets[said.Target] = next
 	l.size.Store(int64(len(l.targets)))
-	return entry.limit, !limit.Same(entry.limit)
+	return before, changed
+}
+
+// changedSince returns the limits of the service's targets that this instance learned after the
+// given time.
+func (l *limitList) changedSince(service hemlocktally.ServiceName, since time.Time) []hemlocktally.TargetLimit {
+	if l.size.Load() == 0 {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var limits []hemlocktally.TargetLimit
+	for name, entry := range l.targets {
+		if entry.service == service && entry.changedAt.After(since) {
+			limits = append(limits, hemlocktally.TargetLimit{Target: name, Started: entry.started, Limit: entry.limit})
+		}
+	}
+	return limits
 }
 
 // find returns what is known of the target's limit; ok is false if nothing is.
@@ -68,7 +88,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	entry, known := l.targets[target.Name]
-	if !known || !entry.matches(target) || now.Sub(entry.limit.At) > rateLimitTTL {
+	if !known || entry.started != target.Started || now.Sub(entry.limit.At) > rateLimitTTL {
 		return limit, false
 	}
 	return entry.limit, true
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -46,6 +46,11 @@
 		Zone    hemlocktally.ZoneName
 		Request hemlocktally.GrantRequest
 		ReplyBy time.Time // ReplyBy is when a reply is due, even if it is only a PendingCmd.
+		// Limits holds what the client knows of targets' limits and has not told this server.
+		Limits []hemlocktally.TargetLimit
+		// LimitsVersion is the version of the last LimitNews that the client got from this
+		// server.
+		LimitsVersion uint64
 	}
 	// WithdrawMsg cancels a request.
 	WithdrawMsg struct{ Ticket string }
@@ -57,6 +62,8 @@
 		Answer hemlocktally.ResponseInfo
 		Failed bool
 	}
+	// RankMsg tells an owner its place among the owners of the service.
+	RankMsg struct{ Rank Rank }
 	// TickMsg makes the state act on the time that has passed.
 	TickMsg struct{}
 )
@@ -68,21 +75,41 @@
 		Ticket    string
 		Grant     hemlocktally.Grant
 		Rationale Rationale
+		News      LimitNews
 	}
 	// RefuseCmd replies to a ticket with a refusal.
 	RefuseCmd struct {
 		Ticket string
 		Error  *hemlocktally.RefusedError
+		News   LimitNews
 	}
 	// PendingCmd tells the client of a ticket to ask again.
-	PendingCmd struct{ Ticket string }
+	PendingCmd struct {
+		Ticket string
+		News   LimitNews
+	}
 	// ProbeCmd requests a target's load report.
 	ProbeCmd struct {
 		Target hemlocktally.Target
 		Path   string
 	}
+	// LimitCmd reports that the state counts calls to a target against another limit than
+	// before.
+	LimitCmd struct {
+		Target     hemlocktally.TargetName
+		Limit      hemlocktally.RateLimit
+		Before     hemlocktally.RateLimit
+		ReportedBy hemlocktally.InstanceID // ReportedBy is the instance that received the response.
+	}
 )
 
+// LimitNews tells a client the limits that changed since an earlier version, so that it knows
+// them when it has to decide alone.
+type LimitNews struct {
+	Limits  []hemlocktally.TargetLimit
+	Version uint64 // Version is zero while no target has ever named a limit.
+}
+
 // Rationale is the data that a choice was based on, for the log.
 type Rationale struct {
 	Expected time.Duration // Expected is the expected latency of the call on the target.
--- a/placer/ranking.go
+++ b/placer/ranking.go
@@ -82,10 +82,14 @@
 // fast one in the caller's zone, or else the best of all.
 func (s *State) rank(w *waiter, targets []*targetState, left time.Duration, now time.Time) (list []candidate, best candidate, ok bool) {
 	var local candidate
+	hedge := w.msg.Request.Kind == hemlocktally.AttemptHedge
 	for _, t := range targets {
 		s.examined++
 		// The list is made once per message, so some of its targets may have been filled by
 		// earlier waiters.
+		if hedge && t.rate.limit.Named {
+			continue // What the limit allows is left to calls that have no other target.
+		}
 		if !s.hasCapacity(t, now) || t.avoidedFor(w.msg.From, now) > 0 || slices.Contains(w.msg.Request.Exclude, t.target.Name) {
 			continue
 		}
@@ -131,21 +135,29 @@
 	if !c.sameZone {
 		c.cost += crossZonePenalty
 	}
+	if c.spared = t.rate.limit.Named && now.Sub(t.rate.limit.At) < limitRetestAge; c.spared {
+		c.cost += max(0, left)
+	}
 	if !t.hasIdleConnection(w.msg.From, now) && !s.disabled(hemlocktally.MechanismLinkPrice) {
 		c.cost += max(newConnectionCost, time.Duration(newConnectionShare*float64(left)))
 	}
-	if t.joined && !s.disabled(hemlocktally.MechanismJoinFirst) && t.grantedAt.IsZero() && !t.suspect && !t.cold(now) && (!c.fresh || t.pace < lightLoadPace) && c.fastLocal(left) {
-		// A target that was just added would otherwise get no calls until the known ones are
-		// busy.
+	if c.fastLocal(left) && s.joinsFirst(t, c.fresh, now) {
 		c.cost = 0
 	}
 	return c
 }
 
+// joinsFirst reports whether the target was just added and gets its first call before others.
+// It would otherwise get no calls until the known ones are busy.
+func (s *State) joinsFirst(t *targetState, fresh bool, now time.Time) bool {
+	joined := t.joined && t.grantedAt.IsZero() && !s.disabled(hemlocktally.MechanismJoinFirst)
+	return joined && !t.suspect && !t.cold(now) && !t.rate.limit.Named && (!fresh || t.pace < lightLoadPace)
+}
+
 // fastLocal reports whether the target is in the caller's zone and its adjusted latency is at
 // most localTimeShare of the remaining time.
 func (c candidate) fastLocal(left time.Duration) bool {
-	return c.sameZone && float64(c.adjusted) <= localTimeShare*float64(left)
+	return c.sameZone && !c.spared && float64(c.adjusted) <= localTimeShare*float64(left)
 }
 
 // compare orders candidates by cost, then by the time of their last grant, then by name.
--- a/placer/server.go
+++ b/placer/server.go
@@ -25,6 +25,9 @@
 	Log    logger.Logger
 	// Alone is set if the server decides only for its own instance.
 	Alone bool
+	// View lists the owners, among which the server finds its rank. If it is nil, the server
+	// counts as the first owner of each service.
+	View hemlocktally.ViewSource
 	// RequestTargets is called on each request. It may be nil.
 	RequestTargets func()
 	// TargetsRead returns when the list of targets was last read, and whether it can currently be
@@ -64,6 +67,8 @@
 	// with a slow store.
 	listWaitPause    = 2 * time.Second
 	listPollInterval = 2 * time.Millisecond
+	// rankInterval is the minimum time between two updates of the server's rank.
+	rankInterval = 100 * time.Millisecond
 )
 
 // serviceTask is the goroutine that owns the state of one service.
@@ -71,8 +76,16 @@
 	server  *Server
 	state   State
 	inbox   chan any
-	done    chan struct{}       // done is closed when the inbox is no longer read.
-	replies map[string]chan any // replies holds the reply channel of each ticket.
+	done    chan struct{}           // done is closed when the inbox is no longer read.
+	replies map[string]pendingReply // replies is keyed by ticket.
+	// rankedAt is when the state was last told the server's rank.
+	rankedAt time.Time
+}
+
+// pendingReply is where the reply to a ticket goes.
+type pendingReply struct {
+	channel       chan any
+	limitsVersion uint64 // limitsVersion is the version of the limits that the client knows.
 }
 
 // acquireCall is an AcquireMsg with its reply channel.
@@ -162,7 +175,7 @@
 		return t
 	}
 	t := &serviceTask{
-		server: s, inbox: make(chan any, inboxSize), done: make(chan struct{}), replies: map[string]chan any{},
+		server: s, inbox: make(chan any, inboxSize), done: make(chan struct{}), replies: map[string]pendingReply{},
 		state: State{Owner: s.Self, Epoch: s.Epoch, Alone: s.Alone, Bounds: s.Bounds},
 	}
 	if s.services == nil {
@@ -293,19 +306,25 @@
 		return
 	}
 	if call, ok := msg.(acquireCall); ok {
-		t.replies[call.Ticket] = call.reply
+		t.replies[call.Ticket] = pendingReply{channel: call.reply, limitsVersion: call.LimitsVersion}
 		msg = call.AcquireMsg
 	}
-	for _, command := range t.state.Update(msg, time.Now()) {
+	now := time.Now()
+	for _, command := range append(t.updateRank(now), t.state.Update(msg, now)...) {
 		switch command := command.(type) {
 		case GrantCmd:
+			command.News = t.limitNews(command.Ticket)
 			t.reply(command.Ticket, command)
 		case RefuseCmd:
+			command.News = t.limitNews(command.Ticket)
 			t.reply(command.Ticket, command)
 		case PendingCmd:
+			command.News = t.limitNews(command.Ticket)
 			t.reply(command.Ticket, command)
 		case ProbeCmd:
 			go t.probe(ctx, t.state.service.Name, command)
+		case LimitCmd:
+			t.logLimit(command)
 		}
 	}
 	if withdrawn, ok := msg.(WithdrawMsg); ok {
@@ -313,9 +332,33 @@
 	}
 }
 
+// updateRank tells the state the server's rank among the owners. Only limits depend on it.
+func (t *serviceTask) updateRank(now time.Time) []any {
+	if t.server.View == nil || !t.state.countsLimits() || now.Sub(t.rankedAt) < rankInterval {
+		return nil
+	}
+	t.rankedAt = now
+	owners := Ranked(t.state.service.Name, t.server.View.View().Serving())
+	return t.state.Update(RankMsg{Rank: Rank{
+		Further: len(owners) > 0 && owners[0].ID != t.server.Self, Others: len(owners) - 1,
+	}}, now)
+}
+
+// limitNews returns what the client of the ticket does not know of limits.
+func (t *serviceTask) limitNews(ticket string) LimitNews {
+	return t.state.limitNews(t.replies[ticket].limitsVersion)
+}
+
+func (t *serviceTask) logLimit(command LimitCmd) {
+	t.server.Log.Log(logger.EventLimitCounted, logger.Fields{
+		"Service": t.state.service.Name, "Target": command.Target, "Limit": command.Limit.String(), "Before": command.Before.String(),
+		"ReportedBy": command.ReportedBy, "Alone": t.server.Alone, "Share": t.state.limitShare(),
+	})
+}
+
 func (t *serviceTask) reply(ticket string, command any) {
-	if reply := t.replies[ticket]; reply != nil {
-		reply <- command
+	if reply, ok := t.replies[ticket]; ok {
+		reply.channel <- command
 		delete(t.replies, ticket)
 		return
 	}
--- a/placer/state.go
+++ b/placer/state.go
@@ -34,7 +34,12 @@
 	examined      uint64 // examined counts the targets that choices have looked at.
 	occupancy     occupancy
 	// instances is the estimated number of instances in the fleet.
-	instances int
+	instances     int
+	ownerRank     Rank
+	limited       []*targetState // limited holds the targets that name a limit, sorted by name.
+	limitChanges  []any          // limitChanges holds the LimitCmds that Update has not returned yet.
+	limitVersion  uint32         // limitVersion counts the changes of limits.
+	limitRefusals uint64         // limitRefusals counts the calls that limits held back.
 }
 
 // waiter is a request in the queue.
@@ -104,18 +109,23 @@
 	case TargetsMsg:
 		s.configure(msg, now)
 	case AcquireMsg:
-		commands = s.enqueue(msg, now)
+		s.learnLimits(msg.Limits, msg.From, now)
+		commands = append(s.enqueue(msg, now), s.probeLimits(now)...)
 	case WithdrawMsg:
 		s.removeWaiter(msg.Ticket)
 	case ReleaseMsg:
 		s.release(msg.Result, now)
 	case LoadReportMsg:
 		s.updateLoad(msg, now)
+	case RankMsg:
+		s.ownerRank = msg.Rank
 	case TickMsg:
 	}
 	s.expire(now)
 	commands = append(commands, s.serveQueue(now)...)
-	return append(commands, s.replyPending(now)...)
+	commands = append(append(commands, s.limitChanges...), s.replyPending(now)...)
+	s.limitChanges = nil
+	return commands
 }
 
 // Waiting returns the number of queued calls.
@@ -147,6 +157,7 @@
 		t.index = index
 		s.byZone[t.target.Zone] = append(s.byZone[t.target.Zone], t)
 	}
+	s.countLimited()
 }
 
 func laterOf(a, b time.Time) time.Time {
@@ -162,7 +173,7 @@
 	for _, w := range s.queue {
 		if w.msg.Ticket == msg.Ticket {
 			w.msg = msg
-			return nil
+			return s.reconsider(w, now)
 		}
 	}
 	switch {
@@ -186,6 +197,24 @@
 	return nil
 }
 
+// reconsider refuses a waiting call that can no longer be served in time because targets have
+// named limits since it was admitted.
+func (s *State) reconsider(w *waiter, now time.Time) []any {
+	if len(s.limited) == 0 {
+		return nil
+	}
+	available := s.availabilityFor(w.msg.From, now)
+	if !available.onlyLimited() {
+		return nil
+	}
+	refused := s.refuseOverLimits(w.msg.Request, available, slices.Index(s.queue, w), now)
+	if refused == nil {
+		return nil
+	}
+	s.removeWaiter(w.msg.Ticket)
+	return []any{RefuseCmd{Ticket: w.msg.Ticket, Error: refused}}
+}
+
 // retryShare is the share of the retry budget that a kind of attempt may use. Hedges leave
 // room for retries after failures.
 func retryShare(kind hemlocktally.AttemptKind) float64 {
@@ -225,6 +254,12 @@
 	}
 	active, ok := t.grants[result.Grant.ID]
 	delete(t.grants, result.Grant.ID)
+	if active.counted && result.Outcome == hemlocktally.AttemptUnused {
+		s.refundLimit(t)
+	}
+	if result.Limit != nil && (ok || t.target.Started == result.Grant.Target.Started) {
+		s.learnLimit(t, *result.Limit, active.from, now)
+	}
 	t.leaving = t.leaving || result.ReportedDraining
 	if ok && result.RetryAfter > 0 {
 		t.avoid(active.from, result.RetryAfter, now)
@@ -308,6 +343,9 @@
 		return
 	}
 	t.recordReport(msg.Answer, now)
+	if msg.Answer.Limit != nil {
+		s.learnProbedLimit(t, *msg.Answer.Limit, now)
+	}
 	if load := msg.Answer.Load; load != nil {
 		t.otherCalls, t.otherCallsAt = max(0, load.Running+load.Waiting-len(t.grants)), now
 		s.meanPace += paceWeight * (load.Pace - s.meanPace)
--- a/placer/stats.go
+++ b/placer/stats.go
@@ -22,6 +22,10 @@
 	Examined uint64
 	// BudgetUsed is the used share of the retry budget of the current window.
 	BudgetUsed float64
+	// Limited is the number of targets whose limits are counted, LimitRefusals the number of
+	// calls that were refused because of them.
+	Limited       int
+	LimitRefusals uint64
 }
 
 // Stats returns the current statistics of the service.
@@ -30,6 +34,7 @@
 		Service: s.service.Name, Waiting: len(s.queue), Targets: len(s.sorted), Granted: s.granted, Probes: s.probes,
 		Examined:   s.examined,
 		BudgetUsed: s.retries.usedShare(now, s.effectiveBounds()),
+		Limited:    len(s.limited), LimitRefusals: s.limitRefusals,
 	}
 	for _, t := range s.sorted {
 		out.ActiveGrants += len(t.grants)
--- a/placer/target.go
+++ b/placer/target.go
@@ -16,6 +16,7 @@
 	deadline time.Time
 	pace     float64   // pace is the expected pace of the target when the grant was issued.
 	level    loadLevel // level is the load level of the target including this grant.
+	counted  bool      // counted is set if the grant was counted against the target's limit.
 }
 
 // targetState is what the owner knows about one target.
@@ -33,6 +34,7 @@
 	otherCalls   int // otherCalls is the number of calls that the target reported beyond the grants issued here.
 	otherCallsAt time.Time
 	coldUntil    time.Time
+	rate         rateBudget
 	coldGrants   []time.Time // coldGrants holds when grants were issued in the last second while the target was cold.
 
 	probing      bool
--- a/placer/wire.go
+++ b/placer/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"hemlocktally"
@@ -16,16 +17,18 @@
 	switch answer := s.Acquire(ctx, acquireMsg(in, time.Now())).(type) {
 	case GrantCmd:
 		grant := answer.Grant
-		return &messenger.PlaceResponse{
+		return withNews(answer.News, &messenger.PlaceResponse{
 			Grant: string(grant.ID), Target: string(grant.Target.Name), Address: grant.Target.Address,
 			TargetZone: string(grant.Target.Zone), Cold: grant.Cold, Connections: int64(grant.Target.MaxConnections),
-			Revision: uint64(grant.Revision), TargetStarted: grant.Target.Started,
-		}, nil
+			Revision: uint64(grant.Revision), TargetStarted: grant.Target.Started, Limit: wireLimit(grant.Target, grant.Limit, time.Now()),
+		}), nil
 	case RefuseCmd:
-		return &messenger.PlaceResponse{
+		return withNews(answer.News, &messenger.PlaceResponse{
 			Refused: string(answer.Error.Reason), Detail: answer.Error.Detail,
 			RetryAfterMicroseconds: answer.Error.RetryAfter.Microseconds(),
-		}, nil
+		}), nil
+	case PendingCmd:
+		return withNews(answer.News, &messenger.PlaceResponse{}), nil
 	default:
 		return &messenger.PlaceResponse{}, nil
 	}
@@ -51,6 +54,7 @@
 	}
 	return AcquireMsg{
 		Ticket: in.GetTicket(), From: hemlocktally.InstanceID(in.GetInstance()), Zone: hemlocktally.ZoneName(in.GetZone()), Request: request,
+		Limits: targetLimits(in.GetLimits(), now), LimitsVersion: in.GetLimitsVersion(),
 	}
 }
 
@@ -60,7 +64,7 @@
 		Ticket: msg.Ticket, Service: string(r.Service), Contract: string(r.Contract), Priority: int32(r.Priority),
 		Kind: int32(r.Kind), Zone: string(msg.Zone), Instance: string(msg.From),
 		DeadlineMicroseconds: r.Deadline.Sub(now).Microseconds(), ObjectiveMicroseconds: r.Objective.Sub(now).Microseconds(),
-		NonIdempotent: r.NonIdempotent,
+		NonIdempotent: r.NonIdempotent, Limits: wireLimits(msg.Limits, now), LimitsVersion: msg.LimitsVersion,
 	}
 	for _, name := range r.Exclude {
 		out.Exclude = append(out.Exclude, string(name))
@@ -68,6 +72,51 @@
 	return out
 }
 
+func withNews(news LimitNews, out *messenger.PlaceResponse) *messenger.PlaceResponse {
+	out.Limits, out.LimitsVersion = wireLimits(news.Limits, time.Now()), news.Version
+	return out
+}
+
+func limitNews(in *messenger.PlaceResponse) LimitNews {
+	return LimitNews{Limits: targetLimits(in.GetLimits(), time.Now()), Version: in.GetLimitsVersion()}
+}
+
+func wireLimits(limits []hemlocktally.TargetLimit, now time.Time) []*messenger.TargetLimit {
+	var out []*messenger.TargetLimit
+	for _, l := range limits {
+		out = append(out, wireLimit(hemlocktally.Target{Name: l.Target, Started: l.Started}, l.Limit, now))
+	}
+	return out
+}
+
+// wireLimit encodes what is known of a target's limit; it returns nil if that is nothing.
+func wireLimit(target hemlocktally.Target, limit hemlocktally.RateLimit, now time.Time) *messenger.TargetLimit {
+	if limit.At.IsZero() {
+		return nil
+	}
+	return &messenger.TargetLimit{
+		Target: string(target.Name), TargetStarted: target.Started, Named: limit.Named, PerSecond: limit.PerSecond,
+		AgeMicroseconds: now.Sub(limit.At).Microseconds(),
+	}
+}
+
+func rateLimit(in *messenger.TargetLimit, now time.Time) hemlocktally.RateLimit {
+	if in == nil || math.IsNaN(in.GetPerSecond()) || in.GetPerSecond() < 0 {
+		return hemlocktally.RateLimit{}
+	}
+	return hemlocktally.RateLimit{PerSecond: in.GetPerSecond(), Named: in.GetNamed(), At: now.Add(-microseconds(max(0, in.GetAgeMicroseconds())))}
+}
+
+func targetLimits(in []*messenger.TargetLimit, now time.Time) []hemlocktally.TargetLimit {
+	var limits []hemlocktally.TargetLimit
+	for _, l := range in {
+		limits = append(limits, hemlocktally.TargetLimit{
+			Target: hemlocktally.TargetName(l.GetTarget()), Started: l.GetTargetStarted(), Limit: rateLimit(l, now),
+		})
+	}
+	return limits
+}
+
 // grantFromResponse decodes a grant. The lease of a grant on a cold target counts from when
 // the request was sent.
 func grantFromResponse(in *messenger.PlaceResponse, msg AcquireMsg, owner hemlocktally.InstanceID, asked time.Time) hemlocktally.Grant {
@@ -78,6 +127,7 @@
 			Name: hemlocktally.TargetName(in.GetTarget()), Address: in.GetAddress(), Zone: hemlocktally.ZoneName(in.GetTargetZone()),
 			MaxConnections: int(in.GetConnections()), Started: in.GetTargetStarted(),
 		},
+		Limit: rateLimit(in.GetLimit(), time.Now()),
 	}
 	if grant.Cold {
 		grant.LeaseEnd = asked.Add(coldGrantTTL)
@@ -91,6 +141,9 @@
 		Outcome: int32(r.Outcome), LatencyMicroseconds: r.Latency.Microseconds(), SaidDraining: r.ReportedDraining,
 		Misdirected: r.Misdirected, Unreachable: r.Unreachable, StayAwayMicroseconds: r.RetryAfter.Microseconds(),
 	}
+	if r.Limit != nil {
+		out.Limit = wireLimit(r.Grant.Target, *r.Limit, time.Now())
+	}
 	if r.Load != nil {
 		const percent = 100
 		out.Load = &messenger.TargetLoad{
@@ -110,6 +163,10 @@
 		Latency: microseconds(in.GetLatencyMicroseconds()), ReportedDraining: in.GetSaidDraining(), Misdirected: in.GetMisdirected(),
 		Unreachable: in.GetUnreachable(), RetryAfter: microseconds(in.GetStayAwayMicroseconds()),
 	}
+	if in.GetLimit() != nil {
+		limit := rateLimit(in.GetLimit(), time.Now())
+		r.Limit, r.Grant.Target.Started = &limit, in.GetLimit().GetTargetStarted()
+	}
 	if load := in.GetLoad(); load != nil {
 		const percent = 100
 		r.Load = &hemlocktally.Load{
