Owners hear that a target turned cold from responses to calls, not only from probes

The entry decoded Cold-Ms of every response; the placer dropped it, and the wire between instances had no field for it, so only a probe told the owner.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -231,7 +231,7 @@
 		return a.roundTripFailure(ctx, err, result)
 	}
 	result.ReportedCold, result.ReportedDraining, result.RetryAfter = headers.Cold, headers.Draining || headers.Leaving, headers.RetryAfter
-	result.Load, result.Misdirected = headers.Load, headers.Misdirected
+	result.Load, result.Misdirected, result.ColdFor = headers.Load, headers.Misdirected, headers.ColdFor
 	if headers.Limit != nil && !headers.Misdirected {
 		result.Limit = &hemlocktally.RateLimit{PerSecond: headers.Limit.PerSecond, Named: headers.Limit.Named, At: received}
 	}
--- a/grant.go
+++ b/grant.go
@@ -69,11 +69,13 @@
 
 // GrantResult releases a grant and reports how the attempt went.
 type GrantResult struct {
-	Grant            Grant
-	Contract         ContractName
-	Outcome          AttemptOutcome
-	Latency          time.Duration
-	ReportedCold     bool // ReportedCold is set if the target reported that it is cold.
+	Grant        Grant
+	Contract     ContractName
+	Outcome      AttemptOutcome
+	Latency      time.Duration
+	ReportedCold bool // ReportedCold is set if the target reported that it is cold.
+	// ColdFor is how much longer it is cold, as it reported; zero if not known.
+	ColdFor          time.Duration
 	ReportedDraining bool // ReportedDraining is set if the target reported that it is draining.
 	// RetryAfter is how long the target wants no requests from this instance.
 	RetryAfter  time.Duration
--- a/placer/state.go
+++ b/placer/state.go
@@ -264,6 +264,9 @@
 	if ok && result.RetryAfter > 0 {
 		t.avoid(active.from, result.RetryAfter, now)
 	}
+	if result.ColdFor > 0 {
+		t.coldUntil = now.Add(result.ColdFor)
+	}
 	t.recordResult(result, now)
 	if ok && result.Outcome == hemlocktally.AttemptDone {
 		t.addIdleConnection(active.from, now)
--- a/placer/wire.go
+++ b/placer/wire.go
@@ -139,7 +139,7 @@
 	out := &messenger.EndTurnRequest{
 		Grant: string(r.Grant.ID), Service: string(r.Grant.Service), Target: string(r.Grant.Target.Name), Contract: string(r.Contract),
 		Outcome: int32(r.Outcome), LatencyMicroseconds: r.Latency.Microseconds(), SaidDraining: r.ReportedDraining,
-		Misdirected: r.Misdirected, Unreachable: r.Unreachable, StayAwayMicroseconds: r.RetryAfter.Microseconds(),
+		Misdirected: r.Misdirected, Unreachable: r.Unreachable, StayAwayMicroseconds: r.RetryAfter.Microseconds(), ColdMicroseconds: r.ColdFor.Microseconds(),
 	}
 	if r.Limit != nil {
 		out.Limit = wireLimit(r.Grant.Target, *r.Limit, time.Now())
@@ -162,6 +162,7 @@
 		Contract: hemlocktally.ContractName(in.GetContract()), Outcome: hemlocktally.AttemptOutcome(in.GetOutcome()),
 		Latency: microseconds(in.GetLatencyMicroseconds()), ReportedDraining: in.GetSaidDraining(), Misdirected: in.GetMisdirected(),
 		Unreachable: in.GetUnreachable(), RetryAfter: microseconds(in.GetStayAwayMicroseconds()),
+		ReportedCold: in.GetColdMicroseconds() > 0, ColdFor: microseconds(in.GetColdMicroseconds()),
 	}
 	if in.GetLimit() != nil {
 		limit := rateLimit(in.GetLimit(), time.Now())
