Links are not reused after the idle timeout that a target announces

Targets say in Keep-Alive after how many seconds they close idle connections; the dialer went by a constant of 8 s. A request sent on a link that the target has just closed is reset, and a non-idempotent one may not be sent again. Test first: the link was taken again 0.95 s after an answer with timeout=1. Four fifths of the announced time are used now; without an announcement the settings hold as before.

--- a/dialer/link.go
+++ b/dialer/link.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +21,8 @@
 	isNew           bool // isNew is set where the link was opened for the current request.
 	takenAt         time.Time
 	provenWhenTaken bool
+	// idleLimit is how long the link may stay idle, as the target announced; zero if it did not.
+	idleLimit time.Duration
 }
 
 // reserve prepares the link for one request. It returns false where the connection
@@ -48,9 +52,34 @@
 	if fenceErr := l.conn.fenceErr.Load(); err != nil && fenceErr != nil {
 		return nil, fenceErr
 	}
+	if err == nil {
+		l.idleLimit = announcedIdleLimit(response.Header.Get("Keep-Alive"))
+	}
 	return response, err
 }
 
+// usedIdleShare is the share of the announced idle timeout for which a link is used. A request
+// that arrives just as the target closes the connection is reset.
+const usedIdleShare = 0.8
+
+// announcedIdleLimit returns how long a link may stay idle by a Keep-Alive header, or zero if
+// the header gives no timeout.
+func announcedIdleLimit(header string) time.Duration {
+	for _, parameter := range strings.Split(header, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
+		seconds, err := strconv.ParseUint(value, 10, 31)
+		if strings.EqualFold(name, "timeout") && err == nil {
+			return time.Duration(usedIdleShare * float64(seconds) * float64(time.Second))
+		}
+	}
+	return 0
+}
+
+// expired reports whether the target may have closed the idle link.
+func (l *link) expired(now time.Time) bool {
+	return l.idleLimit > 0 && now.Sub(l.lastReceived()) > l.idleLimit
+}
+
 // Sent reports whether any byte of the request was passed to the connection.
 func (l *link) Sent() bool { return l.conn.sent.Load() }
 
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -26,16 +26,16 @@
 // oldest idle ones if the share is used up. A link is proven where it has received
 // a byte within provenFor.
 func (p *pool) take(proven bool, provenFor time.Duration, share int, now time.Time) takeResult {
+	toClose := p.removeExpired(now)
 	if n := len(p.idle); n > 0 {
 		l := p.idle[n-1]
 		if !proven || now.Sub(l.lastReceived()) <= provenFor {
 			p.idle = p.idle[:n-1]
 			l.takenAt = now
 			l.provenWhenTaken = now.Sub(l.lastReceived()) <= provenFor
-			return takeResult{link: l}
+			return takeResult{link: l, toClose: toClose}
 		}
 	}
-	var toClose []*link
 	for p.total >= share && len(p.idle) > 0 {
 		toClose = append(toClose, p.idle[0])
 		p.idle = p.idle[1:]
@@ -50,6 +50,18 @@
 	return takeResult{wait: wait, toClose: toClose}
 }
 
+// removeExpired removes the idle links that were released last for as long as they have
+// expired, so that the next one can be used. It returns them.
+func (p *pool) removeExpired(now time.Time) []*link {
+	var removed []*link
+	for n := len(p.idle); n > 0 && p.idle[n-1].expired(now); n = len(p.idle) {
+		removed = append(removed, p.idle[n-1])
+		p.idle = p.idle[:n-1]
+		p.total--
+	}
+	return removed
+}
+
 // put adds a reusable link to the idle ones. It returns the links above
 // maxIdlePerTarget, which the caller must close.
 func (p *pool) put(l *link) []*link {
