Calls tell which limits held them back; soak with limits that are named, changed and lifted

A refusal names up to three limits, how old each is and which instance heard it; a call that waited carries the same in its attempts, explain shows the state lines of targets named in a refusal, and losses has a cause of its own.

--- a/balancer/limits_test.go
+++ b/balancer/limits_test.go
@@ -61,7 +61,7 @@
 	c.Check(counts[http.StatusOK] > 1000, qt.IsTrue, qt.Commentf("%v", counts))
 	for n, perSecond := range []float64{1, 0.5} {
 		allowed := int(1.5*perSecond*limitWindow.Seconds()) + limitSlack
-		got := f.upstreams[n].MostArrivals(named.Add(limitSettle), limitWindow)
+		got := imitator.MostArrivals(f.upstreams[n].ArrivalList(), named.Add(limitSettle), limitWindow)
 		c.Check(got <= allowed, qt.IsTrue, qt.Commentf("%d requests in %s for a limit of %g, %d allowed", got, limitWindow, perSecond, allowed))
 	}
 }
--- a/balancer/soak_process_test.go
+++ b/balancer/soak_process_test.go
@@ -101,6 +101,13 @@
 	}()
 }
 
+// incarnation identifies the running process among the restarts of the instance.
+func (p *process) incarnation() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return fmt.Sprintf("%s/%d", p.id, p.starts)
+}
+
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/balancer/soak_test.go
+++ b/balancer/soak_test.go
@@ -25,7 +25,7 @@
 
 var (
 	soakSeeds = flag.String("soak.seeds", "1", "seeds of the soak, separated by commas; 0 is a random one")
-	soakSpan  = flag.Duration("soak.for", 15*time.Second, "how long each seed runs")
+	soakSpan  = flag.Duration("soak.for", 40*time.Second, "how long each seed runs")
 	soakSize  = flag.Int("soak.instances", 6, "how many processes of the balancer run")
 )
 
@@ -47,6 +47,7 @@
 	problems      []string
 	counts        map[int]int
 	restarts      sync.WaitGroup
+	limits        limitLedger
 }
 
 func (s *soak) problemf(format string, values ...any) {
@@ -176,7 +177,7 @@
 	i := s.random.IntN(len(s.upstreams))
 	span := time.Duration(300+s.random.IntN(1500)) * time.Millisecond
 	after := func(f func()) { time.AfterFunc(span, f) }
-	switch s.random.IntN(13) {
+	switch s.random.IntN(15) {
 	case 0: // A planned stop; overlapping faults excuse its interrupted calls.
 		s.restart(p, syscall.SIGTERM, 7*time.Second)
 	case 1:
@@ -202,10 +203,14 @@
 		s.targetProxies[i].setFaults(time.Duration(s.random.IntN(100))*time.Millisecond, s.random.IntN(3) == 0)
 		after(func() { s.targetProxies[i].setFaults(0, false); s.targetProxies[i].reset() })
 	case 8:
-		s.upstreams[i].SetFaults(imitator.UpstreamFaults{
-			Pace: 1 + 6*s.random.Float64(), Shed: s.random.IntN(4) == 0, LoseAnswer: s.random.IntN(4) == 0, Foreign: s.random.IntN(4) == 0,
+		u := s.upstreams[i]
+		u.ChangeFaults(func(f *imitator.UpstreamFaults) {
+			f.Pace, f.Shed = 1+6*s.random.Float64(), s.random.IntN(4) == 0
+			f.LoseAnswer, f.Foreign = s.random.IntN(4) == 0, s.random.IntN(4) == 0
+		})
+		after(func() {
+			u.ChangeFaults(func(f *imitator.UpstreamFaults) { *f = imitator.UpstreamFaults{Limit: f.Limit} })
 		})
-		after(func() { s.upstreams[i].SetFaults(imitator.UpstreamFaults{}) })
 	case 9, 10:
 		s.changeConfiguration()
 	case 11:
@@ -214,6 +219,13 @@
 		after(func() { s.directory.StopZone(zone, false) })
 	case 12:
 		s.restoreStore(span)
+	case 13, 14:
+		// Most targets name limits now and then, so that what they allow is wanted.
+		for n, u := range s.upstreams {
+			if n%3 != i%3 && !s.limits.naming(u) {
+				s.limits.nameLimits(u, s.random)
+			}
+		}
 	}
 }
 
@@ -306,12 +318,16 @@
 		return 0, "", err
 	}
 	imitator.SetCall(request, id, 2000)
+	incarnation := p.incarnation()
+	s.limits.recordSent(p, incarnation, id)
 	response, err := client.Do(request)
 	if err != nil {
 		return 0, "", err
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
+	upstream, _, _ := strings.Cut(string(body), " ")
+	s.limits.recordResponse(response.Header, upstream, incarnation)
 	s.mu.Lock()
 	s.counts[response.StatusCode]++
 	s.mu.Unlock()
@@ -344,17 +360,13 @@
 	if version < 5 {
 		return
 	}
-	p.mu.Lock()
-	incarnation := fmt.Sprintf("%s/%d", p.id, p.starts)
-	p.mu.Unlock()
+	incarnation := p.incarnation()
 	routeVersion := max(5, min(version, served[incarnation]))
 	if served[incarnation] == 0 || id[len(id)-1]%2 == 0 {
 		routeVersion = version
 	}
 	status, _, err := s.send(client, p, http.MethodGet, fmt.Sprintf("/v%d/x", routeVersion), id)
-	p.mu.Lock()
-	same := incarnation == fmt.Sprintf("%s/%d", p.id, p.starts)
-	p.mu.Unlock()
+	same := incarnation == p.incarnation()
 	switch {
 	case err != nil || !same:
 	case status == http.StatusNotFound && routeVersion <= served[incarnation]:
@@ -367,6 +379,7 @@
 // checkRuns compares the responses that callers got with what targets ran.
 func (s *soak) checkRuns() {
 	time.Sleep(300 * time.Millisecond)
+	s.limits.check(s.problemf)
 	runs := map[string]int{}
 	for _, u := range s.upstreams {
 		for id, n := range u.Runs() {
--- a/dispatcher/call_log.go
+++ b/dispatcher/call_log.go
@@ -46,6 +46,9 @@
 		if a.Alone {
 			b.WriteString(" alone")
 		}
+		if a.HeldBy != "" {
+			b.WriteString(" (held back: " + a.HeldBy + ")")
+		}
 		if a.Detail != "" {
 			b.WriteString(" (" + a.Detail + ")")
 		}
--- a/dispatcher/response.go
+++ b/dispatcher/response.go
@@ -148,6 +148,7 @@
 		r := &c.record.Attempts[msg.Attempt-1]
 		r.Grant, r.Owner, r.Target, r.Zone = msg.grant.ID, msg.grant.Owner, msg.grant.Target.Name, msg.grant.Target.Zone
 		r.Alone, r.Cold, r.Waited = msg.grant.Alone, msg.grant.Cold, msg.grant.Waited
+		r.HeldBy = msg.grant.HeldBy
 		if r.Kind != hemlocktally.AttemptHedge {
 			c.record.Granting += msg.granting
 			c.record.Queue += msg.grant.Waited
--- a/grant.go
+++ b/grant.go
@@ -65,6 +65,9 @@
 	// Limit is what the server that issued the grant knew of the target's limit. If
 	// it names one, the grant is counted against it.
 	Limit RateLimit
+	// HeldBy describes the limits of targets that held the call back while it waited;
+	// it is empty if none did.
+	HeldBy string
 }
 
 // GrantResult releases a grant and reports how the attempt went.
--- a/imitator/upstream.go
+++ b/imitator/upstream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -39,6 +40,12 @@
 	}
 }
 
+// Arrival is a request that came to an Upstream.
+type Arrival struct {
+	ID string
+	At time.Time
+}
+
 // Upstream imitates a target of the users' platform: it runs Slots requests at
 // once, queues a few, reports its load, registers itself in a Directory, and
 // keeps what it ran.
@@ -63,8 +70,8 @@
 	address  string
 	sequence int
 	started  int64
-	arrivals []time.Time // arrivals holds when requests came.
-	late     int         // late counts requests that came after the upstream should have been left.
+	arrivals []Arrival
+	late     int // late counts requests that came after the upstream should have been left.
 	leftBy   time.Time
 }
 
@@ -119,6 +126,13 @@
 	u.faults = faults
 }
 
+// ChangeFaults changes some of the faults in force.
+func (u *Upstream) ChangeFaults(change func(*UpstreamFaults)) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	change(&u.faults)
+}
+
 // Runs returns how often each request ran, by its ID.
 func (u *Upstream) Runs() map[string]int {
 	u.mu.Lock()
@@ -156,17 +170,22 @@
 	return len(u.arrivals)
 }
 
-// MostArrivals returns the most requests that came in any window of the given length that
-// ends after the given time.
-func (u *Upstream) MostArrivals(after time.Time, window time.Duration) int {
+// ArrivalList returns the requests that came, in order, health checks left aside.
+func (u *Upstream) ArrivalList() []Arrival {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	return slices.Clone(u.arrivals)
+}
+
+// MostArrivals returns the most of the arrivals, which are in order, in any window of the given
+// length that ends after the given time.
+func MostArrivals(arrivals []Arrival, after time.Time, window time.Duration) int {
 	most, first := 0, 0
-	for last, end := range u.arrivals {
-		for end.Sub(u.arrivals[first]) >= window {
+	for last, arrival := range arrivals {
+		for arrival.At.Sub(arrivals[first].At) >= window {
 			first++
 		}
-		if end.After(after) {
+		if arrival.At.After(after) {
 			most = max(most, last-first+1)
 		}
 	}
@@ -211,7 +230,7 @@
 		return
 	}
 	id := r.Header.Get("Request-Id")
-	faults, hang := u.enter()
+	faults, hang := u.enter(id)
 	faults.nameLimit(w.Header())
 	switch {
 	case faults.Bytes != BytesPlain:
@@ -243,10 +262,10 @@
 }
 
 // enter counts a request in; hang is set where it finds no place in the queue.
-func (u *Upstream) enter() (faults UpstreamFaults, hang bool) {
+func (u *Upstream) enter(id string) (faults UpstreamFaults, hang bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.arrivals = append(u.arrivals, time.Now())
+	u.arrivals = append(u.arrivals, Arrival{ID: id, At: time.Now()})
 	if !u.leftBy.IsZero() && time.Now().After(u.leftBy) {
 		u.late++
 	}
--- a/outcome.go
+++ b/outcome.go
@@ -82,6 +82,7 @@
 	Started  time.Duration // Started is relative to the start of the call.
 	Took     time.Duration
 	Waited   time.Duration
+	HeldBy   string // HeldBy describes the limits of targets that held the attempt back.
 	Outcome  AttemptOutcome
 	NewLink  bool
 	BytesOut bool // BytesOut is set if any byte may have reached the target.
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -114,7 +114,11 @@
 	r := w.msg.Request
 	typical := s.typicalWork(r.Contract)
 	if !now.Add(typical / 2).Before(r.Deadline) {
-		return w.refuse(notRunError(hemlocktally.ReasonDeadline, "not enough time is left before the deadline", s.retryAfter(typical)))
+		detail := "not enough time is left before the deadline"
+		if w.heldBy != "" {
+			detail += "; " + w.heldBy
+		}
+		return w.refuse(notRunError(hemlocktally.ReasonDeadline, detail, s.retryAfter(typical)))
 	}
 	if now.Before(w.probeDeadline) && w.awaitingProbes(now) {
 		return false, nil
@@ -124,6 +128,9 @@
 	case !ok && r.Kind == hemlocktally.AttemptHedge:
 		return w.refuse(notRunError(hemlocktally.ReasonShed, "no target is free for a second attempt", 0))
 	case !ok:
+		if w.heldBy == "" && s.limitsHoldBack(now) {
+			w.heldBy = s.limitsDetail(now)
+		}
 		return false, nil
 	}
 	if wait, probes := s.awaitLoadReports(w, candidates, best, now); wait {
@@ -281,7 +288,7 @@
 	r := w.msg.Request
 	grant := hemlocktally.Grant{
 		ID: s.nextID(), Service: r.Service, Target: c.t.target, Owner: s.Owner, Revision: s.revision,
-		Deadline: r.Deadline, Waited: now.Sub(w.enqueuedAt), Cold: c.t.cold(now), Alone: s.Alone, Limit: c.t.rate.limit,
+		Deadline: r.Deadline, Waited: now.Sub(w.enqueuedAt), Cold: c.t.cold(now), Alone: s.Alone, Limit: c.t.rate.limit, HeldBy: w.heldBy,
 	}
 	s.spendLimit(c.t, now)
 	if grant.Cold {
@@ -336,6 +343,9 @@
 	if now.Add(wait+typical).After(msg.Request.Deadline) || (wait > 0 && now.Add(wait).After(inTime)) {
 		detail := fmt.Sprintf("%d calls ahead and %d slots: a wait of %s and work of %s would exceed the objective (%s left) or the deadline",
 			ahead, slots, wait.Round(time.Millisecond), typical.Round(time.Millisecond), msg.Request.Objective.Sub(now).Round(time.Millisecond))
+		if s.countsLimits() {
+			detail += "; " + s.limitsDetail(now)
+		}
 		return notRunError(hemlocktally.ReasonShed, detail, s.retryAfter(wait))
 	}
 	return nil
--- a/placer/ratelimit.go
+++ b/placer/ratelimit.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -258,24 +259,26 @@
 	return limitProbeInterval
 }
 
-// limitsDetail describes the limits that hold calls back: what each target named, how long ago
-// and to which instance.
+// limitsHoldBack reports whether a target with a free slot gets no call because of its limit.
+func (s *State) limitsHoldBack(now time.Time) bool {
+	return slices.ContainsFunc(s.limited, func(t *targetState) bool {
+		return t.accepting(now) && t.busy(now) < s.concurrencyLimit(t, now) && !s.withinLimit(t, now)
+	})
+}
+
+// limitsDetail describes the limits that are counted: what each target named, how long ago and
+// to which instance.
 func (s *State) limitsDetail(now time.Time) string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "the limits of %d targets hold it back", len(s.limited))
-	for n, t := range s.limited {
-		if n == maxLimitsShown {
-			b.WriteString(", ...")
-			break
-		}
+	shown := make([]string, 0, maxLimitsShown)
+	for _, t := range s.limited[:min(len(s.limited), maxLimitsShown)] {
 		age := now.Sub(t.rate.limit.At).Round(time.Millisecond)
-		separator := ", "
-		if n == 0 {
-			separator = ": "
-		}
-		fmt.Fprintf(&b, "%s%s names %s (%s ago, to %s)", separator, t.target.Name, t.rate.limit, age, t.rate.reportedBy)
+		shown = append(shown, fmt.Sprintf("%s names %s (%s ago, to %s)", t.target.Name, t.rate.limit, age, t.rate.reportedBy))
+	}
+	detail := "limits of targets: " + strings.Join(shown, ", ")
+	if more := len(s.limited) - len(shown); more > 0 {
+		detail += fmt.Sprintf(", and %d more", more)
 	}
-	return b.String()
+	return detail
 }
 
 // refuseOverLimits refuses a call for which only limited targets are left if the calls ahead
--- a/placer/ratelimit_test.go
+++ b/placer/ratelimit_test.go
@@ -106,3 +106,27 @@
 		}
 	}
 }
+
+// A call that waits for what a limit allows says so, with the limit, its age and the instance
+// that heard it; so does one that the limits leave no time for.
+func TestCallTellsWhichLimitHeldItBack(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(target("x", "a"))
+	got := h.acquireFresh("x")
+	c.Assert(got, qt.HasLen, 1)
+	h.nameLimit(got[0], 10)
+	h.advance(10 * time.Second)
+	h.report("x", 1)
+	c.Assert(grants(h.update(h.request())), qt.HasLen, 1)
+	waiting := h.request()
+	waiting.Request.Objective, waiting.ReplyBy = h.now.Add(time.Second), h.now.Add(time.Minute)
+	c.Assert(grants(h.update(waiting)), qt.HasLen, 0)
+	h.advance(300 * time.Millisecond)
+	held := grants(h.report("x", 1))
+	c.Assert(held, qt.HasLen, 1)
+	c.Check(held[0].HeldBy, qt.Equals, "limits of targets: x names 10/s (10s ago, to entry)")
+	late := refusals(h.update(h.request()))
+	c.Assert(late, qt.HasLen, 1)
+	c.Check(late[0].Reason, qt.Equals, hemlocktally.ReasonTargetLimit)
+	c.Check(late[0].Detail, qt.Contains, "x names 10/s (")
+}
--- a/placer/wire.go
+++ b/placer/wire.go
@@ -21,6 +21,7 @@
 			Grant: string(grant.ID), Target: string(grant.Target.Name), Address: grant.Target.Address,
 			TargetZone: string(grant.Target.Zone), Cold: grant.Cold, Connections: int64(grant.Target.MaxConnections),
 			Revision: uint64(grant.Revision), TargetStarted: grant.Target.Started, Limit: wireLimit(grant.Target, grant.Limit, time.Now()),
+			HeldBy: grant.HeldBy,
 		}), nil
 	case RefuseCmd:
 		return withNews(answer.News, &messenger.PlaceResponse{
@@ -127,7 +128,7 @@
 			Name: hemlocktally.TargetName(in.GetTarget()), Address: in.GetAddress(), Zone: hemlocktally.ZoneName(in.GetTargetZone()),
 			MaxConnections: int(in.GetConnections()), Started: in.GetTargetStarted(),
 		},
-		Limit: rateLimit(in.GetLimit(), time.Now()),
+		Limit: rateLimit(in.GetLimit(), time.Now()), HeldBy: in.GetHeldBy(),
 	}
 	if grant.Cold {
 		grant.LeaseEnd = asked.Add(coldGrantTTL)
--- a/tracer/losses.go
+++ b/tracer/losses.go
@@ -20,6 +20,7 @@
 // took most of its time.
 const (
 	CauseLateQueue            Cause = "late: waited for a turn"
+	CauseLateLimit            Cause = "late: waited for a target's limit"
 	CauseLateTarget           Cause = "late: long at its target"
 	CauseLateRepeated         Cause = "late: sent more than once"
 	CauseLateElsewhere        Cause = "late: before, between and after" // CauseLateElsewhere covers reading the request, waiting behind another response and passing the response on.
@@ -180,6 +181,8 @@
 	switch {
 	case rest >= max(queue, serving):
 		return CauseLateElsewhere
+	case queue >= serving && strings.Contains(fmt.Sprint(line.Fields["Attempts"]), heldBackMark):
+		return CauseLateLimit
 	case queue >= serving:
 		return CauseLateQueue
 	case repeated:
@@ -189,6 +192,9 @@
 	}
 }
 
+// heldBackMark is in the attempts of a call that waited because of targets' limits.
+const heldBackMark = "(held back: "
+
 // reachedSeveralTargets reports whether more than one attempt reached a target.
 func reachedSeveralTargets(attempts string) bool {
 	reached := 0
--- a/tracer/losses_test.go
+++ b/tracer/losses_test.go
@@ -40,6 +40,8 @@
 		{`"Outcome":"Unknown","Reason":"Deadline","Status":504,"Total":"1s","Queue":"0s","Serving":"1s"`, "unknown: Deadline"},
 		{`"Outcome":"Done","Status":500,"Total":"1s","Queue":"0s","Serving":"1s"`, "answered 500 by its target"},
 		{late + `,"Total":"300ms","Queue":"250ms","Serving":"45ms","Attempts":"First i-1 by e-2 at 1ms: Done after 45ms"`, "late: waited for a turn"},
+		{`"Outcome":"NotRun","Reason":"TargetLimit","Status":503,"Total":"1ms","Queue":"0s","Serving":"0s"`, "notrun: TargetLimit"},
+		{late + `,"Total":"300ms","Queue":"250ms","Serving":"45ms","Attempts":"First i-1 by e-2 at 1ms: Done after 45ms (held back: limits of targets: i-1 names 2/s (300ms ago, to e-3))"`, "late: waited for a target's limit"},
 		{late + `,"Total":"300ms","Queue":"20ms","Serving":"270ms","Attempts":"First i-1 by e-2 at 1ms: Done after 270ms"`, "late: long at its target"},
 		{late + `,"Total":"300ms","Queue":"20ms","Serving":"270ms","Attempts":"First i-1 by e-2 at 1ms: Failed after 9ms; Retry i-2 by e-2 at 9ms: Done after 90ms"`, "late: sent more than once"},
 		{late + `,"Total":"300ms","Queue":"20ms","Serving":"70ms","Attempts":"First i-1 by e-2 at 1ms: Done after 70ms"`, "late: before, between and after"},
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -181,7 +181,7 @@
 	return slices.ContainsFunc(l.callLines, func(own Line) bool {
 		target, named := line.Fields["Target"].(string)
 		if named {
-			return strings.Contains(fmt.Sprint(own.Fields["Attempts"], own.Fields["Target"]), target)
+			return strings.Contains(fmt.Sprint(own.Fields["Attempts"], own.Fields["Target"], own.Fields["Detail"]), target)
 		}
 		return own.Instance == line.Instance
 	})
