Limits: no echo to the owner that told them; wait for targets that are soon back

Two things seen on reading: an instance told a limit back to the owner it had it from (a statement for each change and instance), and where the targets without a limit were in a backoff of 100 ms, calls were refused for the limit of the one that was left, where they waited before. The second has a test that failed. 3009 names who told the limit.

--- a/balancer/soak_limits_test.go
+++ b/balancer/soak_limits_test.go
@@ -64,6 +64,17 @@
 	return n > 0 && l.periods[u][n-1].until.IsZero()
 }
 
+// nameMost makes two thirds of the upstreams, of which the others are left out, name limits
+// unless they do. So many do that what their limits allow is wanted.
+func (l *limitLedger) nameMost(upstreams []*imitator.Upstream, leftOut int, random *rand.Rand) {
+	const third = 3
+	for n, u := range upstreams {
+		if n%third != leftOut%third && !l.naming(u) {
+			l.nameLimits(u, random)
+		}
+	}
+}
+
 // nameLimits makes the upstream name a limit, then twice another one, then none. A period lasts
 // long enough for the bound to hold in its second half.
 func (l *limitLedger) nameLimits(u *imitator.Upstream, random *rand.Rand) {
--- a/balancer/soak_test.go
+++ b/balancer/soak_test.go
@@ -220,12 +220,7 @@
 	case 12:
 		s.restoreStore(span)
 	case 13, 14:
-		// Most targets name limits now and then, so that what they allow is wanted.
-		for n, u := range s.upstreams {
-			if n%3 != i%3 && !s.limits.naming(u) {
-				s.limits.nameLimits(u, s.random)
-			}
-		}
+		s.limits.nameMost(s.upstreams, i, s.random)
 	}
 }
 
--- a/logger/owner_events.go
+++ b/logger/owner_events.go
@@ -55,8 +55,8 @@
 	}
 	EventTargetLimit = Event{
 		Number: 3009, Name: "target limit changed", Level: logrus.InfoLevel,
-		Fields:  []string{"Service", "Target", "Limit", "Before", "Age"},
-		Meaning: "The instance learned, from a response of the target or from an owner, that the target names another limit of requests a second from all instances together, or none any more. Age is how old that response is.",
+		Fields:  []string{"Service", "Target", "Limit", "Before", "Age", "HeardFrom"},
+		Meaning: "The instance learned that the target names another limit of requests a second from all instances together, or none any more. HeardFrom is the owner that told it, or `alone` where the instance decided alone; it is empty if the target's response came to this instance. Age is how old that response is.",
 		Action:  "Find out what the target lacks.",
 	}
 	EventLimitCounted = Event{
--- a/placer/client.go
+++ b/placer/client.go
@@ -69,18 +69,15 @@
 	heard  uint64    // heard is the version of the server's last news.
 }
 
-// limitsKey identifies an exchange. The server is a peer's address or one of the
-// instance's own servers.
+// limitsKey identifies an exchange. The server is the ID of an owner, which may be the instance
+// itself, or aloneServer.
 type limitsKey struct {
 	server  string
 	service hemlocktally.ServiceName
 }
 
-// Names of the instance's own servers in a limitsKey.
-const (
-	ownServer   = "own"
-	aloneServer = "alone"
-)
+// aloneServer stands for the server with which an instance decides alone.
+const aloneServer = "alone"
 
 // peer is the connection state of another instance.
 type peer struct {
@@ -157,7 +154,7 @@
 func (c *Client) returnIfUncounted(grant hemlocktally.Grant) bool {
 	now := time.Now()
 	if !grant.Limit.At.IsZero() {
-		c.recordLimit(grant.Service, targetLimit(grant.Target, grant.Limit), now)
+		c.recordLimit(grant.Service, targetLimit(grant.Target, grant.Limit), c.serverOf(grant))
 	}
 	known, ok := c.limits.find(grant.Target, now)
 	if !ok || !known.Named || grant.Limit.Named {
@@ -172,14 +169,17 @@
 	return hemlocktally.TargetLimit{Target: target.Name, Started: target.Started, Limit: limit}
 }
 
-// recordLimit applies what a response or a server said of a target's limit.
-func (c *Client) recordLimit(service hemlocktally.ServiceName, said hemlocktally.TargetLimit, now time.Time) {
-	before, changed := c.limits.record(service, said, now)
+// recordLimit applies what a response of a target said of its limit, or what the named server
+// heard of it.
+func (c *Client) recordLimit(service hemlocktally.ServiceName, said hemlocktally.TargetLimit, heardFrom string) {
+	now := time.Now()
+	before, changed := c.limits.record(service, said, heardFrom, now)
 	if !changed {
 		return
 	}
 	c.Log.Log(logger.EventTargetLimit, logger.Fields{
 		"Service": service, "Target": said.Target, "Limit": said.Limit.String(), "Before": before.String(), "Age": now.Sub(said.Limit.At).String(),
+		"HeardFrom": heardFrom,
 	})
 }
 
@@ -190,14 +190,14 @@
 	c.mu.Lock()
 	exchanged := c.limitsExchanged[key]
 	c.mu.Unlock()
-	msg.Limits, msg.LimitsVersion = c.limits.changedSince(key.service, exchanged.toldAt), exchanged.heard
+	msg.Limits, msg.LimitsVersion = c.limits.newsFor(server, key.service, exchanged.toldAt), exchanged.heard
 	return msg, func(news LimitNews) {
 		if news.Version == 0 || (news.Version == exchanged.heard && len(msg.Limits) == 0) {
 			return // There is nothing new, or the request did not get as far as the state.
 		}
 		exchanged.toldAt = now
 		for _, said := range news.Limits {
-			c.recordLimit(key.service, said, time.Now())
+			c.recordLimit(key.service, said, server)
 		}
 		exchanged.heard = news.Version
 		c.mu.Lock()
@@ -211,19 +211,20 @@
 
 // forgetLimitsTold makes the client tell the grant's server all limits again.
 func (c *Client) forgetLimitsTold(grant hemlocktally.Grant) {
-	key := limitsKey{server: ownServer, service: grant.Service}
-	switch {
-	case grant.Alone:
-		key.server = aloneServer
-	case grant.Owner != c.Self:
-		owner, _ := c.View.View().Find(grant.Owner)
-		key.server = owner.PeerAddress
-	}
+	key := limitsKey{server: c.serverOf(grant), service: grant.Service}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.limitsExchanged, key)
 }
 
+// serverOf returns the server that issued the grant, as in limitsKey.
+func (c *Client) serverOf(grant hemlocktally.Grant) string {
+	if grant.Alone {
+		return aloneServer
+	}
+	return string(grant.Owner)
+}
+
 // acquire asks the owners in order of rank, and decides alone if none of them answers.
 func (c *Client) acquire(ctx context.Context, msg AcquireMsg) any {
 	now := time.Now()
@@ -231,7 +232,7 @@
 	for _, owner := range c.owners(msg.Request.Service) {
 		if owner.ID == c.Self {
 			if c.Server.CanDecide(msg.Request.Service) {
-				return c.acquireLocal(ctx, c.Server, ownServer, msg)
+				return c.acquireLocal(ctx, c.Server, string(c.Self), msg)
 			}
 			continue
 		}
@@ -287,7 +288,7 @@
 }
 
 func (c *Client) acquireRemote(ctx context.Context, p *peer, owner hemlocktally.Instance, msg AcquireMsg) (any, error) {
-	msg, heard := c.exchangeLimits(owner.PeerAddress, msg)
+	msg, heard := c.exchangeLimits(string(owner.ID), msg)
 	sentAt := time.Now()
 	requestCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
@@ -361,7 +362,7 @@
 // leaving, told the instance to stay away or named a limit.
 func (c *Client) Release(result hemlocktally.GrantResult) {
 	if result.Limit != nil {
-		c.recordLimit(result.Grant.Service, targetLimit(result.Grant.Target, *result.Limit), time.Now())
+		c.recordLimit(result.Grant.Service, targetLimit(result.Grant.Target, *result.Limit), "")
 	}
 	if c.avoidList.record(result, time.Now()) {
 		c.Log.Log(logger.EventTargetLeaving, logger.Fields{
--- a/placer/limitlist.go
+++ b/placer/limitlist.go
@@ -27,13 +27,15 @@
 	service hemlocktally.ServiceName
 	started int64
 	limit   hemlocktally.RateLimit
-	// changedAt is when this instance learned that the limit is another one.
+	// changedAt is when this instance learned that the limit is another one, and heardFrom the
+	// server that told it; that is empty if the target's own response did.
 	changedAt time.Time
+	heardFrom string
 }
 
 // record applies what a response said, unless a later one is known. It returns the limit known
 // before, and whether it differs.
-func (l *limitList) record(service hemlocktally.ServiceName, said hemlocktally.TargetLimit, now time.Time) (before hemlocktally.RateLimit, changed bool) {
+func (l *limitList) record(service hemlocktally.ServiceName, said hemlocktally.TargetLimit, heardFrom string, now time.Time) (before hemlocktally.RateLimit, changed bool) {
 	limit := said.Limit
 	if !limit.Named && l.size.Load() == 0 {
 		return before, false
@@ -54,18 +56,18 @@
 		maps.DeleteFunc(l.targets, func(_ hemlocktally.TargetName, e limitEntry) bool { return now.Sub(e.limit.At) > rateLimitTTL })
 	}
 	before, changed = entry.limit, !limit.Same(entry.limit)
-	next := limitEntry{service: service, started: said.Started, limit: limit, changedAt: entry.changedAt}
+	next := limitEntry{service: service, started: said.Started, limit: limit, changedAt: entry.changedAt, heardFrom: entry.heardFrom}
 	if changed {
-		next.changedAt = now
+		next.changedAt, next.heardFrom = now, heardFrom
 	}
 	l.targets[said.Target] = next
 	l.size.Store(int64(len(l.targets)))
 	return before, changed
 }
 
-// changedSince returns the limits of the service's targets that this instance learned after the
-// given time.
-func (l *limitList) changedSince(service hemlocktally.ServiceName, since time.Time) []hemlocktally.TargetLimit {
+// newsFor returns the limits of the service's targets that this instance learned after the given
+// time, except from the server itself.
+func (l *limitList) newsFor(server string, service hemlocktally.ServiceName, since time.Time) []hemlocktally.TargetLimit {
 	if l.size.Load() == 0 {
 		return nil
 	}
@@ -73,7 +75,7 @@
 	defer l.mu.Unlock()
 	var limits []hemlocktally.TargetLimit
 	for name, entry := range l.targets {
-		if entry.service == service && entry.changedAt.After(since) {
+		if entry.service == service && entry.heardFrom != server && entry.changedAt.After(since) {
 			limits = append(limits, hemlocktally.TargetLimit{Target: name, Started: entry.started, Limit: entry.limit})
 		}
 	}
--- a/placer/ratelimit.go
+++ b/placer/ratelimit.go
@@ -289,6 +289,9 @@
 		wait += secondsOrForever(float64(ahead) / available.limitedRate)
 	}
 	inTime := request.Objective.Add(-s.promptTime(request.Contract))
+	if back := available.retryIn; back > 0 && !available.avoided && !now.Add(back).After(inTime) {
+		return nil // A target without a limit accepts calls again soon enough.
+	}
 	if available.limitedRate > 0 && (wait == 0 || !now.Add(wait).After(inTime)) {
 		return nil
 	}
--- a/placer/ratelimit_test.go
+++ b/placer/ratelimit_test.go
@@ -130,3 +130,21 @@
 	c.Check(late[0].Reason, qt.Equals, hemlocktally.ReasonTargetLimit)
 	c.Check(late[0].Detail, qt.Contains, "x names 10/s (")
 }
+
+// The targets without a limit are unreachable for a moment. Calls wait for the next attempt
+// instead of being refused for the limit of the one that is left.
+func TestCallWaitsForTargetsWithoutALimitThatAreSoonBack(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(target("x", "a"), target("y", "a"))
+	got := h.acquireFresh("x")
+	c.Assert(got, qt.HasLen, 1)
+	h.nameLimit(got[0], 0.1)
+	h.update(LoadReportMsg{Target: "y", Failed: true})
+	waiting := h.request()
+	waiting.Request.Objective, waiting.ReplyBy = h.now.Add(400*time.Millisecond), h.now.Add(time.Minute)
+	c.Assert(refusals(h.update(waiting)), qt.HasLen, 0)
+	h.advance(minBackoff)
+	served := grants(h.report("y", 1))
+	c.Assert(served, qt.HasLen, 1)
+	c.Check(served[0].Target.Name, qt.Equals, hemlocktally.TargetName("y"))
+}
