A follower between a hub out of touch and one in touch no longer asks both without a pause

Cause: a hub in touch made the follower forget which entries the hub out of touch had sent, so that this one sent all of its entries again, which in turn made the one in touch send all of its own. It lasts until the hub out of touch resigns or catches up: a second or two of full transfers at the pace of the network for each follower, in every outage in which hubs differ.

--- a/follower/outage_test.go
+++ b/follower/outage_test.go
@@ -145,3 +145,49 @@
 		}
 	})
 }
+
+// slowRelay takes time for each Sync, so that requests without a pause don't stop the clock.
+type slowRelay struct{ countedRelay }
+
+func (r *slowRelay) Sync(ctx context.Context, in *messenger.SyncRequest) (*messenger.SyncResponse, error) {
+	time.Sleep(time.Millisecond)
+	return r.countedRelay.Sync(ctx, in)
+}
+
+// The hub of the zone has lost the store and misses a change that a hub of another zone
+// has. Its followers ask both, and must not receive all entries of both again and again.
+func TestHubThatMissesAChangeResendsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		hubs := []follower.Hub{{ID: "a1", Zone: "a", PeerAddress: "a1"}, {ID: "b1", Zone: "b", PeerAddress: "b1"}}
+		peers := imitator.Network{}
+		ctx, cancel := context.WithCancel(context.Background())
+		var stores []*directory
+		var relays []*slowRelay
+		done := make(chan error, 3)
+		for _, hub := range hubs {
+			store := storeWithHubs(c, hubs...)
+			one := newInstance(hub.ID, hub.Zone, slowDirectory{store, storeDelay}, peers)
+			relay := &slowRelay{countedRelay{Relay: one}}
+			peers[hub.PeerAddress] = messenger.NewRelayServer(relay)
+			stores, relays = append(stores, store), append(relays, relay)
+			go func() { done <- one.Run(ctx) }()
+		}
+		own := storeWithHubs(c, hubs...)
+		other := newInstance("a2", "a", slowDirectory{own, storeDelay}, peers)
+		go func() { done <- other.Run(ctx) }()
+		time.Sleep(3 * time.Second)
+		stores[0].unreachable.Store(true)
+		own.unreachable.Store(true)
+		stores[1].put("op/config", version("7"))
+		before := relays[0].requests.Load() + relays[1].requests.Load()
+		time.Sleep(5 * time.Second)
+		requests := relays[0].requests.Load() + relays[1].requests.Load() - before
+		c.Check(requests <= 20*5, qt.IsTrue, qt.Commentf("%d requests in 5 s", requests))
+		c.Check(other.Current().Revision, qt.Equals, hemlocktally.Revision(7))
+		cancel()
+		for range 3 {
+			c.Check(<-done, qt.IsNil)
+		}
+	})
+}
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -229,8 +229,10 @@
 	}
 	r.applyRelayed(ctx, entries, out.GetRemembers(), connected)
 	if connected {
+		// The versions that other, disconnected hubs added are kept: they would send the same
+		// entries again, and then this hub all of its own.
 		r.syncedVersion = out.GetVersion()
-		clear(r.addedVersions)
+		delete(r.addedVersions, hub.ID)
 	} else {
 		r.syncedVersion = ""
 		r.addedVersions[hub.ID] = out.GetVersion()
--- a/follower/role.go
+++ b/follower/role.go
@@ -89,8 +89,8 @@
 	claimAt       time.Time                      // claimAt is when the instance claims the role of its zone's hub; zero while the zone has a hub.
 	claimPoint    hemlocktally.GenerationVersion // claimPoint is when this hub wrote its key.
 	syncedVersion string                         // syncedVersion is the version of the entries that were last applied as a full set.
-	// addedVersions holds the version that each disconnected hub sent since then. Two such
-	// hubs may differ, and neither should send its entries again and again.
+	// addedVersions holds the version that each disconnected hub sent last. Hubs may differ, and
+	// none should send its entries again and again.
 	addedVersions map[hemlocktally.InstanceID]string
 	cheapReadAt   time.Time
 	hubsListed    bool // hubsListed is set when a cheap read has returned hubs.
