Owners that count retries at the same moment share the slack of the budget

An owner used three quarters of the slack whatever its place in the order, so that five owners that are asked in one burst may spend 3.75 times the slack.

--- a/placer/retry.go
+++ b/placer/retry.go
@@ -14,6 +14,9 @@
 const (
 	establishedShare = 0.75
 	newOwnerShare    = 0.2
+	// furtherOwnersSlackShare is the share of the slack that all owners but the first use
+	// together.
+	furtherOwnersSlackShare = 0.25
 )
 
 func (w *retryWindow) recordCall(now time.Time, window time.Duration) {
--- a/placer/server.go
+++ b/placer/server.go
@@ -332,9 +332,9 @@
 	}
 }
 
-// updateRank tells the state the server's rank among the owners. Only limits depend on it.
+// updateRank tells the state the server's rank among the owners.
 func (t *serviceTask) updateRank(now time.Time) []any {
-	if t.server.View == nil || !t.state.countsLimits() || now.Sub(t.rankedAt) < rankInterval {
+	if t.server.View == nil || now.Sub(t.rankedAt) < rankInterval {
 		return nil
 	}
 	t.rankedAt = now
--- a/placer/state.go
+++ b/placer/state.go
@@ -225,12 +225,16 @@
 	return 1
 }
 
-// effectiveBounds returns the bounds of this state. A state that decides alone is one of many,
-// so it gets only its share of the retry slack.
+// effectiveBounds returns the bounds of this state. One that decides alone, or that is not the
+// first owner, is one of several that count at the same time, so it gets only its share of the
+// retry slack.
 func (s *State) effectiveBounds() Bounds {
 	bounds := s.Bounds
-	if s.Alone {
+	switch {
+	case s.Alone:
 		bounds.RetrySlack /= float64(max(minAloneInstances, s.instances))
+	case s.ownerRank.Further:
+		bounds.RetrySlack *= furtherOwnersSlackShare / float64(max(1, s.ownerRank.Others))
 	}
 	return bounds
 }
