A restarted owner is told again what it had told itself

The list of what an owner is not told left out what that owner had said, also after it had restarted and forgot it; uncounted grants were then given back one by one, four a call at most. Test first: 1 of 12 limits known after the first call, now 12. The fleet of the test waits until a restarted server runs.

--- a/placer/limit_fleet_test.go
+++ b/placer/limit_fleet_test.go
@@ -228,6 +228,7 @@
 func (f *limitFleet) restartOwner(i *limitInstance, epoch string) {
 	i.owner = f.startServer(i.id, epoch, false, i.view)
 	i.client.Server = i.owner
+	synctest.Wait() // The server must run before it can decide.
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.network[string(i.id)] = messenger.NewPlacementServer(i.owner)
--- a/placer/limit_test.go
+++ b/placer/limit_test.go
@@ -93,16 +93,26 @@
 }
 
 // An instance tells a new owner all limits with its first request, so that no call is spent on
-// finding them out one by one.
+// finding them out one by one. One that has restarted under its ID is told what it had told
+// itself before.
 func TestNewOwnerIsToldAllLimitsAtOnce(t *testing.T) {
-	runLimitFleet(t, 8, 12, func(f *limitFleet) {
-		f.mute = true
-		f.nameAll(2)
-		f.load(f.instances, 2*overload, 5*time.Second)
-		f.setOwners(f.instances, 7)
-		f.call(f.instances[3], hemlocktally.PriorityHigh)
-		f.c.Check(f.instances[7].owner.Stats(f.ctx)[0].Limited, qt.Equals, len(f.targets))
-	})
+	for name, restart := range map[string]bool{"another instance": false, "the same, restarted": true} {
+		t.Run(name, func(t *testing.T) {
+			runLimitFleet(t, 8, 12, func(f *limitFleet) {
+				f.mute = true
+				f.nameAll(2)
+				f.load(f.instances, 2*overload, 5*time.Second)
+				owner := 7
+				if restart {
+					owner = 0
+					f.restartOwner(f.instances[owner], "again")
+				}
+				f.setOwners(f.instances, owner)
+				f.call(f.instances[3], hemlocktally.PriorityHigh)
+				f.c.Check(f.instances[owner].owner.Stats(f.ctx)[0].Limited, qt.Equals, len(f.targets))
+			})
+		})
+	}
 }
 
 // All owners are gone at once, and each instance decides alone.
--- a/placer/limitlist.go
+++ b/placer/limitlist.go
@@ -66,7 +66,8 @@
 }
 
 // newsFor returns the limits of the service's targets that this instance learned after the given
-// time, except from the server itself.
+// time, except from the server itself. If the time is zero, it returns all: the server may have
+// restarted.
 func (l *limitList) newsFor(server string, service hemlocktally.ServiceName, since time.Time) []hemlocktally.TargetLimit {
 	if l.size.Load() == 0 {
 		return nil
@@ -75,7 +76,7 @@
 	defer l.mu.Unlock()
 	var limits []hemlocktally.TargetLimit
 	for name, entry := range l.targets {
-		if entry.service == service && entry.heardFrom != server && entry.changedAt.After(since) {
+		if entry.service == service && (since.IsZero() || entry.heardFrom != server) && entry.changedAt.After(since) {
 			limits = append(limits, hemlocktally.TargetLimit{Target: name, Started: entry.started, Limit: entry.limit})
 		}
 	}
