Test of waiting for targets without a limit: nothing saved up at its start

Traced: a limit starts with a random part of a call; where that is above 0.9935 the limited target may serve the waiting call within the 100 ms of the backoff, which is right.

--- a/placer/ratelimit_test.go
+++ b/placer/ratelimit_test.go
@@ -139,6 +139,7 @@
 	got := h.acquireFresh("x")
 	c.Assert(got, qt.HasLen, 1)
 	h.nameLimit(got[0], 0.1)
+	h.state.targets["x"].rate.tokens = 0 // Otherwise a random part of a call is saved up.
 	h.update(LoadReportMsg{Target: "y", Failed: true})
 	waiting := h.request()
 	waiting.Request.Objective, waiting.ReplyBy = h.now.Add(400*time.Millisecond), h.now.Add(time.Minute)
