--- a/balancer/soak_limits_test.go
+++ b/balancer/soak_limits_test.go
@@ -98,7 +98,7 @@
 
 // recordResponse records that the incarnation passed on a response that names a limit.
 func (l *limitLedger) recordResponse(header http.Header, upstream, incarnation string) {
-	if header.Get("Server-Limit") == "" {
+	if !imitator.NamesLimit(header) {
 		return
 	}
 	l.mu.Lock()
--- a/imitator/upstream.go
+++ b/imitator/upstream.go
@@ -40,6 +40,9 @@
 	}
 }
 
+// NamesLimit reports whether an answer of an Upstream names a limit.
+func NamesLimit(header http.Header) bool { return header.Get("Server-Limit") != "" }
+
 // Arrival is a request that came to an Upstream.
 type Arrival struct {
 	ID string
--- a/logger/owner_events.go
+++ b/logger/owner_events.go
@@ -62,7 +62,7 @@
 	EventLimitCounted = Event{
 		Number: 3010, Name: "target limit counted", Level: logrus.InfoLevel,
 		Fields:  []string{"Service", "Target", "Limit", "Before", "ReportedBy", "Alone", "Share"},
-		Meaning: "The instance decides for the service and counts its calls to the target against another limit from now on, of which it uses Share. ReportedBy is the instance that received the response.",
+		Meaning: "The instance decides for the service and counts its calls to the target against another limit from now on, of which it uses Share. ReportedBy is the instance that reported it; it is empty if the grant had expired.",
 		Action:  "None; docs/operators/limits.md.",
 	}
 )
--- a/placer/limitexchange.go
+++ b/placer/limitexchange.go
@@ -24,7 +24,7 @@
 const aloneServer = "alone"
 
 // Limits returns how many targets have a limit, as far as this instance knows, and how many
-// grants on such targets it has used.
+// grants it has used that were counted against a limit.
 func (c *Client) Limits() (targets int, granted uint64) {
 	return c.limits.limited(time.Now()), c.limits.granted.Load()
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -99,7 +99,7 @@
 		Target     hemlocktally.TargetName
 		Limit      hemlocktally.RateLimit
 		Before     hemlocktally.RateLimit
-		ReportedBy hemlocktally.InstanceID // ReportedBy is the instance that received the response.
+		ReportedBy hemlocktally.InstanceID // ReportedBy is the instance that reported the limit.
 	}
 )
 
--- a/placer/ratelimit.go
+++ b/placer/ratelimit.go
@@ -47,7 +47,7 @@
 // has no limit.
 type rateBudget struct {
 	limit hemlocktally.RateLimit
-	// reportedBy is the instance that received the response.
+	// reportedBy is the instance that reported the limit.
 	reportedBy hemlocktally.InstanceID
 	tokens     float64
 	filledAt   time.Time
