--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the cases start, into target/review/. It needs no network.
 set -euo pipefail
 cd "$(dirname "$0")/standin"
-GOFLAGS=-mod=mod GOWORK=off go build -o ../../target/review/standin .
+GOTOOLCHAIN=local GOWORK=off go build -o ../../target/review/standin .
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -71,7 +73,13 @@
 		code, err := cases[os.Args[1]](s)
 		done <- outcome{code, err}
 	}()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
 	select {
+	case <-interrupted:
+		stopAll()
+		r.say("the case could not run: it was interrupted")
+		return exitNotRun
 	case o := <-done:
 		if o.err != nil {
 			r.say("the case could not run: %v", o.err)
