Logs of zone stops name the hub or the store that reported them

Event 4013 said that a zone was out or back, but not who had said so. The new field Source holds the hub's ID, or Store.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -8,6 +8,7 @@
 package follower
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -268,7 +269,7 @@
 				"Revision": n.Configuration.Revision, "Change": n.Configuration.ChangeID, "Author": n.Configuration.Author, "Source": "Store",
 			})
 		case ZoneStopChange:
-			f.Log.Log(logger.EventZoneStop, logger.Fields{"Zone": n.Zone, "Out": n.Out})
+			f.Log.Log(logger.EventZoneStop, logger.Fields{"Zone": n.Zone, "Out": n.Out, "Source": cmp.Or(n.Source, "Store")})
 		case TargetChange:
 			f.Log.Log(logger.EventListedTargetChanged, logger.Fields{"Service": n.Service, "Target": n.Target, "State": n.State})
 		case HubChange:
--- a/follower/message.go
+++ b/follower/message.go
@@ -13,6 +13,7 @@
 		Kind       hemlocktally.EntryKind // Kind is what was read below the prefix.
 		Entries    []hemlocktally.DirectoryEntry
 		Generation hemlocktally.StoreGeneration // Generation is the store's; zero if unknown.
+		Source     hemlocktally.InstanceID      // Source is the hub that sent the entries; empty if they were read from the store.
 		// Reconciled is set if the entries come from a hub that knew the state before the
 		// store's last restore, and so has already applied it over the backup.
 		Reconciled bool
@@ -22,6 +23,7 @@
 		Kind       hemlocktally.EntryKind
 		Entries    []hemlocktally.DirectoryEntry
 		Generation hemlocktally.StoreGeneration
+		Source     hemlocktally.InstanceID // Source is the hub that sent the entries; empty if they were read from the store.
 	}
 	// TargetListMsg holds all targets as sent by a hub.
 	TargetListMsg struct {
@@ -53,8 +55,9 @@
 	ConfigurationChange struct{ Configuration *hemlocktally.Configuration }
 	// ZoneStopChange says that a zone was taken out of service or brought back.
 	ZoneStopChange struct {
-		Zone hemlocktally.ZoneName
-		Out  bool
+		Zone   hemlocktally.ZoneName
+		Out    bool
+		Source hemlocktally.InstanceID // Source is the hub that reported it; empty for the store.
 	}
 	// TargetChange says that a target was listed, is draining or was removed.
 	TargetChange struct {
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -227,7 +227,7 @@
 		r.Log.Log(logger.EventHubUnresponsive, logger.Fields{"Hub": hub.ID, "Cause": err.Error()})
 		return false, false
 	}
-	r.applyRelayed(ctx, entries, out.GetRemembers(), connected)
+	r.applyRelayed(ctx, hub.ID, entries, out.GetRemembers(), connected)
 	if connected {
 		// The versions that other, disconnected hubs added are kept: they would send the same
 		// entries again, and then this hub all of its own.
@@ -242,7 +242,7 @@
 
 // applyRelayed passes the entries of a hub to the state. A disconnected hub may add
 // entries but not remove any.
-func (r *role) applyRelayed(ctx context.Context, entries []hemlocktally.DirectoryEntry, reconciled, connected bool) {
+func (r *role) applyRelayed(ctx context.Context, source hemlocktally.InstanceID, entries []hemlocktally.DirectoryEntry, reconciled, connected bool) {
 	byKind := map[hemlocktally.EntryKind][]hemlocktally.DirectoryEntry{hemlocktally.EntryConfiguration: nil, hemlocktally.EntryHub: nil}
 	for _, entry := range entries {
 		kind, _ := r.Interpreter.Kind(entry.Key)
@@ -253,9 +253,9 @@
 	}
 	for _, kind := range []hemlocktally.EntryKind{hemlocktally.EntryConfiguration, hemlocktally.EntryHub} {
 		if connected {
-			send(ctx, r.inbox, SnapshotMsg{Kind: kind, Entries: byKind[kind], Generation: r.Generation(), Reconciled: reconciled})
+			send(ctx, r.inbox, SnapshotMsg{Kind: kind, Entries: byKind[kind], Generation: r.Generation(), Reconciled: reconciled, Source: source})
 		} else {
-			send(ctx, r.inbox, ChangesMsg{Kind: kind, Entries: byKind[kind], Generation: r.Generation()})
+			send(ctx, r.inbox, ChangesMsg{Kind: kind, Entries: byKind[kind], Generation: r.Generation(), Source: source})
 		}
 	}
 }
--- a/follower/state.go
+++ b/follower/state.go
@@ -76,7 +76,7 @@
 		if s.observeGeneration(msg.Generation, now) {
 			return false, nil
 		}
-		notes = s.applySnapshot(msg, now)
+		notes = attribute(s.applySnapshot(msg, now), msg.Source)
 	case ChangesMsg:
 		if s.observeGeneration(msg.Generation, now) {
 			return false, nil
@@ -85,6 +85,7 @@
 		for _, entry := range msg.Entries {
 			notes = append(notes, s.applyEntry(f, entry, now)...)
 		}
+		notes = attribute(notes, msg.Source)
 	case TargetListMsg:
 		if s.observeGeneration(msg.Generation, now) {
 			return false, nil
@@ -105,6 +106,17 @@
 	return !tick || len(notes) > 0, notes
 }
 
+// attribute adds the source of the entries to the notes about zone stops.
+func attribute(notes []any, source hemlocktally.InstanceID) []any {
+	for i, note := range notes {
+		if change, ok := note.(ZoneStopChange); ok {
+			change.Source = source
+			notes[i] = change
+		}
+	}
+	return notes
+}
+
 func (s *State) feed(kind hemlocktally.EntryKind) *feedState {
 	if s.feeds == nil {
 		s.feeds = map[hemlocktally.EntryKind]*feedState{}
--- a/logger/membership_events.go
+++ b/logger/membership_events.go
@@ -78,8 +78,8 @@
 	}
 	EventZoneStop = Event{
 		Number: 4013, Name: "availability zone taken out or brought back", Level: logrus.InfoLevel,
-		Fields:  []string{"Zone", "Out"},
-		Meaning: "Operators took the zone's targets out of service or brought them back.",
+		Fields:  []string{"Zone", "Out", "Source"},
+		Meaning: "Operators took the zone's targets out of service or brought them back, as the store or the named hub reports.",
 		Action:  "None.",
 	}
 	EventListedTargetChanged = Event{
