--- a/follower/feed.go
+++ b/follower/feed.go
@@ -48,9 +48,12 @@
 }
 
 // awaitDirectRead waits until the instance has to read the store itself. It reports
-// whether it had to wait.
-func (f *Follower) awaitDirectRead(ctx context.Context) (waited bool) {
+// whether it had to wait; the feed has stopped then.
+func (f *Follower) awaitDirectRead(ctx context.Context, inbox chan<- any, fd feed) (waited bool) {
 	for !f.readsStoreDirectly() && ctx.Err() == nil {
+		if !waited {
+			send(ctx, inbox, FeedStoppedMsg{Kind: fd.kind})
+		}
 		waited = true
 		sleepUntil(ctx, directReadCheckInterval, f.wakeFeeds.wait())
 	}
@@ -62,7 +65,7 @@
 func (f *Follower) follow(ctx context.Context, inbox chan<- any, fd feed) {
 	known, backoff, generation := uint64(0), minBackoff, f.Generation()
 	for ctx.Err() == nil {
-		if f.awaitDirectRead(ctx) || f.Generation() != generation {
+		if f.awaitDirectRead(ctx, inbox, fd) || f.Generation() != generation {
 			known, generation = 0, f.Generation() // Revisions of different generations are not comparable.
 		}
 		if ctx.Err() != nil {
@@ -70,7 +73,7 @@
 		}
 		msg, revision, err := f.poll(ctx, fd, known)
 		if err != nil {
-			f.setOperatorFeedBehind(fd, true)
+			send(ctx, inbox, FeedStoppedMsg{Kind: fd.kind})
 			f.noteReadFailure(ctx, inbox, fd, known, err)
 			known = 0 // A full read returns what was missed at once; a watch may wait first.
 			sleep(ctx, jitter(backoff))
@@ -80,18 +83,10 @@
 		f.noteStoreAnswer()
 		backoff, known = minBackoff, revision
 		send(ctx, inbox, msg)
-		f.setOperatorFeedBehind(fd, false)
 		sleep(ctx, fd.pause)
 	}
 }
 
-// setOperatorFeedBehind keeps a hub from counting as connected by its renewed lease alone.
-func (f *Follower) setOperatorFeedBehind(fd feed, behind bool) {
-	if fd.kind == hemlocktally.EntryConfiguration {
-		f.operatorFeedBehind.Store(behind)
-	}
-}
-
 func jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 - backoffJitter + 2*backoffJitter*rand.Float64()))
 }
@@ -102,7 +97,7 @@
 	defer cancel()
 	if known == 0 {
 		all, err := f.Directory.Snapshot(ctx, fd.prefix, false)
-		return SnapshotMsg{Kind: fd.kind, Entries: all.Entries, Generation: all.Generation}, all.Revision, err
+		return SnapshotMsg{Kind: fd.kind, Entries: all.Entries, Revision: all.Revision, Generation: all.Generation}, all.Revision, err
 	}
 	ctx, end := f.generations.untilRestore(ctx)
 	defer end()
@@ -110,7 +105,8 @@
 	if err != nil && errors.Is(context.Cause(ctx), errRestored) {
 		err = errRestored
 	}
-	return ChangesMsg{Kind: fd.kind, Entries: changes.Entries, Generation: changes.Generation}, newestRevision(known, changes.Entries), err
+	revision := newestRevision(known, changes.Entries)
+	return ChangesMsg{Kind: fd.kind, Entries: changes.Entries, Revision: revision, Generation: changes.Generation}, revision, err
 }
 
 // newestRevision is the revision of the last change seen. An answer without changes does
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -53,7 +53,6 @@
 	storeDown            atomic.Bool
 	targetsUnreadable    atomic.Bool // targetsUnreadable is set while the target list can't be read.
 	hubsDisconnected     atomic.Bool // hubsDisconnected is set while every hub that answers is disconnected from the store.
-	operatorFeedBehind   atomic.Bool // operatorFeedBehind is set after a failure of the feed of operators' changes until it has caught up.
 	wakeFeeds            *broadcast
 	// followerServedAt is when the store last answered a follower of this hub while it did
 	// not answer the hub.
--- a/follower/message.go
+++ b/follower/message.go
@@ -14,6 +14,9 @@
 		Entries    []hemlocktally.DirectoryEntry
 		Generation hemlocktally.StoreGeneration // Generation is the store's; zero if unknown.
 		Source     hemlocktally.InstanceID      // Source is the hub that sent the entries; empty if they were read from the store.
+		// Revision is the store's revision up to which the entries hold all changes; zero if
+		// unknown. A key that is missing from them may have been written later.
+		Revision uint64
 		// Reconciled is set if the entries come from a hub that knew the state before the
 		// store's last restore, and so has already applied it over the backup.
 		Reconciled bool
@@ -22,6 +25,7 @@
 	ChangesMsg struct {
 		Kind       hemlocktally.EntryKind
 		Entries    []hemlocktally.DirectoryEntry
+		Revision   uint64 // Revision is the store's revision up to which all changes are known; zero if unknown.
 		Generation hemlocktally.StoreGeneration
 		Source     hemlocktally.InstanceID // Source is the hub that sent the entries; empty if they were read from the store.
 	}
@@ -38,6 +42,9 @@
 	GenerationResetMsg struct {
 		Generation hemlocktally.StoreGeneration
 	}
+	// FeedStoppedMsg says that the prefix is no longer followed in the store: changes may be
+	// missing until the next full read.
+	FeedStoppedMsg struct{ Kind hemlocktally.EntryKind }
 	// ReadFailedMsg says that the store did not answer.
 	ReadFailedMsg struct{ Kind hemlocktally.EntryKind }
 	// TickMsg applies the deadlines that have passed.
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -26,6 +26,7 @@
 // Sync answers a follower's request for updates. It implements messenger.Relay.
 func (f *Follower) Sync(ctx context.Context, in *messenger.SyncRequest) (*messenger.SyncResponse, error) {
 	f.awaitHubRole(ctx)
+	f.awaitOperators(ctx)
 	if !f.isHub.Load() || f.leaving.Load() {
 		return &messenger.SyncResponse{Leaving: true}, nil
 	}
@@ -92,6 +93,14 @@
 	})
 }
 
+// awaitOperators holds a request that arrives shortly after this instance's start until the
+// hub has read the operators' entries.
+func (f *Follower) awaitOperators(ctx context.Context) {
+	f.waitDuringStartup(ctx, f.published, func() bool {
+		return f.isHub.Load() && !f.leaving.Load() && !f.readOperators(f.FleetState())
+	})
+}
+
 // versionOf returns the content digest of the relayed entries. Hubs with the same entries
 // return the same digest, so a follower that changes its hub receives nothing twice. A
 // large configuration exceeds all other traffic between instances many times over.
@@ -107,6 +116,9 @@
 	if p == nil {
 		return out, nil
 	}
+	if f.readOperators(p) {
+		out.OperatorsRevision = uint64(p.Operators.At.Version)
+	}
 	var err error
 	out.EntriesGzip, err = f.compressed.of(p)
 	return out, err
@@ -227,7 +239,7 @@
 		r.Log.Log(logger.EventHubUnresponsive, logger.Fields{"Hub": hub.ID, "Cause": err.Error()})
 		return false, false
 	}
-	r.applyRelayed(ctx, hub.ID, entries, out.GetRemembers(), connected)
+	r.applyRelayed(ctx, hub.ID, entries, out, connected)
 	if connected {
 		// The versions that other, disconnected hubs added are kept: they would send the same
 		// entries again, and then this hub all of its own.
@@ -242,7 +254,7 @@
 
 // applyRelayed passes the entries of a hub to the state. A disconnected hub may add
 // entries but not remove any.
-func (r *role) applyRelayed(ctx context.Context, source hemlocktally.InstanceID, entries []hemlocktally.DirectoryEntry, reconciled, connected bool) {
+func (r *role) applyRelayed(ctx context.Context, source hemlocktally.InstanceID, entries []hemlocktally.DirectoryEntry, from *messenger.SyncResponse, connected bool) {
 	byKind := map[hemlocktally.EntryKind][]hemlocktally.DirectoryEntry{hemlocktally.EntryConfiguration: nil, hemlocktally.EntryHub: nil}
 	for _, entry := range entries {
 		kind, _ := r.Interpreter.Kind(entry.Key)
@@ -252,11 +264,15 @@
 		byKind[kind] = append(byKind[kind], entry)
 	}
 	for _, kind := range []hemlocktally.EntryKind{hemlocktally.EntryConfiguration, hemlocktally.EntryHub} {
-		if connected {
-			send(ctx, r.inbox, SnapshotMsg{Kind: kind, Entries: byKind[kind], Generation: r.Generation(), Reconciled: reconciled, Source: source})
-		} else {
+		if !connected {
 			send(ctx, r.inbox, ChangesMsg{Kind: kind, Entries: byKind[kind], Generation: r.Generation(), Source: source})
+			continue
+		}
+		all := SnapshotMsg{Kind: kind, Entries: byKind[kind], Generation: r.Generation(), Reconciled: from.GetRemembers(), Source: source}
+		if kind == hemlocktally.EntryConfiguration {
+			all.Revision = from.GetOperatorsRevision()
 		}
+		send(ctx, r.inbox, all)
 	}
 }
 
--- a/follower/restore.go
+++ b/follower/restore.go
@@ -54,6 +54,7 @@
 		}
 	}
 	r.generation = generation
+	s.operators.Complete = false
 	return false
 }
 
@@ -61,6 +62,7 @@
 // entries, so that everything written in the new one counts as newer.
 func (s *State) resetGeneration(to hemlocktally.StoreGeneration) {
 	s.restore.generation = to
+	s.operators.Complete = false
 	for key, entry := range s.relayedEntries {
 		entry.Generation = 0
 		s.relayedEntries[key] = entry
--- a/follower/state.go
+++ b/follower/state.go
@@ -39,6 +39,17 @@
 	Relayed []hemlocktally.Entry
 	// RelayedVersion changes whenever Relayed does.
 	RelayedVersion uint64
+	// Operators is what is known of the operators' entries in the store.
+	Operators OperatorFeed
+}
+
+// OperatorFeed describes how far the instance itself has read the operators' entries.
+type OperatorFeed struct {
+	// Complete is set from a full read of the entries until the instance stops following
+	// them. Before, an entry that is not known may exist in the store.
+	Complete bool
+	// At is the generation and revision of the store up to which all changes are known.
+	At hemlocktally.GenerationVersion
 }
 
 // State applies messages and builds the next FleetState. Its zero value is empty.
@@ -53,6 +64,7 @@
 	hubs           map[hemlocktally.ZoneName]Hub
 	relayedEntries map[string]hemlocktally.Entry
 	relayedVersion uint64
+	operators      OperatorFeed
 	targetsReadAt  time.Time
 	// targetsByService caches Targets of the last FleetState until a target changes.
 	targetsByService map[hemlocktally.ServiceName][]hemlocktally.Registration
@@ -71,39 +83,61 @@
 // Update applies one message at the given time. It returns whether the fleet state
 // changed, and the notes to be logged.
 func (s *State) Update(msg any, now time.Time) (changed bool, notes []any) {
+	notes, ignored := s.apply(msg, now)
+	if ignored {
+		return false, nil
+	}
+	for _, f := range s.feeds {
+		notes = append(notes, s.expirePendingRemovals(f, now)...)
+	}
+	notes = append(notes, s.applyConflicting(now)...)
+	_, tick := msg.(TickMsg)
+	return !tick || len(notes) > 0, notes
+}
+
+// apply applies the message itself. It reports whether the message has no effect on the
+// fleet state.
+func (s *State) apply(msg any, now time.Time) (notes []any, ignored bool) {
 	switch msg := msg.(type) {
 	case SnapshotMsg:
 		if s.observeGeneration(msg.Generation, now) {
-			return false, nil
+			return nil, true
 		}
-		notes = attribute(s.applySnapshot(msg, now), msg.Source)
+		return s.applySnapshot(msg, now), false
 	case ChangesMsg:
 		if s.observeGeneration(msg.Generation, now) {
-			return false, nil
-		}
-		f := s.markAnswered(msg.Kind, now)
-		for _, entry := range msg.Entries {
-			notes = append(notes, s.applyEntry(f, entry, now)...)
+			return nil, true
 		}
-		notes = attribute(notes, msg.Source)
+		return s.applyChanges(msg, now), false
 	case TargetListMsg:
 		if s.observeGeneration(msg.Generation, now) {
-			return false, nil
+			return nil, true
 		}
-		notes = s.applyTargetList(msg, now)
+		return s.applyTargetList(msg, now), false
 	case GenerationResetMsg:
 		s.resetGeneration(msg.Generation)
 	case ReadFailedMsg:
 		s.feed(msg.Kind).failing = true
-		return false, nil
+		return nil, true
+	case FeedStoppedMsg:
+		stopped := msg.Kind == hemlocktally.EntryConfiguration && s.operators.Complete
+		s.operators.Complete = s.operators.Complete && !stopped
+		return nil, !stopped
 	case TickMsg:
 	}
-	for _, f := range s.feeds {
-		notes = append(notes, s.expirePendingRemovals(f, now)...)
+	return nil, false
+}
+
+func (s *State) applyChanges(msg ChangesMsg, now time.Time) []any {
+	f := s.markAnswered(msg.Kind, now)
+	var notes []any
+	for _, entry := range msg.Entries {
+		notes = append(notes, s.applyEntry(f, entry, now)...)
 	}
-	notes = append(notes, s.applyConflicting(now)...)
-	_, tick := msg.(TickMsg)
-	return !tick || len(notes) > 0, notes
+	if point := s.storePoint(msg.Revision); msg.Source == "" && msg.Kind == hemlocktally.EntryConfiguration && point.After(s.operators.At) {
+		s.operators.At = point
+	}
+	return attribute(notes, msg.Source)
 }
 
 // attribute adds the source of the entries to the notes about zone stops.
@@ -166,17 +200,33 @@
 	}
 	for _, key := range s.keys(msg.Kind) {
 		if !present[key] {
-			notes = append(notes, s.applyAbsence(f, key, holdsPrevious, now)...)
+			notes = append(notes, s.applyAbsence(f, key, msg, holdsPrevious, now)...)
 		}
 	}
 	s.dropConflicting(msg.Kind, present)
-	return notes
+	if msg.Source == "" && msg.Kind == hemlocktally.EntryConfiguration {
+		s.operators = OperatorFeed{Complete: true, At: s.storePoint(msg.Revision)}
+	}
+	return attribute(notes, msg.Source)
+}
+
+// storePoint returns the point of a revision in the current generation; zero if the
+// revision is unknown.
+func (s *State) storePoint(revision uint64) hemlocktally.GenerationVersion {
+	if revision == 0 {
+		return hemlocktally.GenerationVersion{}
+	}
+	return hemlocktally.GenerationVersion{Generation: s.restore.generation, Version: hemlocktally.StoreVersion(revision)}
 }
 
-// applyAbsence handles a key that a full read lacks. While the previous state takes
-// precedence over a restored backup, a missing zone stop stays pending: the backup may
-// lack what was written since it was taken.
-func (s *State) applyAbsence(f *feedState, key string, holdsPrevious bool, now time.Time) []any {
+// applyAbsence handles a key that a full set of entries lacks. A set that is older than the
+// known entry says nothing about it: the hub that sent it has not read that entry yet.
+// While the previous state takes precedence over a restored backup, a missing zone stop
+// stays pending: the backup may lack what was written since it was taken.
+func (s *State) applyAbsence(f *feedState, key string, msg SnapshotMsg, holdsPrevious bool, now time.Time) []any {
+	if known, ok := s.relayedEntries[key]; ok && msg.Revision > 0 && known.GenerationVersion().After(s.storePoint(msg.Revision)) {
+		return nil
+	}
 	if kind, _ := s.Interpreter.Kind(key); kind == hemlocktally.EntryZoneStop && holdsPrevious {
 		f.pendingRemovals[key] = true
 		return nil
@@ -370,7 +420,7 @@
 		s.targetsByService = s.groupTargets()
 	}
 	p := &FleetState{
-		Configuration: &config, Hubs: maps.Clone(s.hubs), TargetsReadAt: s.targetsReadAt, RelayedVersion: s.relayedVersion,
+		Configuration: &config, Hubs: maps.Clone(s.hubs), TargetsReadAt: s.targetsReadAt, RelayedVersion: s.relayedVersion, Operators: s.operators,
 		Targets: s.targetsByService, TargetsVersion: s.targetsVersion, TargetsDigest: s.targetsDigest,
 	}
 	for _, key := range slices.Sorted(maps.Keys(s.relayedEntries)) {
