An owner that has not read the operators' entries grants no target (EVAC, related path)

A restarted owner that had read the targets first served Place with revision 0 and no zone out; its client's own check had fallen with the same news. Cause: the placer servers were configured from targets alone. They now get no services until a configuration is known, so that the owner answers that it can't decide and clients ask on.

TestNoTargetIsPlacedBeforeTheConfigurationIsKnown failed before (it placed one target).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -169,6 +169,18 @@
 		return // Only the age of the data has changed.
 	}
 	b.configured = current
+	services := placedServices(p, instances)
+	b.fallback.Configure(services)
+	b.owner.Configure(services)
+}
+
+// placedServices returns the targets that the placer servers may use. It is empty until the
+// operators' entries are known: targets read before them may be in a zone that is out of
+// service.
+func placedServices(p *follower.FleetState, instances int) map[hemlocktally.ServiceName]placer.TargetsMsg {
+	if p.Configuration.Revision == 0 {
+		return nil
+	}
 	out := map[hemlocktally.ZoneName]bool{}
 	for _, zone := range p.Configuration.Zones {
 		out[zone.Name] = zone.Out
@@ -182,8 +194,7 @@
 		msg.Service, msg.Out, msg.Revision, msg.Instances = service, out, p.Configuration.Revision, instances
 		services[service.Name] = msg
 	}
-	b.fallback.Configure(services)
-	b.owner.Configure(services)
+	return services
 }
 
 // listeners holds the listening sockets of an instance; those without an address
