--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -130,7 +130,7 @@
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: s.Bounds.RetryWindow, RetrySlack: s.Bounds.RetrySlack,
 		ColdShare: coldShare, ProbesPerSecond: s.Bounds.ProbesPerSecond, Disabled: off,
 	}
-	b.owner = &placer.Server{Self: self, Epoch: epoch, Bounds: bounds, Prober: loadProber, Log: b.Log, RequestTargets: b.follower.NeedTargets, TargetsRead: b.follower.TargetsFreshness, View: b.follower}
+	b.owner = &placer.Server{Self: self, Epoch: epoch, Bounds: bounds, Prober: loadProber, Log: b.Log, RequestTargets: b.follower.NeedTargets, TargetsRead: b.follower.TargetsFreshness, View: b.follower, Superseded: b.follower.Superseded}
 	// Many instances may decide without the owner at the same time, so each uses
 	// only a small part of the fleet's budget and leaves cold targets to the owner.
 	bounds.ColdShare, bounds.RetryRatio = 0, bounds.RetryRatio/2
--- a/directory.go
+++ b/directory.go
@@ -67,6 +67,11 @@
 	EntryIgnored       EntryKind = "Foreign"     // EntryIgnored is any other entry; instances ignore it.
 )
 
+// MaxTargetListAge is the age up to which a list of targets is used while a newer one can be
+// read. A target that leaves must get no calls two seconds later; the rest of that time is
+// for a call to reach its target.
+const MaxTargetListAge = 1700 * time.Millisecond
+
 // Registration is a target's own entry in the directory.
 type Registration struct {
 	Service  ServiceName
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -52,6 +52,7 @@
 	leaving              atomic.Bool
 	storeDown            atomic.Bool
 	targetsUnreadable    atomic.Bool // targetsUnreadable is set while the target list can't be read.
+	renewalFails         atomic.Bool // renewalFails is set while this hub can't renew its lease.
 	hubsDisconnected     atomic.Bool // hubsDisconnected is set while every hub that answers is disconnected from the store.
 	wakeFeeds            *broadcast
 	// followerServedAt is when the store last answered a follower of this hub while it did
@@ -149,14 +150,19 @@
 
 // TargetsFreshness returns the time as of which the targets are known, and whether they can be
 // read now. A watch that waits would have returned with changes made before it began, so
-// its start counts; a watch that is overdue shows that the store does not answer.
+// its start counts; a watch that is overdue shows that the store does not answer. A failing
+// renewal suggests that the watch has not reached the store either.
 func (f *Follower) TargetsFreshness() (at time.Time, readable bool) {
 	at, readable = f.FleetState().TargetsReadAt, !f.targetsUnreadable.Load()
-	if began := f.targetWatchStartedAt.Load(); began > 0 {
-		at = later(at, f.startedAt.Add(time.Duration(began)))
-		readable = readable && f.since(&f.targetWatchStartedAt) <= targetWatchOverdue
+	began := f.targetWatchStartedAt.Load()
+	switch {
+	case began == 0:
+		return at, readable
+	case f.renewalFails.Load(), f.since(&f.targetWatchStartedAt) > targetWatchOverdue:
+		return at, false
+	default:
+		return later(at, f.startedAt.Add(time.Duration(began))), readable
 	}
-	return at, readable
 }
 
 func later(a, b time.Time) time.Time {
@@ -199,7 +205,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var group run.Group
-	for _, task := range []func(context.Context, chan<- any){f.followOperators, f.followHubs, f.followTargets, f.runRole} {
+	for _, task := range []func(context.Context, chan<- any){f.followOperators, f.followHubs, f.followTargets, f.askOtherHubs, f.runRole} {
 		group.Add(func() error { task(ctx, inbox); return nil }, func(error) { cancel() })
 	}
 	group.Add(func() error { f.runState(ctx, inbox); return nil }, func(error) { cancel() })
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -33,6 +33,7 @@
 	revision      uint64
 	failingPrefix string      // failingPrefix is the prefix whose calls fail.
 	unreachable   atomic.Bool // unreachable makes calls hang until their context ends.
+	rejecting     atomic.Bool // rejecting makes all calls fail at once.
 	muted         bool        // muted makes a waiting watch miss every change.
 }
 
@@ -70,7 +71,7 @@
 func (d *directory) fails(prefix string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.failingPrefix == prefix {
+	if d.rejecting.Load() || (prefix != "" && d.failingPrefix == prefix) {
 		return errors.New("the store does not answer")
 	}
 	return nil
@@ -116,14 +117,17 @@
 }
 
 func (d *directory) CompareAndSwap(context.Context, hemlocktally.Entry) (hemlocktally.StoreVersion, error) {
-	return 1, nil
+	return 1, d.fails("")
 }
 
 func (d *directory) Grant(_ context.Context, ttl time.Duration) (hemlocktally.Lease, error) {
-	return hemlocktally.Lease{ID: "1", TTL: ttl}, nil
+	return hemlocktally.Lease{ID: "1", TTL: ttl}, d.fails("")
 }
-func (d *directory) Renew(ctx context.Context, _ string) error { return d.hang(ctx) }
-func (d *directory) Revoke(context.Context, string) error      { return nil }
+
+func (d *directory) Renew(ctx context.Context, _ string) error {
+	return errors.Join(d.hang(ctx), d.fails(""))
+}
+func (d *directory) Revoke(context.Context, string) error { return nil }
 
 const document = `{"version":"r%","resources":[{"resourceType":"routes","metadata":{"name":"a"},"spec":{"hostname":"h","prefix":"/a/","routeType":"safe","service":"s"}}]}`
 
--- a/follower/poll.go
+++ b/follower/poll.go
@@ -58,6 +58,12 @@
 	}
 }
 
+// requestsPoll reports whether the follower that is being answered is to check whether the
+// store answers it, because this hub's own calls have begun to fail.
+func (f *Follower) requestsPoll(now time.Time) bool {
+	return f.storeCallsFail() && f.pollLimiter.allow(now)
+}
+
 // allowsPoll reports whether the follower that is being answered may check itself whether
 // the store answers it.
 func (f *Follower) allowsPoll(now time.Time) bool {
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -35,7 +35,7 @@
 		return &messenger.SyncResponse{TakeOver: true, Version: in.GetVersion(), StoreAgeMicroseconds: f.storeAge().Microseconds(), Followers: int64(count)}, nil
 	}
 	f.updateInstanceCount(count + 1)
-	if in.GetStoreAnswers() && f.disconnected() {
+	if in.GetStoreAnswers() && (f.disconnected() || f.storeCallsFail()) {
 		f.noteFollowerServed()
 	}
 	return f.awaitUpdate(ctx, in, count)
@@ -57,6 +57,9 @@
 		if woken && !in.GetStoreAnswers() && f.disconnected() && f.since(&f.followerServedAt) < pollInterval {
 			return f.answerSync(nil, in.GetVersion(), count)
 		}
+		if !in.GetStoreAnswers() && f.requestsPoll(time.Now()) {
+			return f.answerPoll(in.GetVersion(), count)
+		}
 		select {
 		case <-changed:
 		case <-hold.C:
@@ -106,6 +109,15 @@
 // large configuration exceeds all other traffic between instances many times over.
 func (f *Follower) versionOf(p *FleetState) string { return f.versions.of(p) }
 
+// answerPoll answers without entries and lets the follower check whether the store answers it.
+func (f *Follower) answerPoll(version string, count int) (*messenger.SyncResponse, error) {
+	out, err := f.answerSync(nil, version, count)
+	if err == nil {
+		out.Look = true
+	}
+	return out, err
+}
+
 func (f *Follower) answerSync(p *FleetState, version string, count int) (*messenger.SyncResponse, error) {
 	age := f.storeAge()
 	out := &messenger.SyncResponse{
--- a/follower/role.go
+++ b/follower/role.go
@@ -254,10 +254,12 @@
 	case err == nil:
 		r.noteStoreAnswer()
 		r.renewedAt, r.failing = time.Now(), false
+		r.renewalFails.Store(false)
 	case errors.As(err, &conflict):
 		r.resign(ctx)
 	default:
 		r.noteFailure(err)
+		r.renewalFails.Store(true)
 		if time.Since(r.renewedAt) > hubTTL && r.otherHubConnected(ctx) {
 			r.resign(ctx)
 		}
@@ -291,6 +293,7 @@
 // resign gives up the hub role.
 func (r *role) resign(ctx context.Context) {
 	r.lease, r.failing = "", false
+	r.renewalFails.Store(false)
 	r.transition(ctx, eventEnded, logger.Fields{})
 }
 
@@ -357,6 +360,9 @@
 			r.cheapReadPause = 0
 			r.cheapReadAnsweredAt.Store(0)
 			r.hubsDisconnected.Store(false)
+			if r.hubAllowsPoll {
+				r.readHubsCheaply(ctx) // The hub's calls to the store have begun to fail.
+			}
 			return true
 		}
 		if ok {
--- a/follower/targets.go
+++ b/follower/targets.go
@@ -31,6 +31,8 @@
 		switch {
 		case !needed && (!hub || !idleElapsed):
 			t.knownRevision, t.misses = 0, 0
+			t.failurePause = 0
+			t.targetsUnreadable.Store(false) // What was found out earlier says nothing about the next list.
 			sleepUntil(ctx, directReadCheckInterval, f.wakeFeeds.wait())
 		case !readsDirectly && t.misses < maxListMisses && t.requestList(ctx):
 			sleep(ctx, jitter(t.nextRequestPause()))
@@ -45,12 +47,14 @@
 // nextRequestPause is the pause before the next request to the hubs. A stale list is
 // requested again soon, with growing pauses while that fails.
 func (t *targetFeed) nextRequestPause() time.Duration {
-	if at, readable := t.TargetsFreshness(); readable && time.Since(at) > acceptableListAge {
+	at, _ := t.TargetsFreshness()
+	age := time.Since(at)
+	if age > acceptableListAge {
 		t.staleListPause = min(listRequestInterval, max(minBackoff, 2*t.staleListPause))
 		return t.staleListPause
 	}
 	t.staleListPause = 0
-	return listRequestInterval
+	return min(listRequestInterval, max(minBackoff, hemlocktally.MaxTargetListAge-age))
 }
 
 // targetFeed is the task that follows the targets.
@@ -81,6 +85,7 @@
 		t.targetsUnreadable.Store(true)
 		t.knownRevision = t.noteReadFailure(ctx, t.inbox, fd, t.knownRevision, err)
 		t.failurePause = min(max(minBackoff, 2*t.failurePause), maxBackoff)
+		t.misses = 0 // The hubs may have a list by now.
 		sleep(ctx, jitter(t.failurePause))
 		return
 	}
@@ -99,12 +104,49 @@
 // requestList asks the hubs in turn until one sends a recent list. If none does, it uses
 // the most recent of the older lists. It reports whether a list was received.
 func (t *targetFeed) requestList(ctx context.Context) bool {
-	var best *messenger.TargetsResponse
-	asked, silent, currentDigest := time.Now(), false, t.FleetState().TargetsDigest
+	asked, currentDigest := time.Now(), t.FleetState().TargetsDigest
+	answers := t.requestLists(ctx, currentDigest)
+	best := answers.best
+	if best == nil {
+		t.misses++
+		if !answers.silent {
+			t.misses = maxListMisses // All hubs answered and none has a list, as when they are leaving; another round would not help.
+		}
+		return false
+	}
+	t.misses, t.knownRevision = 0, 0
+	if answers.superseded && best.GetUnreadable() {
+		t.noteSuperseded()
+		if t.failurePause == 0 {
+			return false // The store has not failed to answer this instance yet.
+		}
+	}
+	if !best.GetUnreadable() {
+		t.failurePause = 0
+		t.targetsUnreadable.Store(false)
+	} else if !t.isHub.Load() {
+		t.targetsUnreadable.Store(true)
+	}
+	send(ctx, t.inbox, TargetListMsg{
+		At: asked.Add(-microseconds(best.GetAgeMicroseconds())), Name: best.GetVersion(), Unchanged: best.GetVersion() == currentDigest, Targets: registrationsOf(best.GetTargets()),
+		Generation: hemlocktally.StoreGeneration(best.GetGeneration()),
+	})
+	return true
+}
+
+// listAnswers is what the hubs answered to one round of requests.
+type listAnswers struct {
+	best       *messenger.TargetsResponse // best is the most recent list; nil if there is none.
+	silent     bool                       // silent is set if a hub did not answer.
+	superseded bool                       // superseded is set if the store answers some instances, but not a hub that was asked.
+}
+
+// requestLists asks the hubs in turn until one sends a recent list.
+func (t *targetFeed) requestLists(ctx context.Context, currentDigest string) (answers listAnswers) {
 	for _, hub := range t.hubs() {
 		out, err := t.requestListFrom(ctx, hub, currentDigest)
 		if err != nil {
-			silent = true
+			answers.silent = true
 			if ctx.Err() == nil {
 				t.Log.Log(logger.EventHubUnresponsive, logger.Fields{"Hub": hub.ID, "Cause": err.Error()})
 			}
@@ -113,27 +155,25 @@
 		if out.GetUnable() || t.noteHubGeneration(out.GetGeneration()) != nil {
 			continue
 		}
-		if best == nil || out.GetAgeMicroseconds() < best.GetAgeMicroseconds() {
-			best = out
+		answers.superseded = answers.superseded || out.GetSuperseded()
+		if answers.best == nil || out.GetAgeMicroseconds() < answers.best.GetAgeMicroseconds() {
+			answers.best = out
 		}
 		if !out.GetUnreadable() && microseconds(out.GetAgeMicroseconds()) <= acceptableListAge {
 			break
 		}
 	}
-	if best == nil {
-		t.misses++
-		if !silent {
-			t.misses = maxListMisses // All hubs answered and none has a list, as when they are leaving; another round would not help.
-		}
-		return false
+	return answers
+}
+
+// noteSuperseded records that the store answers some instances while no hub can read it. A
+// hub keeps this for its own followers; any other instance reads the store itself.
+func (t *targetFeed) noteSuperseded() {
+	if t.isHub.Load() {
+		t.mark(&t.followerServedAt)
+		return
 	}
-	t.misses, t.knownRevision = 0, 0
-	t.targetsUnreadable.Store(best.GetUnreadable())
-	send(ctx, t.inbox, TargetListMsg{
-		At: asked.Add(-microseconds(best.GetAgeMicroseconds())), Name: best.GetVersion(), Unchanged: best.GetVersion() == currentDigest, Targets: registrationsOf(best.GetTargets()),
-		Generation: hemlocktally.StoreGeneration(best.GetGeneration()),
-	})
-	return true
+	t.misses = maxListMisses
 }
 
 func (t *targetFeed) requestListFrom(ctx context.Context, hub Hub, currentDigest string) (*messenger.TargetsResponse, error) {
@@ -157,6 +197,7 @@
 	digest, list := f.relayedTargets.of(p)
 	out := &messenger.TargetsResponse{
 		Version: digest, AgeMicroseconds: time.Since(at).Microseconds(), Unreadable: !readable, Generation: uint64(f.Generation()),
+		Superseded: f.Superseded(),
 	}
 	if digest != in.GetVersion() {
 		out.Targets = list
--- a/logger/membership_events.go
+++ b/logger/membership_events.go
@@ -94,6 +94,12 @@
 		Meaning: "Many targets changed in one reading of the list, for example in the first one after startup. The counts replace one line for each target.",
 		Action:  "None.",
 	}
+	EventTargetListSuperseded = Event{
+		Number: 4022, Name: "target list superseded", Level: logrus.WarnLevel,
+		Fields:  []string{"Superseded", "Age"},
+		Meaning: "The store answers other instances and not this hub, whose target list has become too old: others are told to choose without it. False once the list is recent again.",
+		Action:  "Check the network between the hub and the store.",
+	}
 	EventHubChanged = Event{
 		Number: 4015, Name: "zone hub changed", Level: logrus.InfoLevel,
 		Fields:  []string{"Zone", "Hub"},
@@ -135,6 +141,6 @@
 var membershipEvents = []Event{
 	EventStoreUnavailable, EventStoreAvailable, EventRegistered, EventMemberState, EventLeaseRelayed, EventConfigurationInForce,
 	EventConfigurationDivergent, EventConfigurationStale, EventProvisionalStop, EventProvisionalStopResolved,
-	EventConfigurationRestored, EventStoreEntryInvalid, EventZoneStop, EventListedTargetChanged, EventListedTargetsChanged, EventHubChanged, EventRegistrationFailed, EventRoleChanged, EventHubUnresponsive,
+	EventConfigurationRestored, EventStoreEntryInvalid, EventZoneStop, EventListedTargetChanged, EventListedTargetsChanged, EventTargetListSuperseded, EventHubChanged, EventRegistrationFailed, EventRoleChanged, EventHubUnresponsive,
 	EventStoreRestored, EventStaleResponse,
 }
--- a/placer/client_test.go
+++ b/placer/client_test.go
@@ -74,6 +74,30 @@
 	}
 }
 
+// Guards against calls on draining targets: an owner whose list of targets is superseded must
+// not choose for others, and goes on choosing for its own callers.
+func TestOwnerWithSupersededListIsSkipped(t *testing.T) {
+	c := qt.New(t)
+	known := hemlocktally.Registration{Service: "s", Target: hemlocktally.Target{Name: "x", Address: "127.0.0.1:1", Zone: "a", Slots: 2}}
+	owner, asInstance := startServer(t, "owner", known)
+	var superseded atomic.Bool
+	owner.Superseded = superseded.Load
+	request := &messenger.PlaceRequest{Ticket: "1", Instance: "other", Service: "s", DeadlineMicroseconds: time.Second.Microseconds(), ObjectiveMicroseconds: time.Second.Microseconds()}
+	placement := messenger.NewPlacementProtobufClient("http://"+asInstance.PeerAddress, http.DefaultClient)
+	out, err := placement.Place(context.Background(), request)
+	c.Assert(err, qt.IsNil)
+	c.Check(out.GetTarget(), qt.Equals, "x")
+	superseded.Store(true)
+	request.Ticket = "2"
+	out, err = placement.Place(context.Background(), request)
+	c.Assert(err, qt.IsNil)
+	c.Check(out.GetUnable(), qt.IsTrue)
+	client := &placer.Client{Self: "owner", Zone: "a", View: fixedView{[]hemlocktally.Instance{asInstance}}, Server: owner, Alone: &placer.Server{Alone: true}}
+	grant, err := client.Acquire(context.Background(), hemlocktally.GrantRequest{Service: "s", Contract: "c", Deadline: time.Now().Add(5 * time.Second)})
+	c.Assert(err, qt.IsNil)
+	c.Check(grant.Owner, qt.Equals, hemlocktally.InstanceID("owner"))
+}
+
 // A target leaves while the instance places no calls and therefore reads no list. Its next
 // choice must not use the stale list.
 func TestStaleTargetListIsRefreshedBeforeAChoice(t *testing.T) {
--- a/placer/server.go
+++ b/placer/server.go
@@ -33,6 +33,9 @@
 	// TargetsRead returns when the list of targets was last read, and whether it can currently be
 	// read. If it is nil, the list counts as current.
 	TargetsRead func() (at time.Time, readable bool)
+	// Superseded reports whether the list of targets is too old to decide by for others, because
+	// the store answers them and not this instance. It may be nil.
+	Superseded func() bool
 
 	mu            sync.Mutex
 	ctx           context.Context //nolint:containedctx // The tasks end with Run, not with a single request.
@@ -54,9 +57,6 @@
 	// maxListAge is the age up to which the list of targets is used without waiting for a
 	// newer one. A target that leaves must stop getting calls within two seconds.
 	maxListAge = 1400 * time.Millisecond
-	// maxReadableListAge is the age from which the list is not used at all while it can be
-	// read.
-	maxReadableListAge = 2 * time.Second
 	// listWait is how long a request waits for a newer list. It must be shorter than the
 	// client's timeout for its reply.
 	listWait = 30 * time.Millisecond
@@ -237,9 +237,12 @@
 		return true
 	}
 	at, readable := s.TargetsRead()
-	return !readable || time.Since(at) < maxReadableListAge
+	return !readable || time.Since(at) < hemlocktally.MaxTargetListAge
 }
 
+// isSuperseded reports whether other instances must not rely on this server's list of targets.
+func (s *Server) isSuperseded() bool { return s.Superseded != nil && s.Superseded() }
+
 // waitForTargets waits for a newer list of targets if the current one is stale. An instance
 // that has placed no calls for a while reads the list rarely or not at all. While the store
 // does not answer, the stale list is used.
--- a/placer/wire.go
+++ b/placer/wire.go
@@ -11,7 +11,7 @@
 
 // Place handles a request from another instance. It implements messenger.Placement.
 func (s *Server) Place(ctx context.Context, in *messenger.PlaceRequest) (*messenger.PlaceResponse, error) {
-	if !s.waitUntilReady(ctx, hemlocktally.ServiceName(in.GetService())) || !s.refreshTargets(ctx) {
+	if !s.waitUntilReady(ctx, hemlocktally.ServiceName(in.GetService())) || !s.refreshTargets(ctx) || s.isSuperseded() {
 		return &messenger.PlaceResponse{Unable: true}, nil
 	}
 	switch answer := s.Acquire(ctx, acquireMsg(in, time.Now())).(type) {
