Numbers from outside are bounded where they are decoded (odd entries)

What callers saw elsewhere: one odd entry among those of the targets ended the processes that read it. Here a target's entry with slots, a valid number, made the placer reserve 16 GiB and ended the process of its owner (and of the next one).

Cause: a number from outside sized memory without a bound.

--- a/allocator/client.go
+++ b/allocator/client.go
@@ -130,7 +130,7 @@
 		return hemlocktally.Grant{}, &unresponsiveError{owner.ID}
 	}
 	if out.Refused != "" {
-		after := time.Duration(out.RetryAfterMicroseconds) * time.Microsecond
+		after := messenger.Duration(out.RetryAfterMicroseconds)
 		return hemlocktally.Grant{}, refusal(hemlocktally.Reason(out.Refused), out.Detail, after)
 	}
 	return c.decodeGrant(out, request, sentAt), nil
@@ -147,12 +147,12 @@
 	grant := hemlocktally.Grant{
 		ID: hemlocktally.GrantID(out.Grant), Service: request.Service, Target: target,
 		Owner: hemlocktally.InstanceID(out.Owner), Revision: hemlocktally.Revision(out.Revision),
-		Deadline: request.Deadline, Waited: time.Duration(out.WaitedMicroseconds) * time.Microsecond, Cold: out.Cold,
+		Deadline: request.Deadline, Waited: messenger.Duration(out.WaitedMicroseconds), Cold: out.Cold,
 	}
 	if out.Cold {
 		// The owner counts the lease from the request's arrival. Counting from when it
 		// was sent is earlier, and so never extends the lease.
-		grant.LeaseEnd = sentAt.Add(time.Duration(out.LeaseMicroseconds) * time.Microsecond)
+		grant.LeaseEnd = sentAt.Add(messenger.Duration(out.LeaseMicroseconds))
 	}
 	return grant
 }
--- a/allocator/reconciler.go
+++ b/allocator/reconciler.go
@@ -169,10 +169,10 @@
 		grants = append(grants, InFlightGrant{
 			Grant: hemlocktally.GrantID(reported.Grant), Service: hemlocktally.ServiceName(reported.Service),
 			Target:  hemlocktally.TargetName(reported.Target),
-			Started: sent.Add(-time.Duration(reported.AgeMicroseconds) * time.Microsecond),
+			Started: sent.Add(-messenger.Duration(reported.AgeMicroseconds)),
 			// The remaining time counts from when the response was sent. Counting from
 			// now is later, and so never ends a grant early.
-			Deadline: now.Add(time.Duration(reported.LeftMicroseconds) * time.Microsecond),
+			Deadline: now.Add(messenger.Duration(reported.LeftMicroseconds)),
 		})
 	}
 	s.deliverReports(ctx, owners, member.ID, sent, grants, out.Services)
--- a/allocator/server.go
+++ b/allocator/server.go
@@ -263,8 +263,8 @@
 		Contract:   hemlocktally.ContractName(in.Contract),
 		Priority:   hemlocktally.Priority(in.Priority),
 		Kind:       hemlocktally.AttemptKind(in.Kind),
-		Deadline:   now.Add(time.Duration(in.DeadlineMicroseconds) * time.Microsecond),
-		QueueLimit: time.Duration(in.QueueLimitMicroseconds) * time.Microsecond,
+		Deadline:   now.Add(messenger.Duration(in.DeadlineMicroseconds)),
+		QueueLimit: messenger.Duration(in.QueueLimitMicroseconds),
 	}
 	for _, name := range in.Exclude {
 		request.Exclude = append(request.Exclude, hemlocktally.TargetName(name))
@@ -279,7 +279,7 @@
 			Grant:        hemlocktally.GrantID(r.Grant),
 			Target:       hemlocktally.TargetName(r.Target),
 			Outcome:      hemlocktally.AttemptOutcome(r.Outcome),
-			Latency:      time.Duration(r.LatencyMicroseconds) * time.Microsecond,
+			Latency:      messenger.Duration(r.LatencyMicroseconds),
 			SaidCold:     r.SaidCold,
 			SaidDraining: r.SaidDraining,
 		})
--- a/claimer/client.go
+++ b/claimer/client.go
@@ -114,8 +114,8 @@
 		Request: request, Verdict: hemlocktally.ClaimVerdict(out.Verdict), Detail: out.Detail, Epoch: out.Epoch,
 		// The fence is counted from when the request was sent, so that it passes here
 		// before it passes at the holder.
-		Fence: sent.Add(microseconds(out.FenceMicroseconds)), Holder: hemlocktally.InstanceID(out.Holder),
-		Response: decodeAnswer(out.Kept), RetryAfter: microseconds(out.RetryAfterMicroseconds),
+		Fence: sent.Add(messenger.Duration(out.FenceMicroseconds)), Holder: hemlocktally.InstanceID(out.Holder),
+		Response: decodeAnswer(out.Kept), RetryAfter: messenger.Duration(out.RetryAfterMicroseconds),
 	}}, nil
 }
 
--- a/claimer/wire.go
+++ b/claimer/wire.go
@@ -16,16 +16,14 @@
 	confirmTimeout  = time.Second
 )
 
-func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
-
 // Begin handles a peer's request to run a call under a key.
 func (s *Server) Begin(ctx context.Context, in *messenger.BeginRequest) (*messenger.BeginResponse, error) {
 	now := time.Now()
 	out, err := s.beginLocal(ctx, hemlocktally.ClaimRequest{
 		Call: hemlocktally.CallID(in.Call), Caller: hemlocktally.CallerName(in.Caller),
 		Contract: hemlocktally.ContractName(in.Contract), Key: in.Key, Digest: in.Digest,
-		Deadline: now.Add(microseconds(in.DeadlineMicroseconds)),
-	}, now.Add(microseconds(in.WaitMicroseconds)))
+		Deadline: now.Add(messenger.Duration(in.DeadlineMicroseconds)),
+	}, now.Add(messenger.Duration(in.WaitMicroseconds)))
 	if err != nil {
 		return nil, twirp.NewError(twirp.Canceled, "the wait for an answer was cancelled")
 	}
@@ -173,7 +171,7 @@
 		out.Records = append(out.Records, Record{
 			Key:    KeyID{Caller: hemlocktally.CallerName(r.Caller), Contract: hemlocktally.ContractName(r.Contract), Key: r.Key},
 			Digest: r.Digest, Call: hemlocktally.CallID(r.Call), State: RecordState(r.State),
-			Fence: now.Add(microseconds(r.FenceMicroseconds)), Created: now.Add(-microseconds(r.AgeMicroseconds)), Kept: decodeAnswer(r.Kept),
+			Fence: now.Add(messenger.Duration(r.FenceMicroseconds)), Created: now.Add(-messenger.Duration(r.AgeMicroseconds)), Kept: decodeAnswer(r.Kept),
 		})
 	}
 	return out
--- a/dialect.go
+++ b/dialect.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// MaxPace bounds the pace that a target may report. A larger one would distort the mean of
+// all targets.
+const MaxPace = 100
+
 // Load is a target's report of its own load. Running, Waiting and Slots count
 // requests.
 type Load struct {
@@ -39,6 +43,7 @@
 	Leaving     bool          // Leaving is set if the target announces that it is leaving for good.
 	RetryAfter  time.Duration // RetryAfter is how long the target wants no requests from this instance; zero if not given.
 	Load        *Load         // Load is nil if the response reports none.
+	Unreadable  []string      // Unreadable names the headers whose values could not be read or exceed their bound.
 	Limit       *RateLimit    // Limit is nil if the response does not say whether the target has a limit. Its time is not set.
 }
 
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hemlocktally"
+	"hemlocktally/logger"
 )
 
 // errAttemptCancelled is the cancellation cause of an attempt whose call already
@@ -230,6 +231,9 @@
 	if err := a.checkResponseCall(response, headers); err != nil {
 		return a.roundTripFailure(ctx, err, result)
 	}
+	if len(headers.Unreadable) > 0 {
+		a.call.dispatcher.Log.Log(logger.EventResponseHeaderUnreadable, logger.Fields{"Service": a.grant.Service, "Target": a.grant.Target.Name, "Headers": headers.Unreadable})
+	}
 	result.ReportedCold, result.ReportedDraining, result.RetryAfter = headers.Cold, headers.Draining || headers.Leaving, headers.RetryAfter
 	result.Load, result.Misdirected, result.ColdFor = headers.Load, headers.Misdirected, headers.ColdFor
 	if headers.Limit != nil && !headers.Misdirected {
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/gzip"
 	"context"
+	"errors"
 	"io"
 	"sync"
 	"time"
@@ -21,6 +22,8 @@
 	syncTimeout     = maxSyncWait + 250*time.Millisecond
 	startupWindow   = 400 * time.Millisecond // startupWindow is how long after its start an instance may still resume its previous role.
 	maxRelayedBytes = 4 << 20                // maxRelayedBytes bounds the decompressed entries.
+	// maxInstancesPerHub bounds the number of followers that another hub reports.
+	maxInstancesPerHub = 1 << 16
 )
 
 // Sync answers a follower's request for updates. It implements messenger.Relay.
@@ -44,7 +47,7 @@
 // awaitUpdate answers as soon as there is something that the caller lacks, or when the
 // wait is over.
 func (f *Follower) awaitUpdate(ctx context.Context, in *messenger.SyncRequest, count int) (*messenger.SyncResponse, error) {
-	hold := time.NewTimer(f.syncWait(microseconds(in.GetHoldMicroseconds())))
+	hold := time.NewTimer(f.syncWait(messenger.Duration(in.GetHoldMicroseconds())))
 	defer hold.Stop()
 	for woken := false; ; woken = true {
 		changed := f.published.wait()
@@ -161,7 +164,7 @@
 // updateInstanceCount estimates the size of the fleet: one hub per zone, each with about
 // as many followers as this one.
 func (f *Follower) updateInstanceCount(instancesPerHub int) {
-	f.instances.Store(int64(instancesPerHub * max(1, len(f.FleetState().Hubs))))
+	f.instances.Store(int64(min(maxInstancesPerHub, max(1, instancesPerHub)) * max(1, len(f.FleetState().Hubs))))
 }
 
 // pack serializes and compresses entries.
@@ -188,16 +191,23 @@
 	return out.Bytes(), nil
 }
 
-// unpack reverses pack. It reads at most maxRelayedBytes of decompressed data.
+// errRelayedTooLarge says that entries exceed maxRelayedBytes. What was read of them must not
+// be taken for all of them.
+var errRelayedTooLarge = errors.New("the relayed entries are too large")
+
+// unpack reverses pack. It fails for more than maxRelayedBytes of decompressed data.
 func unpack(packed []byte) ([]hemlocktally.DirectoryEntry, error) {
 	r, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
 		return nil, err
 	}
-	plain, err := io.ReadAll(io.LimitReader(r, maxRelayedBytes))
+	plain, err := io.ReadAll(io.LimitReader(r, maxRelayedBytes+1))
 	if err != nil {
 		return nil, err
 	}
+	if len(plain) > maxRelayedBytes {
+		return nil, errRelayedTooLarge
+	}
 	var all messenger.RelayedEntries
 	if err := proto.Unmarshal(plain, &all); err != nil {
 		return nil, err
@@ -233,7 +243,7 @@
 		sleep(ctx, jitter(hubSearchPause))
 		return false, true
 	}
-	connected = microseconds(out.GetStoreAgeMicroseconds()) <= maxStoreSilence
+	connected = messenger.Duration(out.GetStoreAgeMicroseconds()) <= maxStoreSilence
 	if connected {
 		r.mark(&r.hubAnsweredAt)
 	}
--- a/follower/state.go
+++ b/follower/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -13,6 +14,21 @@
 // again. Those that are still missing then are removed.
 const reappearGrace = 2200 * time.Millisecond
 
+// maxHubWeight bounds the share of CPU cores that an instance may claim. Services are
+// distributed by it, so that a larger number would draw them all to one instance.
+const maxHubWeight = 1024
+
+// InvalidHubError reports a hub's entry with a weight that no instance can have.
+type InvalidHubError struct {
+	Hub    hemlocktally.InstanceID
+	Weight float64
+}
+
+// Error returns a message with the hub and its weight.
+func (e *InvalidHubError) Error() string {
+	return fmt.Sprintf("hub %s: weight %g is not between 0 and %d", e.Hub, e.Weight, maxHubWeight)
+}
+
 // Hub is the registration of an instance that reads the store on behalf of others. It
 // is stored as JSON, one per zone.
 type Hub struct {
@@ -385,8 +401,13 @@
 }
 
 func decodeHub(value []byte) (hub Hub, err error) {
-	err = json.Unmarshal(value, &hub)
-	return hub, err
+	if err := json.Unmarshal(value, &hub); err != nil {
+		return hub, err
+	}
+	if hub.Weight < 0 || hub.Weight > maxHubWeight {
+		return hub, &InvalidHubError{Hub: hub.ID, Weight: hub.Weight}
+	}
+	return hub, nil
 }
 
 // addRelayed keeps an entry for followers, except targets: instances that place work
--- a/follower/targetlist.go
+++ b/follower/targetlist.go
@@ -63,10 +63,10 @@
 	out := make([]hemlocktally.Registration, 0, len(list))
 	for _, t := range list {
 		out = append(out, hemlocktally.Registration{
-			Service: hemlocktally.ServiceName(t.GetService()), Draining: t.GetDraining(), ColdFor: microseconds(t.GetColdMicroseconds()),
+			Service: hemlocktally.ServiceName(t.GetService()), Draining: t.GetDraining(), ColdFor: messenger.Duration(t.GetColdMicroseconds()),
 			Target: hemlocktally.Target{
 				Name: hemlocktally.TargetName(t.GetName()), Address: t.GetAddress(), Zone: hemlocktally.ZoneName(t.GetZone()),
-				Slots: int(t.GetSlots()), Started: t.GetStarted(),
+				Slots: min(hemlocktally.MaxSlots, int(t.GetSlots())), Started: t.GetStarted(),
 			},
 		})
 	}
--- a/follower/targets.go
+++ b/follower/targets.go
@@ -128,7 +128,7 @@
 		t.targetsUnreadable.Store(true)
 	}
 	send(ctx, t.inbox, TargetListMsg{
-		At: asked.Add(-microseconds(best.GetAgeMicroseconds())), Name: best.GetVersion(), Unchanged: best.GetVersion() == currentDigest, Targets: registrationsOf(best.GetTargets()),
+		At: asked.Add(-messenger.Duration(best.GetAgeMicroseconds())), Name: best.GetVersion(), Unchanged: best.GetVersion() == currentDigest, Targets: registrationsOf(best.GetTargets()),
 		Generation: hemlocktally.StoreGeneration(best.GetGeneration()),
 	})
 	return true
@@ -159,7 +159,7 @@
 		if answers.best == nil || out.GetAgeMicroseconds() < answers.best.GetAgeMicroseconds() {
 			answers.best = out
 		}
-		if !out.GetUnreadable() && microseconds(out.GetAgeMicroseconds()) <= acceptableListAge {
+		if !out.GetUnreadable() && messenger.Duration(out.GetAgeMicroseconds()) <= acceptableListAge {
 			break
 		}
 	}
@@ -218,5 +218,3 @@
 		sleepUntil(ctx, left, published)
 	}
 }
-
-func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/limit.go
+++ b/limit.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// MaxRate bounds the numbers of calls per second that targets and operators name.
+const MaxRate = 1e9
+
 // RateLimit is what a response of a target says about how many requests a second
 // the target takes from all instances together.
 type RateLimit struct {
--- a/logger/owner_events.go
+++ b/logger/owner_events.go
@@ -59,6 +59,12 @@
 		Meaning: "The instance learned that the target names another limit of requests a second from all instances together, or none any more. HeardFrom is the owner that told it, or `alone` where the instance decided alone; it is empty if the target's response came to this instance. Age is how old that response is.",
 		Action:  "Find out what the target lacks.",
 	}
+	EventResponseHeaderUnreadable = Event{
+		Number: 3011, Name: "response header unreadable", Level: logrus.InfoLevel,
+		Fields:  []string{"Service", "Target", "Headers"},
+		Meaning: "The values of these headers in a target's response can't be read or exceed what a target can have; they count as missing.",
+		Action:  "Find out what wrote them.",
+	}
 	EventLimitCounted = Event{
 		Number: 3010, Name: "target limit counted", Level: logrus.InfoLevel,
 		Fields:  []string{"Service", "Target", "Limit", "Before", "ReportedBy", "Alone", "Share"},
@@ -68,5 +74,5 @@
 )
 
 var ownerEvents = []Event{
-	EventOwnerInvariant, EventTargetState, EventOwnerUnresponsive, EventColdTargetsWithheld, EventColdTargetsServed, EventLoadQueryFailed, EventTargetGranted, EventTargetLeaving, EventTargetLimit, EventLimitCounted,
+	EventOwnerInvariant, EventTargetState, EventOwnerUnresponsive, EventColdTargetsWithheld, EventColdTargetsServed, EventLoadQueryFailed, EventTargetGranted, EventTargetLeaving, EventTargetLimit, EventLimitCounted, EventResponseHeaderUnreadable,
 }
--- a/placer/client.go
+++ b/placer/client.go
@@ -216,7 +216,7 @@
 		return GrantCmd{Ticket: msg.Ticket, Grant: grantFromResponse(out, msg, owner.ID, sentAt)}, nil
 	case out.GetRefused() != "":
 		return RefuseCmd{Ticket: msg.Ticket, Error: notRunError(
-			hemlocktally.Reason(out.GetRefused()), out.GetDetail(), microseconds(out.GetRetryAfterMicroseconds()),
+			hemlocktally.Reason(out.GetRefused()), out.GetDetail(), messenger.Duration(out.GetRetryAfterMicroseconds()),
 		)}, nil
 	default:
 		return PendingCmd{Ticket: msg.Ticket}, nil
--- a/placer/server.go
+++ b/placer/server.go
@@ -379,5 +379,8 @@
 			"Service": service, "Target": command.Target.Name, "Cause": err.Error(),
 		})
 	}
+	if len(answer.Unreadable) > 0 {
+		t.server.Log.Log(logger.EventResponseHeaderUnreadable, logger.Fields{"Service": service, "Target": command.Target.Name, "Headers": answer.Unreadable})
+	}
 	t.send(LoadReportMsg{Target: command.Target.Name, Answer: answer, Failed: err != nil})
 }
--- a/placer/wire.go
+++ b/placer/wire.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"hemlocktally"
@@ -41,13 +40,11 @@
 	return &messenger.EndTurnResponse{}, nil
 }
 
-func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
-
 func acquireMsg(in *messenger.PlaceRequest, now time.Time) AcquireMsg {
 	request := hemlocktally.GrantRequest{
 		Service: hemlocktally.ServiceName(in.GetService()), Contract: hemlocktally.ContractName(in.GetContract()),
 		Priority: hemlocktally.Priority(in.GetPriority()), Kind: hemlocktally.AttemptKind(in.GetKind()),
-		Deadline: now.Add(microseconds(in.GetDeadlineMicroseconds())), Objective: now.Add(microseconds(in.GetObjectiveMicroseconds())),
+		Deadline: now.Add(messenger.Duration(in.GetDeadlineMicroseconds())), Objective: now.Add(messenger.Duration(in.GetObjectiveMicroseconds())),
 		NonIdempotent: in.GetNonIdempotent(),
 	}
 	for _, name := range in.GetExclude() {
@@ -102,10 +99,10 @@
 }
 
 func rateLimit(in *messenger.TargetLimit, now time.Time) hemlocktally.RateLimit {
-	if in == nil || math.IsNaN(in.GetPerSecond()) || in.GetPerSecond() < 0 {
+	if in == nil || !(in.GetPerSecond() >= 0 && in.GetPerSecond() <= hemlocktally.MaxRate) {
 		return hemlocktally.RateLimit{}
 	}
-	return hemlocktally.RateLimit{PerSecond: in.GetPerSecond(), Named: in.GetNamed(), At: now.Add(-microseconds(max(0, in.GetAgeMicroseconds())))}
+	return hemlocktally.RateLimit{PerSecond: in.GetPerSecond(), Named: in.GetNamed(), At: now.Add(-messenger.Duration(max(0, in.GetAgeMicroseconds())))}
 }
 
 func targetLimits(in []*messenger.TargetLimit, now time.Time) []hemlocktally.TargetLimit {
@@ -161,9 +158,9 @@
 			Target: hemlocktally.Target{Name: hemlocktally.TargetName(in.GetTarget())},
 		},
 		Contract: hemlocktally.ContractName(in.GetContract()), Outcome: hemlocktally.AttemptOutcome(in.GetOutcome()),
-		Latency: microseconds(in.GetLatencyMicroseconds()), ReportedDraining: in.GetSaidDraining(), Misdirected: in.GetMisdirected(),
-		Unreachable: in.GetUnreachable(), RetryAfter: microseconds(in.GetStayAwayMicroseconds()),
-		ReportedCold: in.GetColdMicroseconds() > 0, ColdFor: microseconds(in.GetColdMicroseconds()),
+		Latency: messenger.Duration(in.GetLatencyMicroseconds()), ReportedDraining: in.GetSaidDraining(), Misdirected: in.GetMisdirected(),
+		Unreachable: in.GetUnreachable(), RetryAfter: messenger.Duration(in.GetStayAwayMicroseconds()),
+		ReportedCold: in.GetColdMicroseconds() > 0, ColdFor: messenger.Duration(in.GetColdMicroseconds()),
 	}
 	if in.GetLimit() != nil {
 		limit := rateLimit(in.GetLimit(), time.Now())
@@ -172,7 +169,7 @@
 	if load := in.GetLoad(); load != nil {
 		const percent = 100
 		r.Load = &hemlocktally.Load{
-			Running: int(load.GetRunning()), Waiting: int(load.GetWaiting()), Slots: int(load.GetSlots()), Pace: float64(load.GetPacePercent()) / percent,
+			Running: int(load.GetRunning()), Waiting: int(load.GetWaiting()), Slots: int(load.GetSlots()), Pace: min(hemlocktally.MaxPace, float64(load.GetPacePercent())/percent),
 		}
 	}
 	return r
--- a/target.go
+++ b/target.go
@@ -38,6 +38,9 @@
 	DefaultMaxConnections = 220
 )
 
+// MaxSlots bounds the slots of a target: memory and time of a choice grow with them.
+const MaxSlots = 1 << 14
+
 // SlotCount returns the slots with the default applied.
 func (t Target) SlotCount() int {
 	if t.Slots <= 0 {
