A refusal that names no call is believed only as the first response on its connection

Cause: a refusal was told apart from a copy by the call ID that it repeats; one without an ID was believed. The same holds for 421, and for what such a response says of load, cold time, limit and leaving.

Change: a response that declares 'not run' must repeat the ID, or be the first on its connection, on which nothing else can have caused it. Otherwise the call's fate is unknown: it isn't repeated unless it is idempotent, and the caller gets 502. A response that does not name a named call tells nothing of its target any more. A request whose caller gave no ID leaves the target nothing to repeat; it gets a connection of its own. In the module's own protocol responses are now checked by Hemlocktally-Call where the target repeats it, which the stand-in does.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -121,7 +121,7 @@
 		p = &pool{}
 		d.pools[request.Target.Address] = p
 	}
-	return p.take(request.Proven, d.ProvenFor, share, time.Now())
+	return p.take(request.Proven, request.Fresh, d.ProvenFor, share, time.Now())
 }
 
 func (d *Dialer) waitForLink(ctx context.Context, target hemlocktally.Target, wait chan struct{}) error {
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -21,13 +21,13 @@
 	toClose []*link // toClose lists removed links that the caller must close.
 }
 
-// take picks the idle link that was released last. Where there is none, or a proven
-// one is asked for and that one is not, it has a new link dialed, in place of the
+// take picks the idle link that was released last. Where there is none, a fresh one is
+// asked for, or a proven one and that one is not, it has a new link dialed, in place of the
 // oldest idle ones if the share is used up. A link is proven where it has received
 // a byte within provenFor.
-func (p *pool) take(proven bool, provenFor time.Duration, share int, now time.Time) takeResult {
+func (p *pool) take(proven, fresh bool, provenFor time.Duration, share int, now time.Time) takeResult {
 	toClose := p.removeExpired(now)
-	if n := len(p.idle); n > 0 {
+	if n := len(p.idle); n > 0 && !fresh {
 		l := p.idle[n-1]
 		if !proven || now.Sub(l.lastReceived()) <= provenFor {
 			p.idle = p.idle[:n-1]
--- a/dialer/pool_test.go
+++ b/dialer/pool_test.go
@@ -20,8 +20,11 @@
 
 func (m *poolModel) take(t *rapid.T) {
 	proven := rapid.Bool().Draw(t, "proven")
-	result := m.pool.take(proven, defaultProvenFor, m.share, m.now)
+	fresh := rapid.Bool().Draw(t, "fresh")
+	result := m.pool.take(proven, fresh, defaultProvenFor, m.share, m.now)
 	switch {
+	case result.link != nil && fresh:
+		t.Fatal("took an idle link as a fresh one")
 	case result.link != nil:
 		if proven && m.now.Sub(result.link.lastReceived()) > defaultProvenFor {
 			t.Fatalf("took a link as proven that received nothing for %s", m.now.Sub(result.link.lastReceived()))
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -167,7 +167,7 @@
 	}
 	startBy := a.startBy()
 	link, err := c.dispatcher.Links.Take(ctx, hemlocktally.ConnRequest{
-		Target: a.grant.Target, Proven: c.contract.NonIdempotent, StartBy: startBy, Fence: c.fence,
+		Target: a.grant.Target, Proven: c.contract.NonIdempotent, Fresh: a.needsFreshLink(), StartBy: startBy, Fence: c.fence,
 	})
 	if err != nil {
 		return a.failure(ctx, err, false)
@@ -231,6 +231,9 @@
 	if err := a.checkResponseCall(response, headers); err != nil {
 		return a.roundTripFailure(ctx, err, result)
 	}
+	if a.callerNamesCall() && !a.responseProven(headers) {
+		headers = hemlocktally.ResponseInfo{} // It may be an earlier response; what it says of the target may be outdated.
+	}
 	if len(headers.Unreadable) > 0 {
 		a.call.dispatcher.Log.Log(logger.EventResponseHeaderUnreadable, logger.Fields{"Service": a.grant.Service, "Target": a.grant.Target.Name, "Headers": headers.Unreadable})
 	}
--- a/dispatcher/dialect.go
+++ b/dispatcher/dialect.go
@@ -55,11 +55,12 @@
 	header[hemlocktally.HeaderDeadline] = []string{strconv.FormatInt(max(1, attempt.TimeLeft.Milliseconds()), 10)}
 }
 
-// ReadResponse reads the state that the target reports and whether it declares that
-// it did not run the call.
+// ReadResponse reads the call that the response names, the state that the target
+// reports and whether it declares that it did not run the call.
 func (defaultDialect) ReadResponse(_ int, header http.Header) hemlocktally.ResponseInfo {
 	state := hemlocktally.TargetState(header.Get(hemlocktally.HeaderTargetState))
 	return hemlocktally.ResponseInfo{
+		Call:   hemlocktally.CallID(header.Get(hemlocktally.HeaderCall)),
 		NotRun: header.Get(hemlocktally.HeaderNotRun) == "true",
 		Cold:   state == hemlocktally.TargetCold, Draining: state == hemlocktally.TargetDraining,
 	}
--- a/dispatcher/failure.go
+++ b/dispatcher/failure.go
@@ -52,22 +52,43 @@
 	return &FailedMsg{Attempt: a.number, Error: refused, Sent: sent, BodyConsumed: c.body.consumed.Load()}
 }
 
+// callerNamesCall reports whether the caller gave its request an ID, which the targets then
+// repeat in their responses.
+func (a *attempt) callerNamesCall() bool {
+	return a.call.dispatcher.dialect().CallID(a.call.request.Header) != ""
+}
+
+// needsFreshLink reports whether the response could not be told apart from those to earlier
+// requests on the connection: the caller gave no ID for the target to repeat. In the module's
+// own protocol the instance names all calls.
+func (a *attempt) needsFreshLink() bool {
+	return a.call.dispatcher.Dialect != nil && !a.callerNamesCall()
+}
+
+// responseProven reports whether the response certainly answers this attempt's request: it
+// names the call, or it is the first response on its connection. A target may send an earlier
+// response once more on a connection that is in use again.
+func (a *attempt) responseProven(headers hemlocktally.ResponseInfo) bool {
+	return a.link.New() || headers.Call == a.call.record.Call
+}
+
 // checkResponseCall returns an error for a response that belongs to another call:
 // a target that sent a surplus response makes it look like the response to the
-// next request on the connection. Responses are checked only if the caller named
-// its call.
+// next request on the connection. A success must name its call if the caller named
+// it, and a refusal that declares that the call did not run must be proven.
 func (a *attempt) checkResponseCall(response *http.Response, headers hemlocktally.ResponseInfo) error {
-	callerNamesCall := a.call.dispatcher.dialect().CallID(a.call.request.Header) != ""
-	if !callerNamesCall || headers.Call == a.call.record.Call {
+	switch {
+	case headers.Call == a.call.record.Call:
 		return nil
-	}
-	if headers.Call != "" {
+	case headers.Call != "":
 		return fmt.Errorf("the response belongs to call %s", headers.Call)
-	}
-	if response.StatusCode < http.StatusMultipleChoices {
+	case headers.NotRun && !a.link.New():
+		return errors.New("the refusal names no call, and an earlier call on the connection may have caused it")
+	case a.callerNamesCall() && response.StatusCode < http.StatusMultipleChoices:
 		return errors.New("the response does not name its call")
+	default:
+		return nil
 	}
-	return nil
 }
 
 // linkSilent reports whether a failed attempt used a connection that seems dead.
--- a/header.go
+++ b/header.go
@@ -3,7 +3,7 @@
 // Headers that callers, instances and targets exchange. The entry instance drops
 // a caller's values of the headers that instances set.
 const (
-	HeaderCall           = "Hemlocktally-Call"         // HeaderCall is the call's ID, in requests to targets and in responses.
+	HeaderCall           = "Hemlocktally-Call"         // HeaderCall is the call's ID, in requests to targets and in responses. A target's refusal that does not repeat it is believed only as the first response on its connection.
 	HeaderOutcome        = "Hemlocktally-Outcome"      // HeaderOutcome is the outcome, in responses to callers.
 	HeaderDeadline       = "Hemlocktally-Deadline"     // HeaderDeadline is the time left until the deadline, in milliseconds.
 	HeaderAttempt        = "Hemlocktally-Attempt"      // HeaderAttempt numbers the attempts of a call from 1.
--- a/imitator/target.go
+++ b/imitator/target.go
@@ -192,6 +192,7 @@
 
 func (t *Target) serveWork(w http.ResponseWriter, r *http.Request) {
 	faults, ok := t.arrive()
+	w.Header().Set(hemlocktally.HeaderCall, r.Header.Get(hemlocktally.HeaderCall))
 	if !ok {
 		t.leave()
 		refuse(w, "shed")
--- a/link.go
+++ b/link.go
@@ -13,6 +13,9 @@
 	// Proven asks for a connection that delivered a response moments ago, or a new
 	// one.
 	Proven bool
+	// Fresh asks for a new connection, for a request whose response can't be told apart
+	// from those to earlier requests.
+	Fresh bool
 	// StartBy is the time after which the request is no longer started; zero means
 	// no limit.
 	StartBy time.Time
