--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -131,7 +131,9 @@
 	case <-ctx.Done():
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		d.pools[target.Address].cancelWait(wait)
+		if p := d.pools[target.Address]; p != nil { // A pool without links is removed, also one that has just woken this request.
+			p.cancelWait(wait)
+		}
 		return &hemlocktally.ConnError{Target: target.Name, Cause: context.Cause(ctx)}
 	}
 }
