--- a/imitator/directory.go
+++ b/imitator/directory.go
@@ -189,6 +189,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
+	d.revision = max(1, d.revision) // The counter starts above 0.
 	found := []directoryItem{}
 	for key, item := range d.items {
 		if strings.HasPrefix(key, prefix) && key > after {
