--- a/acceptor/ahead.go
+++ b/acceptor/ahead.go
@@ -13,6 +13,7 @@
 // earlier responses have been written, so the handler buffers at most its next
 // write.
 type aheadCall struct {
+	conn       *aheadConn
 	request    *http.Request
 	cancel     context.CancelFunc
 	turn       chan struct{}       // turn is closed when the response may be written.
@@ -28,7 +29,7 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	request = request.WithContext(ctx)
 	request.RemoteAddr = c.RemoteAddr().String()
-	call := &aheadCall{request: request, cancel: cancel, turn: make(chan struct{}), done: make(chan struct{})}
+	call := &aheadCall{conn: c, request: request, cancel: cancel, turn: make(chan struct{}), done: make(chan struct{})}
 	c.pipeline.readAhead.Add(1)
 	c.pipeline.open.Add(1)
 	go func() {
@@ -87,6 +88,10 @@
 	}
 }
 
+// BeginStream prepares for a response that is written before it is complete; see
+// aheadConn.beginStream.
+func (a *aheadCall) BeginStream() bool { return a.conn.beginStream(a) }
+
 // Header returns the headers of the response once it may be written. If the
 // connection was lost before, they are headers that nobody reads.
 func (a *aheadCall) Header() http.Header {
--- a/acceptor/aheadconn.go
+++ b/acceptor/aheadconn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -109,6 +110,20 @@
 	return c.last
 }
 
+// beginStream reports whether the response to the call, or to the current request if call
+// is nil, may be written before it is complete. It may not while later requests are being
+// served: if the response breaks off, their responses are lost with the connection. Otherwise
+// no further request is served ahead until that response has ended.
+func (c *aheadConn) beginStream(call *aheadCall) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if behind := c.queue[slices.Index(c.queue, call)+1:]; len(behind) > 0 {
+		return false
+	}
+	c.stopped = true
+	return true
+}
+
 // readAhead starts the requests that are completely received after those that are
 // being served.
 func (c *aheadConn) readAhead() {
--- a/acceptor/pipeline.go
+++ b/acceptor/pipeline.go
@@ -153,6 +153,10 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
+// BeginStream prepares for a response that is written before it is complete; see
+// aheadConn.beginStream.
+func (w *closingWriter) BeginStream() bool { return w.conn.beginStream(nil) }
+
 // Write writes a part of the response body.
 func (w *closingWriter) Write(part []byte) (int, error) {
 	if !w.headerWritten {
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -264,11 +264,7 @@
 		err = errors.New("the response has neither Content-Length nor chunked encoding, so truncation can't be detected")
 	}
 	if err != nil {
-		failed := a.roundTripFailure(ctx, err, result)
-		if failed.Error.Reason == hemlocktally.ReasonTargetFailed {
-			failed.Error.Reason = hemlocktally.ReasonAnswerBroken
-		}
-		return failed
+		return a.brokenResponse(ctx, err, result)
 	}
 	delivered := &targetResponse{status: response.StatusCode, header: response.Header, length: response.ContentLength, buffered: buffered}
 	result.Outcome = outcomeForStatus(response.StatusCode)
@@ -282,7 +278,12 @@
 		a.call.messages <- msg
 		return nil
 	}
-	delivered.remaining = response.Body
+	rest, releaseRest, err := a.remainingBody(response, len(buffered))
+	if err != nil {
+		return a.brokenResponse(ctx, err, result)
+	}
+	defer releaseRest()
+	delivered.remaining = rest
 	delivered.streamed = make(chan hemlocktally.AttemptOutcome, 1)
 	result.Latency = time.Since(a.linkAcquired)
 	msg.summary = a.summarize(*result)
@@ -291,6 +292,15 @@
 	return nil
 }
 
+// brokenResponse returns the message for a response that could not be read completely.
+func (a *attempt) brokenResponse(ctx context.Context, err error, result *hemlocktally.GrantResult) *FailedMsg {
+	failed := a.roundTripFailure(ctx, err, result)
+	if failed.Error.Reason == hemlocktally.ReasonTargetFailed {
+		failed.Error.Reason = hemlocktally.ReasonAnswerBroken
+	}
+	return failed
+}
+
 // awaitStreamed waits until the call has streamed the remaining body or has
 // cancelled the attempt.
 func (a *attempt) awaitStreamed(ctx context.Context, response *targetResponse, result *hemlocktally.GrantResult) {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -36,6 +36,7 @@
 
 	splitter   trafficSplitter
 	latencies  latencies
+	held       heldBytes
 	violations atomic.Uint64
 }
 
--- a/logger/entry_events.go
+++ b/logger/entry_events.go
@@ -42,6 +42,12 @@
 		Meaning: "A caller's connection ended while further pipelined requests of it were being served. They are cancelled.",
 		Action:  "None.",
 	}
+	EventResponseNotHeld = Event{
+		Number: 2007, Name: "large response streamed before later ones", Level: logrus.InfoLevel,
+		Fields:  []string{"Call", "Target", "Bytes"},
+		Meaning: "The response is too large to be held in memory until it is complete, although later requests of its connection are being served. If its target breaks it off, their responses are lost.",
+		Action:  "None; callers can send requests for large responses on connections of their own.",
+	}
 )
 
-var entryEvents = []Event{EventCallInvariant, EventClaimOutcomeUnreported, EventReadinessWithdrawn, EventUnusualCall, EventReadAheadMismatch, EventReadAheadCancelled}
+var entryEvents = []Event{EventCallInvariant, EventClaimOutcomeUnreported, EventReadinessWithdrawn, EventUnusualCall, EventReadAheadMismatch, EventReadAheadCancelled, EventResponseNotHeld}
