A planned stop answers all idempotent requests that had arrived whole before it

They are served ahead as before the stop; what arrives later is not, as TestPlannedStopAnswersWhatWasReadAhead asks.

TestPlannedStopAnswersWhatArrivedBefore failed before.

--- a/acceptor/aheadconn.go
+++ b/acceptor/aheadconn.go
@@ -40,6 +40,7 @@
 	current       *http.Request // current is the request that is being served; nil between two requests.
 	last          bool          // last is set once a response announces the close of the connection.
 	unread        []byte        // unread holds bytes that were read from the socket but not delivered.
+	beforeStop    int           // beforeStop is the number of bytes of unread that arrived before the pipeline began to shut down.
 	parsed        int           // parsed is the number of bytes of unread that belong to the requests in queue.
 	stopped       bool          // stopped is set while the next request after the queue must not be served ahead.
 	queue         []*aheadCall  // queue holds the requests that were read ahead, in order.
@@ -134,7 +135,7 @@
 	if len(c.queue) == 0 && (c.current.Close || !c.current.ProtoAtLeast(1, 1) || !p.Idempotent(c.current)) {
 		c.stopped = true
 	}
-	for !c.stopped && !c.last && !p.leaving.Load() && len(c.queue)+1 < p.depth() {
+	for !c.stopped && !c.last && len(c.queue)+1 < p.depth() {
 		request, size, found := parseAhead(c.unread[c.parsed:])
 		if found == aheadPartial {
 			return
@@ -143,6 +144,9 @@
 			c.stopped = true
 			return
 		}
+		if p.leaving.Load() && c.parsed+size > c.beforeStop {
+			return
+		}
 		c.parsed += size
 		c.queue = append(c.queue, c.serveAhead(request))
 	}
@@ -181,7 +185,7 @@
 func (c *aheadConn) deliverUnread(p []byte) int {
 	n := c.consume(p[:copy(p, c.unread)])
 	c.unread = c.unread[n:]
-	c.parsed = max(0, c.parsed-n)
+	c.parsed, c.beforeStop = max(0, c.parsed-n), max(0, c.beforeStop-n)
 	if len(c.unread) == 0 {
 		c.unread = nil
 	}
@@ -242,6 +246,9 @@
 	if n < len(part) {
 		c.unread = append(c.unread, part[n:]...)
 	}
+	if !c.pipeline.leaving.Load() {
+		c.beforeStop = len(c.unread)
+	}
 	c.checkBodyEnd()
 	if c.phase == phaseServing {
 		c.readAhead()
--- a/acceptor/pipeline.go
+++ b/acceptor/pipeline.go
@@ -83,8 +83,8 @@
 	return accepted, nil
 }
 
-// StopReadAhead stops reading ahead, and closes each connection after the next response
-// that is not followed by another one in progress.
+// StopReadAhead stops reading ahead of requests that arrive from now on, and closes each
+// connection after the next response that is not followed by another one in progress.
 func (p *Pipeline) StopReadAhead() { p.leaving.Store(true) }
 
 // AwaitResponses waits until all requests that were read ahead have been handled or
--- a/acceptor/pipeline_end_test.go
+++ b/acceptor/pipeline_end_test.go
@@ -5,10 +5,13 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"hemlocktally/acceptor"
 )
 
 // During a planned stop several requests of a connection are open. Those whose
@@ -46,6 +49,35 @@
 	c.Check(e.startedPaths(), qt.Not(qt.Contains), "/once/")
 }
 
+// Guards against requests that had arrived whole before a planned stop and get no response:
+// more of them than are served at once wait in the buffer.
+func TestPlannedStopAnswersWhatArrivedBefore(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	e := startTestServer(t, nil)
+	caller := e.dial(t)
+	caller.send(get("/held/1"))
+	e.awaitStarted(t, "/held/1")
+	const requests = 3 * acceptor.DefaultMaxConcurrent
+	var later strings.Builder
+	for n := range requests {
+		later.WriteString(get(fmt.Sprintf("/later/%d", n)))
+	}
+	caller.send(later.String())
+	e.awaitStarted(t, "/later/0")
+	time.Sleep(20 * time.Millisecond)
+	e.pipeline.StopReadAhead()
+	caller.send(get("/after"))
+	time.Sleep(20 * time.Millisecond)
+	e.release("/held/1")
+	c.Check(caller.expect("/held/1", ""), qt.IsFalse)
+	for n := range requests {
+		c.Check(caller.expect(fmt.Sprintf("/later/%d", n), ""), qt.Equals, n == requests-1)
+	}
+	caller.expectClosed()
+	c.Check(e.startedPaths(), qt.Not(qt.Contains), "/after")
+}
+
 // A keep-alive caller sends its next request while the server closes the
 // connection. The request is either served and gets its response, or it is not
 // served at all.
