--- a/follower/isolation_test.go
+++ b/follower/isolation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -81,7 +82,9 @@
 // the store serves others, they must not use its list beyond the time that a target may
 // still get calls. The cut comes at various moments between two reads.
 func TestListOfHubThatTheStoreDoesNotServeIsSuperseded(t *testing.T) {
-	for name, cutOff := range cutOffs {
+	ways := maps.Clone(cutOffs)
+	ways["OnlyLeasesServed"] = func(d *directory) { d.fail("servers/", true) }
+	for name, cutOff := range ways {
 		for moment := range 7 {
 			t.Run(name, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
--- a/follower/operators_test.go
+++ b/follower/operators_test.go
@@ -124,6 +124,23 @@
 	c.Check(out(), qt.IsFalse)
 }
 
+// Guards against requests to a former hub: a stale read of the store returns an entry that
+// another instance has overwritten since.
+func TestOlderHubDoesNotReplaceNewer(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1, 0)
+	state := follower.State{Interpreter: platform.Translator{}}
+	read := func(id string, version hemlocktally.StoreVersion) {
+		entry := hemlocktally.Entry{Key: platform.Translator{}.HubPrefix() + "a", Value: []byte(`{"ID":"` + id + `","Zone":"a"}`), Version: version}
+		state.Update(follower.ChangesMsg{Kind: hemlocktally.EntryHub, Entries: []hemlocktally.DirectoryEntry{{Entry: entry}}}, now)
+	}
+	read("a2", 20)
+	read("a1", 12)
+	c.Check(state.FleetState().Hubs["a"].ID, qt.Equals, hemlocktally.InstanceID("a2"))
+	read("a3", 21)
+	c.Check(state.FleetState().Hubs["a"].ID, qt.Equals, hemlocktally.InstanceID("a3"))
+}
+
 // The operators' entries count as complete from a full read of the store until the feed stops,
 // not by what a hub sends.
 func TestOperatorsAreCompleteByOwnReadsOnly(t *testing.T) {
--- a/follower/state.go
+++ b/follower/state.go
@@ -289,6 +289,9 @@
 		s.removeRelayed(entry.Key)
 		return s.remove(kind, name)
 	}
+	if known, ok := s.relayedEntries[entry.Key]; ok && kind == hemlocktally.EntryHub && known.GenerationVersion().After(entry.GenerationVersion()) {
+		return nil // A stale read of the hubs may be seconds old.
+	}
 	delete(f.pendingRemovals, entry.Key)
 	delete(s.restore.conflicting, entry.Key)
 	if kind != hemlocktally.EntryConfiguration {
