--- a/follower/state.go
+++ b/follower/state.go
@@ -1,8 +1,6 @@
 package follower
 
 import (
-	"encoding/json"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -14,31 +12,6 @@
 // again. Those that are still missing then are removed.
 const reappearGrace = 2200 * time.Millisecond
 
-// maxHubWeight bounds the share of CPU cores that an instance may claim. Services are
-// distributed by it, so that a larger number would draw them all to one instance.
-const maxHubWeight = 1024
-
-// InvalidHubError reports a hub's entry with a weight that no instance can have.
-type InvalidHubError struct {
-	Hub    hemlocktally.InstanceID
-	Weight float64
-}
-
-// Error returns a message with the hub and its weight.
-func (e *InvalidHubError) Error() string {
-	return fmt.Sprintf("hub %s: weight %g is not between 0 and %d", e.Hub, e.Weight, maxHubWeight)
-}
-
-// Hub is the registration of an instance that reads the store on behalf of others. It
-// is stored as JSON, one per zone.
-type Hub struct {
-	ID          hemlocktally.InstanceID
-	Incarnation string
-	Zone        hemlocktally.ZoneName
-	PeerAddress string  // PeerAddress is IP:port.
-	Weight      float64 // Weight is its share of a CPU core; services are distributed by it.
-}
-
 // FleetState is the fleet state that an instance has received, as of one moment. It is
 // immutable once published.
 type FleetState struct {
@@ -136,9 +109,10 @@
 		s.feed(msg.Kind).failing = true
 		return nil, true
 	case FeedStoppedMsg:
-		stopped := msg.Kind == hemlocktally.EntryConfiguration && s.operators.Complete
-		s.operators.Complete = s.operators.Complete && !stopped
-		return nil, !stopped
+		if msg.Kind != hemlocktally.EntryConfiguration || !s.operators.Complete {
+			return nil, true
+		}
+		s.operators.Complete = false
 	case TickMsg:
 	}
 	return nil, false
@@ -403,16 +377,6 @@
 	return []any{HubChange{Zone: zone, Hub: hub.ID}}
 }
 
-func decodeHub(value []byte) (hub Hub, err error) {
-	if err := json.Unmarshal(value, &hub); err != nil {
-		return hub, err
-	}
-	if hub.Weight < 0 || hub.Weight > maxHubWeight {
-		return hub, &InvalidHubError{Hub: hub.ID, Weight: hub.Weight}
-	}
-	return hub, nil
-}
-
 // addRelayed keeps an entry for followers, except targets: instances that place work
 // request the target list separately.
 func (s *State) addRelayed(kind hemlocktally.EntryKind, entry hemlocktally.Entry) {
--- a/follower/targets.go
+++ b/follower/targets.go
@@ -45,7 +45,8 @@
 }
 
 // nextRequestPause is the pause before the next request to the hubs. A stale list is
-// requested again soon, with growing pauses while that fails.
+// requested again soon, with growing pauses while that fails; a recent one, at the latest
+// when it becomes too old.
 func (t *targetFeed) nextRequestPause() time.Duration {
 	at, _ := t.TargetsFreshness()
 	age := time.Since(at)
--- a/messenger/claim.twirp.go
+++ b/messenger/claim.twirp.go
@@ -3,28 +3,18 @@
 
 package messenger
 
-import (
-	context "context"
-	fmt "fmt"
-
-	http "net/http"
-
-	io "io"
-
-	json "encoding/json"
-
-	strconv "strconv"
-
-	strings "strings"
-
-	protojson "google.golang.org/protobuf/encoding/protojson"
-
-	proto "google.golang.org/protobuf/proto"
-
-	twirp "github.com/twitchtv/twirp"
-
-	ctxsetters "github.com/twitchtv/twirp/ctxsetters"
-)
+import context "context"
+import fmt "fmt"
+import http "net/http"
+import io "io"
+import json "encoding/json"
+import strconv "strconv"
+import strings "strings"
+
+import protojson "google.golang.org/protobuf/encoding/protojson"
+import proto "google.golang.org/protobuf/proto"
+import twirp "github.com/twitchtv/twirp"
+import ctxsetters "github.com/twitchtv/twirp/ctxsetters"
 
 // Version compatibility assertion.
 // If the constant is not defined in the package, that likely means
