Lapsed entries are kept after an outage that a hub's target feed did not notice

What callers saw: after an outage of the store, calls were refused with 'no target of the service is known'.

Cause: entries that lapse during an outage get 2.2 s to reappear, but only at an instance whose own feed of targets has failed. A hub whose targets nobody needed meanwhile reads them for the first time after the outage, and removes what is missing at once; it is an empty set taken for the whole truth again. Found while tracing: two hubs that the store does not answer kept each other polling, as each request counted as a need; and an idle hub's old list could pass for one that can be read.

Change: a full read after any failed read or renewal, or within 2.2 s of the store's return, counts as the first answer after a failure. A request of another hub is no need while the store does not answer this one. A hub takes only recent lists of others; the readability that was found out is kept again.

--- a/follower/feed.go
+++ b/follower/feed.go
@@ -137,6 +137,7 @@
 func (f *Follower) noteStoreAnswer() {
 	f.mark(&f.storeAnsweredAt)
 	if f.storeDown.Swap(false) {
+		f.mark(&f.storeBackAt)
 		f.Log.Log(logger.EventStoreAvailable, logger.Fields{"Store": "directory"})
 	}
 }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -50,6 +50,7 @@
 	instances            atomic.Int64 // instances is the estimated number of instances.
 	isHub                atomic.Bool
 	leaving              atomic.Bool
+	storeBackAt          atomic.Int64 // storeBackAt is when the store last answered again after a failed read.
 	storeDown            atomic.Bool
 	targetsUnreadable    atomic.Bool // targetsUnreadable is set while the target list can't be read.
 	renewalFails         atomic.Bool // renewalFails is set while this hub can't renew its lease.
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -46,6 +47,13 @@
 	})
 }
 
+// lapse removes an entry without an event.
+func (d *directory) lapse(key string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.entries = slices.DeleteFunc(d.entries, func(e hemlocktally.DirectoryEntry) bool { return e.Key == key })
+}
+
 func (d *directory) since(prefix string, after uint64) []hemlocktally.DirectoryEntry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/follower/isolation_test.go
+++ b/follower/isolation_test.go
@@ -133,6 +133,35 @@
 	}
 }
 
+// Guards against calls that are refused after an outage because no target is known: nobody needed
+// the targets of a hub meanwhile, so that its first read is the first one to succeed, and entries
+// that lapsed have not reappeared yet. Other hubs ask for its list.
+func TestLapsedEntriesAreKeptAfterAnOutageWithoutReads(t *testing.T) {
+	for name, cutOff := range cutOffs {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := startIsolatedHub(c, "b")
+				idle := f.others[0]
+				time.Sleep(time.Second)
+				idle.NeedTargets()
+				time.Sleep(5 * time.Second) // The need ends meanwhile.
+				c.Assert(idle.FleetState().Targets["s"], qt.HasLen, 1)
+				cutOff(f.store)
+				time.Sleep(1500 * time.Millisecond)
+				f.store.lapse("servers/t")
+				f.store.rejecting.Store(false)
+				f.store.unreachable.Store(false)
+				for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+					idle.NeedTargets()
+					c.Assert(idle.FleetState().Targets["s"], qt.HasLen, 1)
+				}
+				f.stop()
+			})
+		})
+	}
+}
+
 // A hub that the store does not serve must get the list from a hub that can read it, so that
 // it goes on deciding for its services.
 func TestHubThatTheStoreDoesNotServeAsksOtherHubs(t *testing.T) {
--- a/follower/role.go
+++ b/follower/role.go
@@ -254,7 +254,9 @@
 	case err == nil:
 		r.noteStoreAnswer()
 		r.renewedAt, r.failing = time.Now(), false
-		r.renewalFails.Store(false)
+		if r.renewalFails.Swap(false) {
+			r.mark(&r.storeBackAt)
+		}
 	case errors.As(err, &conflict):
 		r.resign(ctx)
 	default:
--- a/follower/targets.go
+++ b/follower/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"hemlocktally"
@@ -31,8 +32,6 @@
 		switch {
 		case !needed && (!hub || !idleElapsed):
 			t.knownRevision, t.misses = 0, 0
-			t.failurePause = 0
-			t.targetsUnreadable.Store(false) // What was found out earlier says nothing about the next list.
 			sleepUntil(ctx, directReadCheckInterval, f.wakeFeeds.wait())
 		case !readsDirectly && t.misses < maxListMisses && t.requestList(ctx):
 			sleep(ctx, jitter(t.nextRequestPause()))
@@ -90,6 +89,10 @@
 		sleep(ctx, jitter(t.failurePause))
 		return
 	}
+	if t.knownRevision == 0 && t.storeUnsettled() {
+		// Only other calls have failed: nobody needed the targets during the outage.
+		send(ctx, t.inbox, ReadFailedMsg{Kind: hemlocktally.EntryTarget})
+	}
 	t.noteStoreAnswer()
 	t.targetsUnreadable.Store(false)
 	t.failurePause, t.misses, t.knownRevision = 0, 0, revision
@@ -122,12 +125,10 @@
 			return false // The store has not failed to answer this instance yet.
 		}
 	}
-	if !best.GetUnreadable() {
-		t.failurePause = 0
-		t.targetsUnreadable.Store(false)
-	} else if !t.isHub.Load() {
-		t.targetsUnreadable.Store(true)
+	if t.isHub.Load() && best.GetUnreadable() {
+		return false // The hub's own list does as well.
 	}
+	t.noteReadability(best)
 	send(ctx, t.inbox, TargetListMsg{
 		At: asked.Add(-messenger.Duration(best.GetAgeMicroseconds())), Name: best.GetVersion(), Unchanged: best.GetVersion() == currentDigest, Targets: registrationsOf(best.GetTargets()),
 		Generation: hemlocktally.StoreGeneration(best.GetGeneration()),
@@ -167,6 +168,18 @@
 	return answers
 }
 
+// noteReadability records whether the list can be read, by the answer of a hub. Another hub
+// goes by a recent list only: an idle hub has not found out yet that the store does not answer.
+func (t *targetFeed) noteReadability(best *messenger.TargetsResponse) {
+	recent := messenger.Duration(best.GetAgeMicroseconds()) <= acceptableListAge
+	if recent && !best.GetUnreadable() {
+		t.failurePause = 0
+	}
+	if recent || !t.isHub.Load() {
+		t.targetsUnreadable.Store(best.GetUnreadable())
+	}
+}
+
 // noteSuperseded records that the store answers some instances while no hub can read it. A
 // hub keeps this for its own followers; any other instance reads the store itself.
 func (t *targetFeed) noteSuperseded() {
@@ -189,7 +202,9 @@
 	if !f.isHub.Load() || f.leaving.Load() {
 		return &messenger.TargetsResponse{Unable: true}, nil
 	}
-	f.NeedTargets()
+	if !f.storeCallsFail() || !f.knowsHub(hemlocktally.InstanceID(in.GetInstance())) { // Two hubs that the store does not answer must not keep each other polling.
+		f.NeedTargets()
+	}
 	p := f.awaitFreshList(ctx)
 	if p.TargetsReadAt.IsZero() {
 		return &messenger.TargetsResponse{Unable: true}, nil
@@ -206,6 +221,17 @@
 	return out, nil
 }
 
+// knowsHub reports whether the instance is another hub.
+func (f *Follower) knowsHub(id hemlocktally.InstanceID) bool {
+	return slices.ContainsFunc(f.hubs(), func(hub Hub) bool { return hub.ID == id })
+}
+
+// storeUnsettled reports whether the store has failed to answer this instance until recently,
+// so that entries that lapsed meanwhile may not have reappeared yet.
+func (f *Follower) storeUnsettled() bool {
+	return f.storeDown.Load() || f.renewalFails.Load() || f.since(&f.storeBackAt) < reappearGrace
+}
+
 // awaitFreshList waits up to freshListWait for a recent list, if the store can be read.
 func (f *Follower) awaitFreshList(ctx context.Context) *FleetState {
 	end := time.Now().Add(freshListWait)
