--- a/follower/poll.go
+++ b/follower/poll.go
@@ -34,16 +34,16 @@
 // storeAge is the time since this instance last received all changes from the store.
 func (f *Follower) storeAge() time.Duration {
 	age := f.since(&f.storeAnsweredAt)
-	if !f.readOperators(f.FleetState()) {
+	if !f.operatorsRead(f.FleetState()) {
 		age = max(age, 2*maxStoreSilence)
 	}
 	return age
 }
 
-// readOperators reports whether this instance has read all operators' entries of the store's
+// operatorsRead reports whether this instance has read all operators' entries of the store's
 // current generation and follows them. An instance that starts or becomes a hub may have
 // renewed its lease before it has read them.
-func (f *Follower) readOperators(p *FleetState) bool {
+func (f *Follower) operatorsRead(p *FleetState) bool {
 	return p.Operators.Complete && p.Operators.At.Generation >= f.Generation()
 }
 
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -103,7 +103,7 @@
 // hub has read the operators' entries.
 func (f *Follower) awaitOperators(ctx context.Context) {
 	f.waitDuringStartup(ctx, f.published, func() bool {
-		return f.isHub.Load() && !f.leaving.Load() && !f.readOperators(f.FleetState())
+		return f.isHub.Load() && !f.leaving.Load() && !f.operatorsRead(f.FleetState())
 	})
 }
 
@@ -131,7 +131,7 @@
 	if p == nil {
 		return out, nil
 	}
-	if f.readOperators(p) {
+	if f.operatorsRead(p) {
 		out.OperatorsRevision = uint64(p.Operators.At.Version)
 	}
 	var err error
--- a/follower/targets.go
+++ b/follower/targets.go
@@ -90,7 +90,7 @@
 		return
 	}
 	if t.knownRevision == 0 && t.storeUnsettled() {
-		// Only other calls have failed: nobody needed the targets during the outage.
+		// Nobody needed the targets during the outage, so that only other calls have failed.
 		send(ctx, t.inbox, ReadFailedMsg{Kind: hemlocktally.EntryTarget})
 	}
 	t.noteStoreAnswer()
@@ -126,7 +126,7 @@
 		}
 	}
 	if t.isHub.Load() && best.GetUnreadable() {
-		return false // The hub's own list does as well.
+		return false // A list that another hub can't read is no better than this hub's own.
 	}
 	t.noteReadability(best)
 	send(ctx, t.inbox, TargetListMsg{
@@ -202,7 +202,8 @@
 	if !f.isHub.Load() || f.leaving.Load() {
 		return &messenger.TargetsResponse{Unable: true}, nil
 	}
-	if !f.storeCallsFail() || !f.knowsHub(hemlocktally.InstanceID(in.GetInstance())) { // Two hubs that the store does not answer must not keep each other polling.
+	// Two hubs that the store does not answer must not keep each other polling.
+	if !f.storeCallsFail() || !f.knowsHub(hemlocktally.InstanceID(in.GetInstance())) {
 		f.NeedTargets()
 	}
 	p := f.awaitFreshList(ctx)
