--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -56,6 +56,7 @@
 	granter    *placer.Client
 	dialer     *dialer.Dialer
 	recorder   *recorder.Recorder
+	dispatcher dispatcher.Dispatcher
 	pipeline   acceptor.Pipeline // pipeline serves the callers' connections.
 	leaving    atomic.Bool
 	configured pictureVersion // configured is what owner and fallback were last configured with.
@@ -261,10 +262,10 @@
 
 // setUpDispatcher sets up the dispatcher and the pipeline that serve callers.
 func (b *Balancer) setUpDispatcher() {
-	handler := &dispatcher.Dispatcher{
+	b.dispatcher = dispatcher.Dispatcher{
 		InstanceID: hemlocktally.InstanceID(b.Settings.Instance.ID), Configuration: b.follower, FirstConfiguration: b.follower, Granter: b.granter, Recorder: b.recorder,
-		Links: b.dialer, Log: b.Log, Dialect: b.Platform, BodyLimit: maxBodyBytes, BufferLimit: holdBackBytes,
+		Links: b.dialer, CrashDetector: b.dialer, Log: b.Log, Dialect: b.Platform, BodyLimit: maxBodyBytes, BufferLimit: holdBackBytes,
 	}
-	b.pipeline.Handler, b.pipeline.Idempotent, b.pipeline.Log = handler, handler.Idempotent, b.Log
+	b.pipeline.Handler, b.pipeline.Idempotent, b.pipeline.Log = &b.dispatcher, b.dispatcher.Idempotent, b.Log
 	b.pipeline.MaxConcurrent, b.pipeline.MaxReadAheadBytes = b.Settings.Callers.PipelineDepth, b.Settings.Callers.PipelineBytes
 }
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -46,6 +46,9 @@
 	gauges = append(gauges, recorder.Metric{
 		Name: "requests_read_ahead_total", Help: "Requests that were served before those ahead of them had their answers.", Type: typeCounter, Value: float64(b.pipeline.ReadAheadCount()),
 	})
+	gauges = append(gauges, recorder.Metric{
+		Name: "target_crashes_total", Help: "Attempts that ended with a crash of their target.", Type: typeCounter, Value: float64(b.dispatcher.Crashes()),
+	})
 	limited, granted := b.granter.Limits()
 	gauges = append(gauges, recorder.Metric{
 		Name: "limited_targets", Help: "Targets that name a limit, as far as this instance knows.", Type: typeGauge, Value: float64(limited),
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -110,6 +110,9 @@
 	if failed != nil {
 		result.Unreachable = a.link == nil && failed.Error.Reason == hemlocktally.ReasonTargetFailed
 		summary := a.release(&result, a.linkSilent())
+		if brokenOff(failed) {
+			a.checkCrash(ctx, failed.Error.Detail)
+		}
 		a.call.messages <- failedMsg{FailedMsg: *failed, summary: summary}
 	}
 }
@@ -314,6 +317,9 @@
 		}
 	}
 	a.release(result, false)
+	if result.Outcome == hemlocktally.AttemptFailed {
+		a.checkCrash(ctx, "the response broke off while it was streamed")
+	}
 }
 
 func outcomeForStatus(status int) hemlocktally.AttemptOutcome {
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"hemlocktally"
@@ -25,6 +26,8 @@
 	depth           int
 	record          hemlocktally.CallRecord
 	claim           *activeClaim                 // claim is nil if the call runs without one.
+	fingerprintOnce sync.Once
+	identity        hemlocktally.Fingerprint     // identity is set by fingerprint.
 	keptResponse    *hemlocktally.StoredResponse // keptResponse is the complete response, for the claim.
 	responseStarted bool                         // responseStarted is set before the first byte of the response is written.
 	truncated       bool                         // truncated is set if the response could not be forwarded completely.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -27,6 +27,7 @@
 	Claimer            hemlocktally.Claimer // Claimer claims idempotency keys; if nil, a call with a key runs like one without.
 	Recorder           hemlocktally.Recorder
 	Links              hemlocktally.ConnPool
+	CrashDetector      hemlocktally.CrashDetector // CrashDetector finds out whether a target that broke off a call has crashed; if nil, that is not known.
 	Log                logger.Logger
 	Dialect            hemlocktally.HeaderCodec // Dialect is the header protocol of callers and targets; nil means hemlocktally's own.
 	BodyLimit          int64                    // BodyLimit is the maximum size of a request body in bytes, unless the configuration sets one.
@@ -38,6 +39,7 @@
 	latencies  latencies
 	held       heldBytes
 	violations atomic.Uint64
+	crashes    atomic.Uint64 // crashes counts the attempts that ended with a crash of their target.
 }
 
 const defaultCallerTimeout = 10 * time.Second
--- a/link.go
+++ b/link.go
@@ -49,6 +49,13 @@
 	Take(ctx context.Context, request ConnRequest) (TargetConn, error)
 }
 
+// CrashDetector tells a target that crashed from one whose connection broke.
+type CrashDetector interface {
+	// RefusesConnections reports whether the target's host answers and refuses
+	// connections to the target's port.
+	RefusesConnections(ctx context.Context, target Target) bool
+}
+
 // ConnError reports that no connection to a target was available. Nothing was sent.
 type ConnError struct {
 	Target TargetName
--- a/logger/entry_events.go
+++ b/logger/entry_events.go
@@ -42,6 +42,12 @@
 		Meaning: "A caller's connection ended while further pipelined requests of it were being served. They are cancelled.",
 		Action:  "None.",
 	}
+	EventTargetBrokeOff = Event{
+		Number: 2008, Name: "target broke off a call", Level: logrus.InfoLevel,
+		Fields:  []string{"Call", "Request", "Service", "Target", "Address", "Crashed", "Cause"},
+		Meaning: "The connection to the target ended after the request was sent and before the response was complete. Crashed is set if the target's host refuses connections since then. Request is the same whenever the same caller sends the same request again.",
+		Action:  "If several lines with Crashed have the same Request, look for what it does to the target.",
+	}
 	EventResponseNotHeld = Event{
 		Number: 2007, Name: "large response streamed before later ones", Level: logrus.InfoLevel,
 		Fields:  []string{"Call", "Target", "Bytes"},
@@ -50,4 +56,4 @@
 	}
 )
 
-var entryEvents = []Event{EventCallInvariant, EventClaimOutcomeUnreported, EventReadinessWithdrawn, EventUnusualCall, EventReadAheadMismatch, EventReadAheadCancelled, EventResponseNotHeld}
+var entryEvents = []Event{EventCallInvariant, EventClaimOutcomeUnreported, EventReadinessWithdrawn, EventUnusualCall, EventReadAheadMismatch, EventReadAheadCancelled, EventResponseNotHeld, EventTargetBrokeOff}
