--- a/balancer/fleet_test.go
+++ b/balancer/fleet_test.go
@@ -84,7 +84,7 @@
 		}
 		l := listen(t)
 		f.upstreams = append(f.upstreams, u)
-		run(func(ctx context.Context) error { return u.Start(ctx, l, f.directory) })
+		run(func(ctx context.Context) error { return runUpstream(ctx, u, l, f.directory) })
 	}
 	f.directory.Declare(document(4))
 	for i, zone := range zones {
@@ -107,6 +107,28 @@
 	return f
 }
 
+// upstreamRestart is how long a crashed upstream is away.
+const upstreamRestart = 800 * time.Millisecond
+
+// runUpstream starts the upstream again at the same address after each crash.
+func runUpstream(ctx context.Context, u *imitator.Upstream, l net.Listener, d *imitator.Directory) error {
+	for {
+		if err := u.Start(ctx, l, d); err != nil || ctx.Err() != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(upstreamRestart):
+		}
+		again, err := net.Listen("tcp", l.Addr().String())
+		if err != nil {
+			return err
+		}
+		l = again
+	}
+}
+
 func (f *fleet) startInstance(id, zone string) *instance {
 	ip := uniqueIP()
 	settings := balancer.Settings{
@@ -156,8 +178,13 @@
 	err    error
 }
 
+// call sends a request whose body is its ID.
 func (f *fleet) call(i *instance, method, path, id string) callResult {
-	request, err := http.NewRequest(method, "http://"+i.settings.Listen.Callers+path, strings.NewReader(id))
+	return f.send(i, method, path, id, id)
+}
+
+func (f *fleet) send(i *instance, method, path, id, body string) callResult {
+	request, err := http.NewRequest(method, "http://"+i.settings.Listen.Callers+path, strings.NewReader(body))
 	if err != nil {
 		return callResult{err: err}
 	}
@@ -167,8 +194,8 @@
 		return callResult{err: err}
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return callResult{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+	text, err := io.ReadAll(response.Body)
+	return callResult{status: response.StatusCode, header: response.Header, body: string(text), err: err}
 }
 
 // runs returns how often each request ran, over all targets.
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -25,7 +25,7 @@
 	fence           time.Time // fence is when a claimed call must have ended; zero means no limit.
 	depth           int
 	record          hemlocktally.CallRecord
-	claim           *activeClaim                 // claim is nil if the call runs without one.
+	claim           *activeClaim // claim is nil if the call runs without one.
 	fingerprintOnce sync.Once
 	identity        hemlocktally.Fingerprint     // identity is set by fingerprint.
 	keptResponse    *hemlocktally.StoredResponse // keptResponse is the complete response, for the claim.
--- a/imitator/imitator.go
+++ b/imitator/imitator.go
@@ -13,6 +13,9 @@
 	"time"
 )
 
+// errCrashed is the cancellation cause of a server that stops without finishing its requests.
+var errCrashed = errors.New("crashed")
+
 // serve runs an HTTP server on the listener until the context ends.
 func serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
@@ -20,6 +23,10 @@
 	go func() {
 		defer close(done)
 		<-ctx.Done()
+		if errors.Is(context.Cause(ctx), errCrashed) {
+			_ = server.Close()
+			return
+		}
 		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 		defer cancel()
 		if err := server.Shutdown(stop); err != nil {
--- a/imitator/upstream.go
+++ b/imitator/upstream.go
@@ -29,6 +29,9 @@
 	StayAway time.Duration
 	// ResetFull resets the connection of a request that finds no place in the queue.
 	ResetFull bool
+	// CrashPath is the path of requests that crash the upstream in the middle of their work;
+	// "" for none.
+	CrashPath string
 	// Bytes is what else than plain answers comes over the connections.
 	Bytes UpstreamBytes
 }
@@ -74,13 +77,18 @@
 	sequence int
 	started  int64
 	arrivals []Arrival
-	late     int // late counts requests that came after the upstream should have been left.
+	crash    context.CancelCauseFunc // crash ends the current Start without an answer to anyone.
+	late     int                     // late counts requests that came after the upstream should have been left.
 	leftBy   time.Time
 }
 
-// Start serves on the listener until the context ends, and registers.
+// Start serves on the listener until the context ends or a request crashes the upstream, and
+// registers.
 func (u *Upstream) Start(ctx context.Context, listener net.Listener, d *Directory) error {
+	ctx, crash := context.WithCancelCause(ctx)
+	defer crash(nil)
 	u.mu.Lock()
+	u.crash, u.running, u.waiting = crash, 0, 0
 	u.address, u.started = listener.Addr().String(), time.Now().UnixMilli()
 	if u.Registered != "" {
 		u.address = u.Registered
@@ -255,9 +263,15 @@
 		<-r.Context().Done()
 		return
 	}
+	crashes := faults.CrashPath != "" && r.URL.Path == faults.CrashPath
 	if !u.run(r, id, faults) {
 		return
 	}
+	if crashes {
+		u.crash(errCrashed)
+		<-r.Context().Done()
+		return
+	}
 	if faults.LoseAnswer {
 		panic(http.ErrAbortHandler)
 	}
