--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -24,6 +24,7 @@
 	"hemlocktally/messenger"
 	"hemlocktally/placer"
 	"hemlocktally/prober"
+	"hemlocktally/quarantiner"
 	"hemlocktally/recorder"
 )
 
@@ -54,6 +55,7 @@
 	owner      *placer.Server // owner decides for the services that the instance owns.
 	fallback   *placer.Server // fallback decides while no owner responds.
 	granter    *placer.Client
+	suspects   *quarantiner.Quarantiner
 	dialer     *dialer.Dialer
 	recorder   *recorder.Recorder
 	dispatcher dispatcher.Dispatcher
@@ -103,7 +105,9 @@
 		b.follower.Run, b.owner.Run, b.fallback.Run, b.dialer.Run,
 		func(ctx context.Context) error { return serve(ctx, listeners.ready, plainServer(b.readyHandler())) },
 		func(ctx context.Context) error { return b.servePeers(ctx, listeners.peers) },
-		func(ctx context.Context) error { return serve(ctx, listeners.metrics, plainServer(b.metricsHandler())) },
+		func(ctx context.Context) error {
+			return serve(ctx, listeners.metrics, plainServer(b.operatorHandler()))
+		},
 	} {
 		group.Add(func() error { return task(taskCtx) }, func(error) { cancel() })
 	}
@@ -126,19 +130,20 @@
 		},
 	}
 	b.follower.Prepare()
+	b.suspects = &quarantiner.Quarantiner{Self: self, View: b.follower, HTTP: peers, Log: b.Log, Disabled: off}
 	loadProber := &prober.LoadProber{Dialect: b.Platform, HTTP: &http.Client{Transport: transport(1, probeIdleTimeout, defaultDialTimeout)}}
 	bounds := placer.Bounds{
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: s.Bounds.RetryWindow, RetrySlack: s.Bounds.RetrySlack,
 		ColdShare: coldShare, ProbesPerSecond: s.Bounds.ProbesPerSecond, Disabled: off,
 	}
-	b.owner = &placer.Server{Self: self, Epoch: epoch, Bounds: bounds, Prober: loadProber, Log: b.Log, RequestTargets: b.follower.NeedTargets, TargetsRead: b.follower.TargetsFreshness, View: b.follower, Superseded: b.follower.Superseded}
+	b.owner = &placer.Server{Self: self, Epoch: epoch, Bounds: bounds, Prober: loadProber, Log: b.Log, RequestTargets: b.follower.NeedTargets, TargetsRead: b.follower.TargetsFreshness, View: b.follower, Superseded: b.follower.Superseded, Suspects: b.suspects}
 	// Many instances may decide without the owner at the same time, so each uses
 	// only a small part of the fleet's budget and leaves cold targets to the owner.
 	bounds.ColdShare, bounds.RetryRatio = 0, bounds.RetryRatio/2
-	b.fallback = &placer.Server{Self: self, Epoch: epoch + "A", Bounds: bounds, Prober: loadProber, Log: b.Log, RequestTargets: b.follower.NeedTargets, TargetsRead: b.follower.TargetsFreshness, Alone: true}
+	b.fallback = &placer.Server{Self: self, Epoch: epoch + "A", Bounds: bounds, Prober: loadProber, Log: b.Log, RequestTargets: b.follower.NeedTargets, TargetsRead: b.follower.TargetsFreshness, Alone: true, Suspects: b.suspects}
 	b.granter = &placer.Client{
 		Self: self, Zone: hemlocktally.ZoneName(s.Instance.Zone), Epoch: epoch, View: b.follower, Server: b.owner, Alone: b.fallback,
-		HTTP: peers, Log: b.Log, RequestTargets: b.follower.NeedTargets, Disabled: off,
+		HTTP: peers, Log: b.Log, RequestTargets: b.follower.NeedTargets, Suspects: b.suspects, Disabled: off,
 	}
 	b.dialer = &dialer.Dialer{
 		Viewer: b.follower, ProvenFor: connProvenFor, IdleLimit: connIdleLimit, DialTimeout: connDialTimeout, Dial: dial,
@@ -264,7 +269,7 @@
 func (b *Balancer) setUpDispatcher() {
 	b.dispatcher = dispatcher.Dispatcher{
 		InstanceID: hemlocktally.InstanceID(b.Settings.Instance.ID), Configuration: b.follower, FirstConfiguration: b.follower, Granter: b.granter, Recorder: b.recorder,
-		Links: b.dialer, CrashDetector: b.dialer, Log: b.Log, Dialect: b.Platform, BodyLimit: maxBodyBytes, BufferLimit: holdBackBytes,
+		Links: b.dialer, CrashDetector: b.dialer, Quarantine: b.suspects, Log: b.Log, Dialect: b.Platform, BodyLimit: maxBodyBytes, BufferLimit: holdBackBytes,
 	}
 	b.pipeline.Handler, b.pipeline.Idempotent, b.pipeline.Log = &b.dispatcher, b.dispatcher.Idempotent, b.Log
 	b.pipeline.MaxConcurrent, b.pipeline.MaxReadAheadBytes = b.Settings.Callers.PipelineDepth, b.Settings.Callers.PipelineBytes
--- a/balancer/crash_test.go
+++ b/balancer/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -10,6 +11,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"hemlocktally"
+	"hemlocktally/balancer"
 	"hemlocktally/imitator"
 )
 
@@ -39,19 +42,47 @@
 	return arrivals
 }
 
+// startCrashFleet starts a fleet whose targets crash under one request.
+func startCrashFleet(t *testing.T, zones ...string) *fleet {
+	t.Helper()
+	f := startFleet(t, zones...)
+	for _, u := range f.upstreams {
+		u.ChangeFaults(func(faults *imitator.UpstreamFaults) { faults.CrashPath = crashPath })
+	}
+	return f
+}
+
+func (f *fleet) sendCrash(i *instance, id string) callResult {
+	return f.send(i, http.MethodGet, crashPath, crashPrefix+id, "")
+}
+
+// awaitHeld sends the request to the instances in turn until all of them hold it back.
+func (f *fleet) awaitHeld(instances ...*instance) {
+	f.t.Helper()
+	held := 0
+	for n := 0; held < len(instances); n++ {
+		if n > 200 {
+			f.t.Fatal("the request is not held back")
+		}
+		got := f.sendCrash(instances[n%len(instances)], fmt.Sprint("until-held-", n))
+		held++
+		if !strings.Contains(got.body, string(hemlocktally.ReasonQuarantined)) {
+			held = 0
+		}
+		time.Sleep(60 * time.Millisecond)
+	}
+}
+
 // A request that crashes each target that runs it comes again and again, at any instance, and
 // crashes target after target: nothing remembers it beyond one call.
 func TestRequestThatCrashesTargetsIsHeldBack(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	f := startFleet(t, "a", "b", "c")
-	for _, u := range f.upstreams {
-		u.ChangeFaults(func(faults *imitator.UpstreamFaults) { faults.CrashPath = crashPath })
-	}
+	f := startCrashFleet(t, "a", "b", "c")
 	var thirdCrash time.Time
 	for n := 0; thirdCrash.IsZero() || time.Since(thirdCrash) < crashSettle+3*time.Second; n++ {
 		c.Assert(n < 200, qt.IsTrue)
-		f.send(f.instances[n%3], http.MethodGet, crashPath, fmt.Sprintf("%s%d", crashPrefix, n), "")
+		f.sendCrash(f.instances[n%3], fmt.Sprint(n))
 		if thirdCrash.IsZero() && len(f.crashArrivals()) >= crashesAllowed {
 			thirdCrash = time.Now()
 		}
@@ -60,10 +91,81 @@
 	late := slices.DeleteFunc(f.crashArrivals(), func(at time.Time) bool { return at.Before(thirdCrash.Add(crashSettle)) })
 	c.Check(len(late) <= crashRetries, qt.IsTrue, qt.Commentf("%d requests reached targets", len(late)))
 	for n, i := range f.instances {
-		got := f.send(i, http.MethodGet, crashPath, fmt.Sprintf("%slast-%d", crashPrefix, n), "")
+		got := f.sendCrash(i, fmt.Sprint("last-", n))
 		c.Check(got.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s", got.body))
 		c.Check(got.header.Get("Retry-After"), qt.Not(qt.Equals), "")
 		got = f.call(i, http.MethodGet, "/read/x", fmt.Sprintf("other-%d", n))
 		c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("another path: %s", got.body))
+		got = f.call(i, http.MethodGet, crashPath, fmt.Sprintf("body-%d", n))
+		c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("another body: %s", got.body))
+	}
+}
+
+// The hubs that counted the crashes stop, and an instance starts that never saw one: the request
+// stays held back.
+func TestHeldRequestStaysHeldWhenHubsStop(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := startCrashFleet(t, "a", "a", "b")
+	f.awaitHeld(f.instances...)
+	before := len(f.crashArrivals())
+	f.instances[0].stop()
+	f.instances[2].stop()
+	fresh := f.startInstance("e-new", "b")
+	f.instances = append(f.instances, fresh)
+	f.awaitReady(fresh)
+	survivor := f.instances[1]
+	f.call(survivor, http.MethodGet, "/read/x", "talk") // Any call tells the new owner.
+	for n := range 20 {
+		c.Check(f.sendCrash(survivor, fmt.Sprint("survivor-", n)).status, qt.Equals, http.StatusServiceUnavailable)
+		f.call(survivor, http.MethodGet, "/read/x", fmt.Sprint("talk-", n))
+		f.sendCrash(fresh, fmt.Sprint("fresh-", n))
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.Check(len(f.crashArrivals())-before <= crashRetries, qt.IsTrue, qt.Commentf("%d more requests reached targets", len(f.crashArrivals())-before))
+	c.Check(f.sendCrash(fresh, "last").status, qt.Equals, http.StatusServiceUnavailable)
+}
+
+// Operators see what is held back and release it, with their key only.
+func TestOperatorReleasesHeldRequest(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := startCrashFleet(t, "a", "b")
+	f.awaitHeld(f.instances...)
+	address := "http://" + f.instances[0].settings.Listen.Metrics + balancer.QuarantinePath
+	ask := func(method, url, key string) (int, string) {
+		request, err := http.NewRequest(method, url, http.NoBody)
+		c.Assert(err, qt.IsNil)
+		request.Header.Set("Authorization", "Bearer "+key)
+		response, err := f.client.Do(request)
+		c.Assert(err, qt.IsNil)
+		defer func() { _ = response.Body.Close() }()
+		body, err := io.ReadAll(response.Body)
+		c.Assert(err, qt.IsNil)
+		return response.StatusCode, string(body)
+	}
+	status, list := ask(http.MethodGet, address, "")
+	c.Check(status, qt.Equals, http.StatusOK)
+	request, _, found := strings.Cut(list, " ")
+	c.Assert(found, qt.IsTrue)
+	for _, key := range []string{"", "wrong"} {
+		status, _ = ask(http.MethodDelete, address+"/"+request, key)
+		c.Check(status, qt.Equals, http.StatusForbidden)
+	}
+	status, _ = ask(http.MethodDelete, address+"/zz", operatorKey)
+	c.Check(status, qt.Equals, http.StatusBadRequest)
+	for _, u := range f.upstreams {
+		u.SetFaults(imitator.UpstreamFaults{})
+	}
+	status, _ = ask(http.MethodDelete, address+"/"+request, operatorKey)
+	c.Check(status, qt.Equals, http.StatusOK)
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		f.call(f.instances[1], http.MethodGet, "/read/x", fmt.Sprint(time.Now().UnixNano()))
+		if f.sendCrash(f.instances[0], "a").status == http.StatusOK && f.sendCrash(f.instances[1], "b").status == http.StatusOK {
+			break
+		}
+		if time.Now().After(end) {
+			c.Fatal("the request is still held back")
+		}
 	}
 }
--- a/balancer/fleet_test.go
+++ b/balancer/fleet_test.go
@@ -32,6 +32,9 @@
 	store     string
 }
 
+// operatorKey is the operators' key of all instances.
+const operatorKey = "opens"
+
 // instance is one balancer of the fleet.
 type instance struct {
 	settings balancer.Settings
@@ -133,9 +136,9 @@
 	ip := uniqueIP()
 	settings := balancer.Settings{
 		Instance: balancer.InstanceSettings{ID: id, Zone: zone, Weight: 1},
-		Listen:   balancer.ListenSettings{Callers: ip + ":8080", Ready: ip + ":8081", Peers: ip + ":8082"},
+		Listen:   balancer.ListenSettings{Callers: ip + ":8080", Ready: ip + ":8081", Peers: ip + ":8082", Metrics: ip + ":8083"},
 		Platform: balancer.PlatformSettings{Store: f.store},
-		Bounds:   balancer.BoundSettings{RetryRatio: 0.2, RetrySlack: 56},
+		Bounds:   balancer.BoundSettings{RetryRatio: 0.2, RetrySlack: 56}, Operators: balancer.OperatorSettings{Key: operatorKey},
 	}.WithDefaults()
 	ctx, stop := context.WithCancel(context.Background())
 	i := &instance{settings: settings, stop: stop, done: make(chan error, 1)}
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -49,6 +49,14 @@
 	gauges = append(gauges, recorder.Metric{
 		Name: "target_crashes_total", Help: "Attempts that ended with a crash of their target.", Type: typeCounter, Value: float64(b.dispatcher.Crashes()),
 	})
+	suspected, held, refused := b.suspects.Stats()
+	gauges = append(gauges, recorder.Metric{
+		Name: "suspected_requests", Help: "Requests under which targets crashed lately, as far as this instance knows.", Type: typeGauge, Value: float64(suspected),
+	}, recorder.Metric{
+		Name: "quarantined_requests", Help: "Requests that this instance holds back because they crash targets.", Type: typeGauge, Value: float64(held),
+	}, recorder.Metric{
+		Name: "quarantine_refusals_total", Help: "Attempts that were refused because their request crashes targets.", Type: typeCounter, Value: float64(refused),
+	})
 	limited, granted := b.granter.Limits()
 	gauges = append(gauges, recorder.Metric{
 		Name: "limited_targets", Help: "Targets that name a limit, as far as this instance knows.", Type: typeGauge, Value: float64(limited),
--- a/balancer/peer.go
+++ b/balancer/peer.go
@@ -25,6 +25,7 @@
 func (b *Balancer) servePeers(ctx context.Context, listener net.Listener) error {
 	mux := http.NewServeMux()
 	mux.Handle(messenger.PlacementPathPrefix, messenger.NewPlacementServer(b.owner))
+	mux.Handle(messenger.QuarantinePathPrefix, messenger.NewQuarantineServer(b.suspects))
 	mux.Handle(messenger.RelayPathPrefix, messenger.NewRelayServer(b.follower))
 	return serve(ctx, listener, peerServer(mux))
 }
--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -15,13 +15,14 @@
 // Settings holds all settings of one entry instance on a platform. Its fields are
 // the sections of the INI file.
 type Settings struct {
-	Instance InstanceSettings
-	Listen   ListenSettings
-	Callers  CallerSettings
-	Platform PlatformSettings
-	Bounds   BoundSettings
-	Policy   PolicySettings
-	Log      loader.LogSettings
+	Instance  InstanceSettings
+	Listen    ListenSettings
+	Callers   CallerSettings
+	Platform  PlatformSettings
+	Bounds    BoundSettings
+	Policy    PolicySettings
+	Operators OperatorSettings
+	Log       loader.LogSettings
 }
 
 // InstanceSettings identify the instance.
@@ -64,6 +65,11 @@
 	Off string // Off lists the mechanisms to switch off, separated by commas, so that their effect can be measured.
 }
 
+// OperatorSettings hold what operators need to change an instance's state.
+type OperatorSettings struct {
+	Key string // Key allows them to release requests that are held back; if it is empty, nobody may.
+}
+
 // Defaults of the settings.
 const (
 	defaultStopTimeout     = 6 * time.Second
--- a/cmd/hemlocktally/main.go
+++ b/cmd/hemlocktally/main.go
@@ -53,7 +53,7 @@
 		Commands: []*cli.Command{
 			serveCommand(), balanceCommand(), demoCommand(), settingsCommand(), contractsCommand(), eventsCommand(), versionCommand(),
 			askCommand(), tellCommand(), shellCommand(), reportCommand(), playgroundCommand(),
-			benchCommand(), benchFleetCommand(), soakCommand(), claimsCommand(), slopesCommand(), explainCommand(), lossesCommand(),
+			benchCommand(), benchFleetCommand(), soakCommand(), claimsCommand(), slopesCommand(), explainCommand(), lossesCommand(), quarantineCommand(),
 			platformCommand(), targetCommand(), callersCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -111,7 +112,7 @@
 		result.Unreachable = a.link == nil && failed.Error.Reason == hemlocktally.ReasonTargetFailed
 		summary := a.release(&result, a.linkSilent())
 		if brokenOff(failed) {
-			a.checkCrash(ctx, failed.Error.Detail)
+			failed.Crashed = a.checkCrash(ctx, failed.Error.Detail)
 		}
 		a.call.messages <- failedMsg{FailedMsg: *failed, summary: summary}
 	}
@@ -119,16 +120,28 @@
 
 func (a *attempt) acquireGrant(ctx context.Context) bool {
 	c := a.call
+	verdict, refused := a.checkQuarantine()
+	if refused != nil {
+		c.messages <- GrantRefusedMsg{Attempt: a.number, Error: refused}
+		return false
+	}
 	requested := time.Now()
 	grant, err := c.dispatcher.Granter.Acquire(ctx, hemlocktally.GrantRequest{
 		Call: c.record.Call, Service: c.contract.Service, Contract: c.contract.Name, Priority: c.contract.Priority,
 		Kind: a.kind, Deadline: c.deadline, QueueLimit: a.queueLimit(), Exclude: a.exclude,
 		Objective: c.started.Add(c.contract.EffectiveObjective()), NonIdempotent: c.contract.NonIdempotent,
+		Trial: a.trial(verdict),
 	})
 	if err != nil {
 		c.messages <- GrantRefusedMsg{Attempt: a.number, Error: grantError(ctx, err)}
 		return false
 	}
+	// The owner's answer may have told this instance of crashes elsewhere.
+	if again, refused := a.checkQuarantine(); refused != nil || again > verdict {
+		c.dispatcher.Granter.Release(hemlocktally.GrantResult{Grant: grant, Contract: c.contract.Name, Outcome: hemlocktally.AttemptUnused})
+		c.messages <- GrantRefusedMsg{Attempt: a.number, Error: cmp.Or(refused, quarantinedError())}
+		return false
+	}
 	a.grant = grant
 	c.messages <- grantedMsg{
 		GrantedMsg: GrantedMsg{Attempt: a.number, Target: grant.Target.Name}, grant: grant, granting: time.Since(requested),
@@ -340,6 +353,9 @@
 		a.link.Release(silent)
 	}
 	a.call.dispatcher.Granter.Release(*result)
+	if result.Outcome == hemlocktally.AttemptDone {
+		a.recordCompletion()
+	}
 	return summary
 }
 
--- a/dispatcher/call_log.go
+++ b/dispatcher/call_log.go
@@ -16,8 +16,12 @@
 	if r.Outcome == hemlocktally.OutcomeDone && len(r.Attempts) <= 1 && !late && !c.truncated {
 		return
 	}
+	request := ""
+	if d.Quarantine != nil && !d.Quarantine.Empty() && c.body != nil {
+		request = c.fingerprint().String()
+	}
 	d.Log.Log(logger.EventUnusualCall, logger.Fields{
-		"Call": r.Call, "Contract": r.Contract, "Service": r.Service, "Revision": r.Revision, "Outcome": r.Outcome, "Reason": r.Reason,
+		"Call": r.Call, "Request": request, "Contract": r.Contract, "Service": r.Service, "Revision": r.Revision, "Outcome": r.Outcome, "Reason": r.Reason,
 		"Detail": r.Detail, "Status": r.Status, "Total": r.Total.String(), "Queue": r.Granting.String(), "Serving": r.Serving.String(),
 		"Objective": c.contract.Objective.String(), "Attempts": attemptsText(r.Attempts),
 	})
--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -18,6 +18,9 @@
 	crashed := d.CrashDetector.RefusesConnections(context.WithoutCancel(ctx), a.grant.Target)
 	if crashed {
 		d.crashes.Add(1)
+		if d.Quarantine != nil {
+			d.Quarantine.RecordCrash(a.call.fingerprint(), a.grant.Service, a.grant.Target)
+		}
 	}
 	d.Log.Log(logger.EventTargetBrokeOff, logger.Fields{
 		"Call": a.call.record.Call, "Request": a.call.fingerprint(), "Service": a.grant.Service, "Target": a.grant.Target.Name,
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -41,6 +41,7 @@
 	phase       attemptPhase
 	target      hemlocktally.TargetName
 	retryTarget bool // retryTarget allows another attempt on the same target.
+	crashed     bool // crashed is set if the target crashed under the call.
 	possiblyRun bool // possiblyRun is set if the target may have run the call.
 }
 
@@ -73,6 +74,7 @@
 		Sent           bool // Sent is set if a byte may have reached the target.
 		DeclaredNotRun bool // DeclaredNotRun is set if the target stated that it did not run the call.
 		BodyConsumed   bool // BodyConsumed is set if the request body can't be sent again.
+		Crashed        bool // Crashed is set if the target crashed after the call was sent to it.
 	}
 	// ConnectionSilentMsg reports that the connection of an attempt seems to be
 	// dead. The attempt continues, because the target may only be slow.
@@ -210,6 +212,7 @@
 	attempt := &p.attempts[msg.Attempt-1]
 	attempt.phase = phaseEnded
 	attempt.possiblyRun = msg.Sent && !msg.DeclaredNotRun
+	attempt.crashed = msg.Crashed
 	p.lastError = msg.Error
 	if p.completed {
 		return nil
@@ -225,7 +228,7 @@
 	if reason != hemlocktally.ReasonTargetFailed && reason != hemlocktally.ReasonAnswerBroken {
 		return false
 	}
-	if msg.BodyConsumed || (p.Nested && msg.Sent) {
+	if msg.BodyConsumed || (p.Nested && msg.Sent) || p.crashes() >= maxCrashes {
 		return false
 	}
 	return !p.NonIdempotent || !msg.Sent || msg.DeclaredNotRun
@@ -295,6 +298,20 @@
 	p.completed = true
 }
 
+// maxCrashes is the number of crashed targets after which a call is not tried on another one:
+// the call itself is the likely cause.
+const maxCrashes = 2
+
+func (p *Plan) crashes() int {
+	n := 0
+	for _, attempt := range p.attempts {
+		if attempt.crashed {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *Plan) activeAttempts() int {
 	n := 0
 	for _, attempt := range p.attempts {
--- a/grant.go
+++ b/grant.go
@@ -48,6 +48,9 @@
 	// deadline.
 	Objective     time.Time
 	NonIdempotent bool
+	// Trial is the fingerprint of a request that was held back and is tried once more; it is
+	// zero for all others.
+	Trial Fingerprint
 }
 
 // Grant is permission to run one attempt on one target.
--- a/imitator/upstream.go
+++ b/imitator/upstream.go
@@ -29,8 +29,8 @@
 	StayAway time.Duration
 	// ResetFull resets the connection of a request that finds no place in the queue.
 	ResetFull bool
-	// CrashPath is the path of requests that crash the upstream in the middle of their work;
-	// "" for none.
+	// CrashPath is the path of requests that, without a body, crash the upstream at the end of
+	// their work; "" for none.
 	CrashPath string
 	// Bytes is what else than plain answers comes over the connections.
 	Bytes UpstreamBytes
@@ -263,7 +263,7 @@
 		<-r.Context().Done()
 		return
 	}
-	crashes := faults.CrashPath != "" && r.URL.Path == faults.CrashPath
+	crashes := faults.CrashPath != "" && r.URL.Path == faults.CrashPath && len(body) == 0
 	if !u.run(r, id, faults) {
 		return
 	}
--- a/logger/entry_events.go
+++ b/logger/entry_events.go
@@ -25,9 +25,9 @@
 	EventUnusualCall = Event{
 		Number: 2004, Name: "call refused, failed, retried or slow", Level: logrus.InfoLevel,
 		Fields: []string{
-			"Call", "Contract", "Service", "Revision", "Outcome", "Reason", "Detail", "Status", "Total", "Queue", "Serving", "Objective", "Attempts",
+			"Call", "Request", "Contract", "Service", "Revision", "Outcome", "Reason", "Detail", "Status", "Total", "Queue", "Serving", "Objective", "Attempts",
 		},
-		Meaning: "One line for each call that was not answered in time by its first attempt. Queue is the time until a target was granted, Serving the time spent at its targets. Attempts lists kind, target, outcome and time of each attempt.",
+		Meaning: "One line for each call that was not answered in time by its first attempt. Queue is the time until a target was granted, Serving the time spent at its targets. Attempts lists kind, target, outcome and time of each attempt. Request is given while any request is suspected of crashing its targets.",
 		Action:  "None for a single call; `hemlocktally explain` combines the lines of several instances.",
 	}
 	EventReadAheadMismatch = Event{
@@ -48,6 +48,24 @@
 		Meaning: "The connection to the target ended after the request was sent and before the response was complete. Crashed is set if the target's host refuses connections since then. Request is the same whenever the same caller sends the same request again.",
 		Action:  "If several lines with Crashed have the same Request, look for what it does to the target.",
 	}
+	EventRequestHeld = Event{
+		Number: 2009, Name: "request held back", Level: logrus.WarnLevel,
+		Fields:  []string{"Request", "Service", "Crashes", "For", "HeardFrom"},
+		Meaning: "The request crashed several targets, one after the other. The instance refuses it from now on, as Quarantined, and tries it again on one target after the given time. Crashes lists the targets, how long ago they crashed and the instances that reported it; HeardFrom is the hub that told, if this instance did not see the last one.",
+		Action:  "docs/operators/quarantine.md: find the request by event 2008, and what it does to the targets.",
+	}
+	EventRequestReleased = Event{
+		Number: 2010, Name: "request released", Level: logrus.InfoLevel,
+		Fields:  []string{"Request", "Service", "By", "HeardFrom"},
+		Meaning: "The request is held back no longer: a target completed it or an operator released it, as By says; By is empty if it did not come for long.",
+		Action:  "None.",
+	}
+	EventSuspectsUnreported = Event{
+		Number: 2011, Name: "crashes not reported to hub", Level: logrus.InfoLevel,
+		Fields:  []string{"Hub", "Cause"},
+		Meaning: "A report of a request that crashed a target, or was cleared, did not reach the hub. It goes along with the next request to it.",
+		Action:  "Check the named instance if this continues.",
+	}
 	EventResponseNotHeld = Event{
 		Number: 2007, Name: "large response streamed before later ones", Level: logrus.InfoLevel,
 		Fields:  []string{"Call", "Target", "Bytes"},
@@ -56,4 +74,4 @@
 	}
 )
 
-var entryEvents = []Event{EventCallInvariant, EventClaimOutcomeUnreported, EventReadinessWithdrawn, EventUnusualCall, EventReadAheadMismatch, EventReadAheadCancelled, EventResponseNotHeld, EventTargetBrokeOff}
+var entryEvents = []Event{EventCallInvariant, EventClaimOutcomeUnreported, EventReadinessWithdrawn, EventUnusualCall, EventReadAheadMismatch, EventReadAheadCancelled, EventResponseNotHeld, EventTargetBrokeOff, EventRequestHeld, EventRequestReleased, EventSuspectsUnreported}
--- a/messenger/relay.twirp.go
+++ b/messenger/relay.twirp.go
@@ -785,7 +785,7 @@
 }
 
 func (s *relayServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor6, 0
+	return twirpFileDescriptor7, 0
 }
 
 func (s *relayServer) ProtocGenTwirpVersion() string {
@@ -799,7 +799,7 @@
 	return baseServicePath(s.pathPrefix, "hemlocktally.messenger", "Relay")
 }
 
-var twirpFileDescriptor6 = []byte{
+var twirpFileDescriptor7 = []byte{
 	// 682 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x55, 0xdd, 0x6e, 0x13, 0x3d,
 	0x10, 0xd5, 0xe6, 0x7f, 0x27, 0x69, 0x9b, 0x5a, 0x55, 0xb4, 0xea, 0x57, 0x7d, 0x0a, 0x69, 0x81,
--- a/outcome.go
+++ b/outcome.go
@@ -36,6 +36,7 @@
 	ReasonClaimNoLease    Reason = "ClaimNoLease"
 	ReasonRetryBudget     Reason = "RetryBudget"
 	ReasonDepth           Reason = "Depth"
+	ReasonQuarantined     Reason = "Quarantined"
 	ReasonCallerCancelled Reason = "CallerCancelled"
 )
 
--- a/placer/client.go
+++ b/placer/client.go
@@ -13,6 +13,7 @@
 	"hemlocktally"
 	"hemlocktally/logger"
 	"hemlocktally/messenger"
+	"hemlocktally/quarantiner"
 )
 
 // Timeouts and limits of requests to other instances.
@@ -51,7 +52,8 @@
 	// RequestTargets requests the list of targets, which an instance that decides alone may not
 	// have. It may be nil.
 	RequestTargets func()
-	Disabled       hemlocktally.Mechanisms // Disabled holds the mechanisms that are disabled.
+	Suspects       *quarantiner.Quarantiner // Suspects exchanges what is known of requests that crash targets; it may be nil.
+	Disabled       hemlocktally.Mechanisms  // Disabled holds the mechanisms that are disabled.
 
 	avoidList avoidList
 	limits    limitList
@@ -199,7 +201,13 @@
 	sentAt := time.Now()
 	requestCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
-	out, err := p.client.Place(requestCtx, newPlaceRequest(msg, sentAt))
+	in := newPlaceRequest(msg, sentAt)
+	suspects, version := c.Suspects.Outgoing(owner.ID)
+	in.Suspects = suspects
+	out, err := p.client.Place(requestCtx, in)
+	if err == nil {
+		c.Suspects.Incoming(owner.ID, out.GetSuspects(), version)
+	}
 	if err == nil && out.GetUnable() {
 		err = errUnable
 	}
--- a/placer/server.go
+++ b/placer/server.go
@@ -7,6 +7,7 @@
 
 	"hemlocktally"
 	"hemlocktally/logger"
+	"hemlocktally/quarantiner"
 )
 
 // LoadProber asks targets for their load.
@@ -36,6 +37,9 @@
 	// Superseded reports whether the list of targets is too old to decide by for others, because
 	// the store answers them and not this instance. It may be nil.
 	Superseded func() bool
+	// Suspects decides on trials of requests that were held back, and exchanges what is known of
+	// them with the clients. It may be nil.
+	Suspects *quarantiner.Quarantiner
 
 	mu            sync.Mutex
 	ctx           context.Context //nolint:containedctx // The tasks end with Run, not with a single request.
@@ -203,6 +207,9 @@
 	if task == nil {
 		return RefuseCmd{Ticket: msg.Ticket, Error: notRunError(hemlocktally.ReasonStarting, "the instance is starting", minRetryAfter)}
 	}
+	if !s.allowsTrial(msg) {
+		return RefuseCmd{Ticket: msg.Ticket, Error: notRunError(hemlocktally.ReasonQuarantined, "the request crashed several targets and another call tries it now", maxRetryAfter)}
+	}
 	if !s.refreshTargets(ctx) {
 		return RefuseCmd{Ticket: msg.Ticket, Error: notRunError(hemlocktally.ReasonNoTarget, "the list of targets is stale", minRetryAfter)}
 	}
@@ -226,6 +233,16 @@
 	return RefuseCmd{Ticket: msg.Ticket, Error: notRunError(hemlocktally.ReasonCallerCancelled, "the request was cancelled by its client", 0)}
 }
 
+// allowsTrial reports whether a request that was held back may be tried. Only an owner allows
+// it: instances that decide alone would each try.
+func (s *Server) allowsTrial(msg AcquireMsg) bool {
+	trial := msg.Request.Trial
+	if trial == (hemlocktally.Fingerprint{}) || s.Suspects == nil {
+		return true
+	}
+	return !s.Alone && s.Suspects.StartTrial(trial, msg.Ticket)
+}
+
 // refreshTargets waits for a current list of targets and reports whether a choice may be made.
 // A stale list that could be read may contain targets that have left.
 func (s *Server) refreshTargets(ctx context.Context) bool {
--- a/placer/wire.go
+++ b/placer/wire.go
@@ -10,8 +10,14 @@
 
 // Place handles a request from another instance. It implements messenger.Placement.
 func (s *Server) Place(ctx context.Context, in *messenger.PlaceRequest) (*messenger.PlaceResponse, error) {
+	out := s.place(ctx, in)
+	out.Suspects = s.Suspects.Answer(in.GetSuspects())
+	return out, nil
+}
+
+func (s *Server) place(ctx context.Context, in *messenger.PlaceRequest) *messenger.PlaceResponse {
 	if !s.waitUntilReady(ctx, hemlocktally.ServiceName(in.GetService())) || !s.refreshTargets(ctx) || s.isSuperseded() {
-		return &messenger.PlaceResponse{Unable: true}, nil
+		return &messenger.PlaceResponse{Unable: true}
 	}
 	switch answer := s.Acquire(ctx, acquireMsg(in, time.Now())).(type) {
 	case GrantCmd:
@@ -21,16 +27,16 @@
 			TargetZone: string(grant.Target.Zone), Cold: grant.Cold, Connections: int64(grant.Target.MaxConnections),
 			Revision: uint64(grant.Revision), TargetStarted: grant.Target.Started, Limit: wireLimit(grant.Target, grant.Limit, time.Now()),
 			HeldBy: grant.HeldBy,
-		}), nil
+		})
 	case RefuseCmd:
 		return withNews(answer.News, &messenger.PlaceResponse{
 			Refused: string(answer.Error.Reason), Detail: answer.Error.Detail,
 			RetryAfterMicroseconds: answer.Error.RetryAfter.Microseconds(),
-		}), nil
+		})
 	case PendingCmd:
-		return withNews(answer.News, &messenger.PlaceResponse{}), nil
+		return withNews(answer.News, &messenger.PlaceResponse{})
 	default:
-		return &messenger.PlaceResponse{}, nil
+		return &messenger.PlaceResponse{}
 	}
 }
 
@@ -47,6 +53,9 @@
 		Deadline: now.Add(messenger.Duration(in.GetDeadlineMicroseconds())), Objective: now.Add(messenger.Duration(in.GetObjectiveMicroseconds())),
 		NonIdempotent: in.GetNonIdempotent(),
 	}
+	if trial := in.GetTrial(); len(trial) == hemlocktally.FingerprintBytes {
+		request.Trial = hemlocktally.Fingerprint(trial)
+	}
 	for _, name := range in.GetExclude() {
 		request.Exclude = append(request.Exclude, hemlocktally.TargetName(name))
 	}
@@ -64,6 +73,9 @@
 		DeadlineMicroseconds: r.Deadline.Sub(now).Microseconds(), ObjectiveMicroseconds: r.Objective.Sub(now).Microseconds(),
 		NonIdempotent: r.NonIdempotent, Limits: wireLimits(msg.Limits, now), LimitsVersion: msg.LimitsVersion,
 	}
+	if r.Trial != (hemlocktally.Fingerprint{}) {
+		out.Trial = r.Trial[:]
+	}
 	for _, name := range r.Exclude {
 		out.Exclude = append(out.Exclude, string(name))
 	}
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -13,6 +13,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"hemlocktally/logger"
 )
 
 // Line is one parsed log line. Fields holds what the other fields don't.
@@ -58,6 +60,12 @@
 	maxLineBytes    = 1 << 20
 )
 
+// isQuarantineEvent reports whether the line tells of a request that may crash its targets: it
+// concerns all calls with the same request.
+func isQuarantineEvent(line Line) bool {
+	return line.Event == logger.EventTargetBrokeOff.Number || line.Event == logger.EventRequestHeld.Number || line.Event == logger.EventRequestReleased.Number
+}
+
 // Read adds one log and skips lines that are not log lines. A line may have text
 // before its JSON object, such as a time and the instance's ID. A line without the
 // field Instance belongs to the instance that the last word of this text names, or to
@@ -75,6 +83,8 @@
 		switch {
 		case line.Fields["Call"] == l.Call:
 			l.callLines = append(l.callLines, line)
+		case isQuarantineEvent(line):
+			l.stateLines = append(l.stateLines, line)
 		case line.Event >= firstStateEvent && line.Event <= lastStateEvent && line.Event/eventGroupSize != callEventGroup:
 			l.stateLines = append(l.stateLines, line)
 		}
@@ -165,9 +175,9 @@
 	return kept
 }
 
-// subjectOf returns the target, hub, owner, zone or key that a state line names, or "".
+// subjectOf returns the target, hub, owner, zone key or request that a state line names, or "".
 func subjectOf(line Line) string {
-	for _, field := range []string{"Target", "Hub", "Owner", "Zone", "Key"} {
+	for _, field := range []string{"Target", "Hub", "Owner", "Zone", "Key", "Request"} {
 		if name, ok := line.Fields[field]; ok {
 			return fmt.Sprint(name)
 		}
@@ -179,6 +189,9 @@
 // no target, was logged by an instance that logged the call.
 func (l *Logs) isRelevant(line Line) bool {
 	return slices.ContainsFunc(l.callLines, func(own Line) bool {
+		if isQuarantineEvent(line) {
+			return own.Fields["Request"] == line.Fields["Request"]
+		}
 		target, named := line.Fields["Target"].(string)
 		if named {
 			return strings.Contains(fmt.Sprint(own.Fields["Attempts"], own.Fields["Target"], own.Fields["Detail"]), target)
--- a/tracer/tracer_test.go
+++ b/tracer/tracer_test.go
@@ -62,3 +62,20 @@
 		_ = logs.WriteTimeline(&b)
 	})
 }
+
+// A call whose request crashed targets shows the crashes under other calls with the same request,
+// and who holds it back; those of other requests stay out.
+func TestStoryShowsCrashesOfTheSameRequest(t *testing.T) {
+	c := qt.New(t)
+	logs := tracer.Logs{Call: "c1"}
+	c.Assert(logs.Read(strings.NewReader(`{"Event":2008,"Instance":"e-3","Call":"c0","Request":"aa","Target":"i-1","Crashed":true,"msg":"target broke off a call","time":"2026-01-01T00:00:01Z"}
+{"Event":2008,"Instance":"e-3","Call":"c7","Request":"bb","Target":"i-2","Crashed":true,"msg":"target broke off a call","time":"2026-01-01T00:00:01Z"}
+{"Event":2009,"Instance":"e-1","Request":"aa","Crashes":"i-1 1s ago at e-3","msg":"request held back","time":"2026-01-01T00:00:02Z"}
+{"Event":2004,"Instance":"e-1","Call":"c1","Request":"aa","Reason":"Quarantined","msg":"call","time":"2026-01-01T00:00:03Z"}
+`), "one"), qt.IsNil)
+	var b strings.Builder
+	c.Assert(logs.WriteTimeline(&b), qt.IsNil)
+	c.Check(b.String(), qt.Contains, "2s before the end  e-3  2008")
+	c.Check(b.String(), qt.Contains, "1s before the end  e-1  2009")
+	c.Check(strings.Contains(b.String(), "i-2"), qt.IsFalse)
+}
