--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -22,6 +22,7 @@
 	"hemlocktally/follower"
 	"hemlocktally/logger"
 	"hemlocktally/messenger"
+	"hemlocktally/monitor"
 	"hemlocktally/placer"
 	"hemlocktally/prober"
 	"hemlocktally/quarantiner"
@@ -50,12 +51,15 @@
 	StoreCalls func() map[string]uint64
 	// LinesDropped returns the number of log lines that were dropped; it may be nil.
 	LinesDropped func() uint64
+	// DialTarget opens connections to targets; nil means TCP with keep-alive probes.
+	DialTarget func(ctx context.Context, network, address string) (net.Conn, error)
 
 	follower   *follower.Follower
 	owner      *placer.Server // owner decides for the services that the instance owns.
 	fallback   *placer.Server // fallback decides while no owner responds.
 	granter    *placer.Client
 	suspects   *quarantiner.Quarantiner
+	monitor    *monitor.Monitor
 	dialer     *dialer.Dialer
 	recorder   *recorder.Recorder
 	dispatcher dispatcher.Dispatcher
@@ -102,7 +106,7 @@
 	var group run.Group
 	group.Add(func() error { return b.serveCallers(ctx, listeners.callers) }, func(error) {})
 	for _, task := range []func(context.Context) error{
-		b.follower.Run, b.owner.Run, b.fallback.Run, b.dialer.Run,
+		b.follower.Run, b.owner.Run, b.fallback.Run, b.dialer.Run, b.monitor.Run,
 		func(ctx context.Context) error { return serve(ctx, listeners.ready, plainServer(b.readyHandler())) },
 		func(ctx context.Context) error { return b.servePeers(ctx, listeners.peers) },
 		func(ctx context.Context) error {
@@ -131,22 +135,28 @@
 	}
 	b.follower.Prepare()
 	b.suspects = &quarantiner.Quarantiner{Self: self, View: b.follower, HTTP: peers, Log: b.Log, Disabled: off}
-	loadProber := &prober.LoadProber{Dialect: b.Platform, HTTP: &http.Client{Transport: transport(1, probeIdleTimeout, defaultDialTimeout)}}
+	if b.DialTarget == nil {
+		b.DialTarget = dial
+	}
+	b.dialer = &dialer.Dialer{
+		Viewer: b.follower, ProvenFor: connProvenFor, IdleLimit: connIdleLimit, DialTimeout: connDialTimeout, Dial: b.DialTarget,
+	}
+	b.monitor = &monitor.Monitor{Reach: b.dialer.Reach, Log: b.Log}
+	probeTransport := transport(1, probeIdleTimeout, defaultDialTimeout)
+	probeTransport.DialContext = b.DialTarget
+	loadProber := &prober.LoadProber{Dialect: b.Platform, HTTP: &http.Client{Transport: probeTransport}}
 	bounds := placer.Bounds{
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: s.Bounds.RetryWindow, RetrySlack: s.Bounds.RetrySlack,
 		ColdShare: coldShare, ProbesPerSecond: s.Bounds.ProbesPerSecond, Disabled: off,
 	}
-	b.owner = &placer.Server{Self: self, Epoch: epoch, Bounds: bounds, Prober: loadProber, Log: b.Log, RequestTargets: b.follower.NeedTargets, TargetsRead: b.follower.TargetsFreshness, View: b.follower, Superseded: b.follower.Superseded, Suspects: b.suspects}
+	b.owner = &placer.Server{Self: self, Epoch: epoch, Bounds: bounds, Prober: loadProber, Log: b.Log, RequestTargets: b.follower.NeedTargets, TargetsRead: b.follower.TargetsFreshness, View: b.follower, Superseded: b.follower.Superseded, Suspects: b.suspects, Monitor: b.monitor}
 	// Many instances may decide without the owner at the same time, so each uses
 	// only a small part of the fleet's budget and leaves cold targets to the owner.
 	bounds.ColdShare, bounds.RetryRatio = 0, bounds.RetryRatio/2
-	b.fallback = &placer.Server{Self: self, Epoch: epoch + "A", Bounds: bounds, Prober: loadProber, Log: b.Log, RequestTargets: b.follower.NeedTargets, TargetsRead: b.follower.TargetsFreshness, Alone: true, Suspects: b.suspects}
+	b.fallback = &placer.Server{Self: self, Epoch: epoch + "A", Bounds: bounds, Prober: loadProber, Log: b.Log, RequestTargets: b.follower.NeedTargets, TargetsRead: b.follower.TargetsFreshness, Alone: true, Suspects: b.suspects, Monitor: b.monitor}
 	b.granter = &placer.Client{
 		Self: self, Zone: hemlocktally.ZoneName(s.Instance.Zone), Epoch: epoch, View: b.follower, Server: b.owner, Alone: b.fallback,
-		HTTP: peers, Log: b.Log, RequestTargets: b.follower.NeedTargets, Suspects: b.suspects, Disabled: off,
-	}
-	b.dialer = &dialer.Dialer{
-		Viewer: b.follower, ProvenFor: connProvenFor, IdleLimit: connIdleLimit, DialTimeout: connDialTimeout, Dial: dial,
+		HTTP: peers, Log: b.Log, RequestTargets: b.follower.NeedTargets, Suspects: b.suspects, Monitor: b.monitor, Disabled: off,
 	}
 	b.setUpDispatcher()
 	if off.Has(hemlocktally.MechanismReadAhead) {
@@ -269,7 +279,7 @@
 func (b *Balancer) setUpDispatcher() {
 	b.dispatcher = dispatcher.Dispatcher{
 		InstanceID: hemlocktally.InstanceID(b.Settings.Instance.ID), Configuration: b.follower, FirstConfiguration: b.follower, Granter: b.granter, Recorder: b.recorder,
-		Links: b.dialer, CrashDetector: b.dialer, Quarantine: b.suspects, Log: b.Log, Dialect: b.Platform, BodyLimit: maxBodyBytes, BufferLimit: holdBackBytes,
+		Links: b.dialer, CrashDetector: b.dialer, Reachability: b.monitor, Quarantine: b.suspects, Log: b.Log, Dialect: b.Platform, BodyLimit: maxBodyBytes, BufferLimit: holdBackBytes,
 	}
 	b.pipeline.Handler, b.pipeline.Idempotent, b.pipeline.Log = &b.dispatcher, b.dispatcher.Idempotent, b.Log
 	b.pipeline.MaxConcurrent, b.pipeline.MaxReadAheadBytes = b.Settings.Callers.PipelineDepth, b.Settings.Callers.PipelineBytes
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -49,6 +49,9 @@
 	gauges = append(gauges, recorder.Metric{
 		Name: "target_crashes_total", Help: "Attempts that ended with a crash of their target.", Type: typeCounter, Value: float64(b.dispatcher.Crashes()),
 	})
+	gauges = append(gauges, recorder.Metric{
+		Name: "isolated_services", Help: "Services of which this instance reaches no target.", Type: typeGauge, Value: float64(b.monitor.IsolatedServices()),
+	})
 	suspected, held, refused := b.suspects.Stats()
 	gauges = append(gauges, recorder.Metric{
 		Name: "suspected_requests", Help: "Requests under which targets crashed lately, as far as this instance knows.", Type: typeGauge, Value: float64(suspected),
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -110,7 +110,11 @@
 	}
 	if failed != nil {
 		result.Unreachable = a.link == nil && failed.Error.Reason == hemlocktally.ReasonTargetFailed
-		summary := a.release(&result, a.linkSilent())
+		silent := a.linkSilent()
+		if result.Unreachable || silent || brokenOff(failed) {
+			a.reportFailure()
+		}
+		summary := a.release(&result, silent)
 		if brokenOff(failed) {
 			failed.Crashed = a.checkCrash(ctx, failed.Error.Detail)
 		}
--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -29,6 +29,13 @@
 	return crashed
 }
 
+// reportFailure reports that the target could not be reached, or that its connection failed.
+func (a *attempt) reportFailure() {
+	if r := a.call.dispatcher.Reachability; r != nil {
+		r.Failed(a.grant.Service, a.grant.Target)
+	}
+}
+
 // brokenOff reports whether the target or the connection failed after the request was sent.
 func brokenOff(failed *FailedMsg) bool {
 	reason := failed.Error.Reason
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -29,6 +29,7 @@
 	Links              hemlocktally.ConnPool
 	CrashDetector      hemlocktally.CrashDetector // CrashDetector finds out whether a target that broke off a call has crashed; if nil, that is not known.
 	Quarantine         hemlocktally.Quarantine    // Quarantine holds back requests that crash targets; it may be nil.
+	Reachability       hemlocktally.Reachability  // Reachability learns of connections that fail; it may be nil.
 	Log                logger.Logger
 	Dialect            hemlocktally.HeaderCodec // Dialect is the header protocol of callers and targets; nil means hemlocktally's own.
 	BodyLimit          int64                    // BodyLimit is the maximum size of a request body in bytes, unless the configuration sets one.
--- a/link.go
+++ b/link.go
@@ -56,6 +56,15 @@
 	RefusesConnections(ctx context.Context, target Target) bool
 }
 
+// Reachability says which services' targets this instance can reach.
+type Reachability interface {
+	// Failed records that a target could not be reached, or that its connection failed.
+	Failed(service ServiceName, target Target)
+	// Isolated reports whether the instance reaches no target of the service, although others
+	// may.
+	Isolated(service ServiceName) bool
+}
+
 // ConnError reports that no connection to a target was available. Nothing was sent.
 type ConnError struct {
 	Target TargetName
--- a/logger/owner_events.go
+++ b/logger/owner_events.go
@@ -65,6 +65,18 @@
 		Meaning: "The values of these headers in a target's response can't be read or exceed what a target can have; they count as missing.",
 		Action:  "Find out what wrote them.",
 	}
+	EventServiceIsolated = Event{
+		Number: 3012, Name: "targets can't be reached", Level: logrus.WarnLevel,
+		Fields:  []string{"Service", "Tried", "Reached"},
+		Meaning: "Several targets of the service failed. Of the others that were tried then, at most one accepted a connection of this instance.",
+		Action:  "If other instances report the same, look at the targets; otherwise at this instance's network.",
+	}
+	EventServiceReachable = Event{
+		Number: 3013, Name: "targets can be reached again", Level: logrus.InfoLevel,
+		Fields:  []string{"Service", "After"},
+		Meaning: "A target of the service accepts connections of this instance again.",
+		Action:  "None.",
+	}
 	EventLimitCounted = Event{
 		Number: 3010, Name: "target limit counted", Level: logrus.InfoLevel,
 		Fields:  []string{"Service", "Target", "Limit", "Before", "ReportedBy", "Alone", "Share"},
@@ -74,5 +86,5 @@
 )
 
 var ownerEvents = []Event{
-	EventOwnerInvariant, EventTargetState, EventOwnerUnresponsive, EventColdTargetsWithheld, EventColdTargetsServed, EventLoadQueryFailed, EventTargetGranted, EventTargetLeaving, EventTargetLimit, EventLimitCounted, EventResponseHeaderUnreadable,
+	EventOwnerInvariant, EventTargetState, EventOwnerUnresponsive, EventColdTargetsWithheld, EventColdTargetsServed, EventLoadQueryFailed, EventTargetGranted, EventTargetLeaving, EventTargetLimit, EventLimitCounted, EventResponseHeaderUnreadable, EventServiceIsolated, EventServiceReachable,
 }
--- /dev/null
+++ b/monitor/monitor.go
@@ -0,0 +1,157 @@
+package monitor
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hemlocktally"
+	"hemlocktally/logger"
+)
+
+const (
+	// checkedTargets is how many targets one check connects to.
+	checkedTargets = 6
+	// checkTimeout limits a check.
+	checkTimeout = 60 * time.Millisecond
+	tick         = 50 * time.Millisecond
+	// maxKnownTargets limits the targets of a service that are remembered for checks.
+	maxKnownTargets = 64
+)
+
+// Monitor implements hemlocktally.Reachability. The exported fields must be set before use.
+type Monitor struct {
+	// Reach returns an error if the target accepts no connection.
+	Reach func(ctx context.Context, target hemlocktally.Target) error
+	Log   logger.Logger
+
+	isolated atomic.Int64 // isolated counts the services that can't be reached. It spares most calls the lock.
+	mu       sync.Mutex
+	state    State
+	known    map[hemlocktally.ServiceName][]hemlocktally.Target // known holds the targets of the last grants.
+}
+
+// Failed implements hemlocktally.Reachability.
+func (m *Monitor) Failed(service hemlocktally.ServiceName, target hemlocktally.Target) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.note(service, target)
+	m.update(FailureMsg{Service: service, Target: target.Name})
+}
+
+// Note remembers a target, so that a check can connect to it.
+func (m *Monitor) Note(service hemlocktally.ServiceName, target hemlocktally.Target) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.note(service, target)
+}
+
+func (m *Monitor) note(service hemlocktally.ServiceName, target hemlocktally.Target) {
+	targets := m.known[service]
+	if slices.ContainsFunc(targets, func(t hemlocktally.Target) bool { return t.Name == target.Name && t.Address == target.Address }) {
+		return
+	}
+	if m.known == nil {
+		m.known = map[hemlocktally.ServiceName][]hemlocktally.Target{}
+	}
+	if len(targets) >= maxKnownTargets {
+		targets = targets[1:]
+	}
+	m.known[service] = append(targets, target)
+	m.state.Note(service)
+}
+
+// Isolated implements hemlocktally.Reachability.
+func (m *Monitor) Isolated(service hemlocktally.ServiceName) bool {
+	if m == nil || m.isolated.Load() == 0 {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Isolated(service)
+}
+
+// IsolatedServices returns how many services' targets can't be reached.
+func (m *Monitor) IsolatedServices() int64 {
+	if m == nil {
+		return 0
+	}
+	return m.isolated.Load()
+}
+
+// Run rechecks the services that can't be reached until the context ends.
+func (m *Monitor) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if m.isolated.Load() > 0 {
+			m.mu.Lock()
+			m.update(TickMsg{})
+			m.mu.Unlock()
+		}
+	}
+}
+
+// update changes the state and executes its commands. The lock is held.
+func (m *Monitor) update(msg any) {
+	for _, command := range m.state.Update(msg, time.Now()) {
+		switch command := command.(type) {
+		case CheckCmd:
+			go m.check(command.Service, m.selectTargets(command))
+		case IsolatedCmd:
+			m.isolated.Add(1)
+			m.Log.Log(logger.EventServiceIsolated, logger.Fields{"Service": command.Service, "Tried": command.Tried, "Reached": command.Reached})
+		case ReachableCmd:
+			m.isolated.Add(-1)
+			m.Log.Log(logger.EventServiceReachable, logger.Fields{"Service": command.Service, "After": command.After.String()})
+		}
+	}
+}
+
+// selectTargets picks targets for a check at random, those that have failed only if there are no
+// others.
+func (m *Monitor) selectTargets(command CheckCmd) []hemlocktally.Target {
+	targets := slices.Clone(m.known[command.Service])
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	failed := func(t hemlocktally.Target) int {
+		if slices.Contains(command.Except, t.Name) {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(targets, func(a, b hemlocktally.Target) int { return failed(a) - failed(b) })
+	return targets[:min(len(targets), checkedTargets)]
+}
+
+// check connects to the targets at the same time and reports how many accept.
+func (m *Monitor) check(service hemlocktally.ServiceName, targets []hemlocktally.Target) {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	results := make(chan error, len(targets))
+	for _, target := range targets {
+		go func() { results <- m.Reach(ctx, target) }()
+	}
+	checked := CheckedMsg{Service: service, Tried: len(targets)}
+	for range targets {
+		if <-results == nil {
+			checked.Reached++
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.update(checked)
+}
--- a/placer/client.go
+++ b/placer/client.go
@@ -13,6 +13,7 @@
 	"hemlocktally"
 	"hemlocktally/logger"
 	"hemlocktally/messenger"
+	"hemlocktally/monitor"
 	"hemlocktally/quarantiner"
 )
 
@@ -52,6 +53,7 @@
 	// RequestTargets requests the list of targets, which an instance that decides alone may not
 	// have. It may be nil.
 	RequestTargets func()
+	Monitor        *monitor.Monitor         // Monitor learns of the targets in use; it may be nil.
 	Suspects       *quarantiner.Quarantiner // Suspects exchanges what is known of requests that crash targets; it may be nil.
 	Disabled       hemlocktally.Mechanisms  // Disabled holds the mechanisms that are disabled.
 
@@ -99,6 +101,7 @@
 			if answer.Grant.Limit.Named {
 				c.limits.granted.Add(1)
 			}
+			c.Monitor.Note(request.Service, answer.Grant.Target)
 			c.Log.Log(logger.EventTargetGranted, logger.Fields{
 				"Call": request.Call, "Service": request.Service, "Target": answer.Grant.Target.Name, "Owner": answer.Grant.Owner,
 				"Alone": answer.Grant.Alone, "Cold": answer.Grant.Cold, "Limit": answer.Grant.Limit.String(), "Expected": answer.Rationale.Expected, "Pace": answer.Rationale.Pace,
--- a/placer/server.go
+++ b/placer/server.go
@@ -7,6 +7,7 @@
 
 	"hemlocktally"
 	"hemlocktally/logger"
+	"hemlocktally/monitor"
 	"hemlocktally/quarantiner"
 )
 
@@ -37,6 +38,8 @@
 	// Superseded reports whether the list of targets is too old to decide by for others, because
 	// the store answers them and not this instance. It may be nil.
 	Superseded func() bool
+	// Monitor learns of probes that fail. It may be nil.
+	Monitor *monitor.Monitor
 	// Suspects decides on trials of requests that were held back, and exchanges what is known of
 	// them with the clients. It may be nil.
 	Suspects *quarantiner.Quarantiner
@@ -392,6 +395,7 @@
 	defer cancel()
 	answer, err := t.server.Prober.Load(ctx, command.Target, command.Path)
 	if err != nil {
+		t.server.Monitor.Failed(service, command.Target)
 		t.server.Log.Log(logger.EventLoadQueryFailed, logger.Fields{
 			"Service": service, "Target": command.Target.Name, "Cause": err.Error(),
 		})
