--- a/balancer/fleet_test.go
+++ b/balancer/fleet_test.go
@@ -38,6 +38,7 @@
 // instance is one balancer of the fleet.
 type instance struct {
 	settings balancer.Settings
+	network  *network // network is the way to the targets.
 	stop     context.CancelFunc
 	done     chan error
 }
@@ -141,11 +142,12 @@
 		Bounds:   balancer.BoundSettings{RetryRatio: 0.2, RetrySlack: 56}, Operators: balancer.OperatorSettings{Key: operatorKey},
 	}.WithDefaults()
 	ctx, stop := context.WithCancel(context.Background())
-	i := &instance{settings: settings, stop: stop, done: make(chan error, 1)}
+	i := &instance{settings: settings, network: &network{}, stop: stop, done: make(chan error, 1)}
 	transport := balancer.StoreTransport()
 	b := &balancer.Balancer{
 		Settings: settings, Platform: platform.Translator{},
-		Directory: &platform.Store{Address: f.store, HTTP: &http.Client{Transport: transport}},
+		Directory:  &platform.Store{Address: f.store, HTTP: &http.Client{Transport: transport}},
+		DialTarget: i.network.dial,
 	}
 	go func() {
 		err := b.Run(ctx)
--- a/monitor/state.go
+++ b/monitor/state.go
@@ -152,7 +152,7 @@
 			return nil
 		}
 		v.phase, v.since = phaseIsolated, now
-		return append([]any{IsolatedCmd{Service: msg.Service, Tried: msg.Tried, Reached: msg.Reached}}, s.checkOthers(msg.Service, phaseReachable, now)...)
+		return append([]any{IsolatedCmd(msg)}, s.checkOthers(msg.Service, phaseReachable, now)...)
 	case before == phaseIsolated && v.good+1 < checksToReturn:
 		v.good++
 		return nil
