An owner that reaches no targets lets another instance decide (RECOVER, isolated owner)

Cause: an owner takes its own failed probes for the targets' state and keeps all of them out of use for everyone. Class: a finding about one's own network used as a finding about others.

An owner that its monitor takes for isolated answers so at once; the client skips it for that service for 0.3 s and asks the next owner, which it did not count as one of the two it tries. An isolated instance does not decide for itself either.

--- a/balancer/cut_test.go
+++ b/balancer/cut_test.go
@@ -91,13 +91,13 @@
 		if err != nil {
 			return 0, err
 		}
-		_ = c.Conn.SetReadDeadline(time.Now().Add(keepAliveEnd)) // What arrived is lost.
+		_ = c.SetReadDeadline(time.Now().Add(keepAliveEnd)) // What arrived is lost.
 	}
 }
 
 func (c *cutConn) Write(p []byte) (int, error) {
 	if c.network.silent() {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(keepAliveEnd))
+		_ = c.SetReadDeadline(time.Now().Add(keepAliveEnd))
 		return len(p), nil
 	}
 	return c.Conn.Write(p)
--- a/placer/client.go
+++ b/placer/client.go
@@ -30,6 +30,8 @@
 	// unableAvoidance is how long an owner that answered that it can't decide is skipped. By
 	// then it should have read the list of targets.
 	unableAvoidance = 60 * time.Millisecond
+	// isolatedAvoidance is how long an owner that reaches no targets is skipped.
+	isolatedAvoidance = 300 * time.Millisecond
 	// aloneTargetsWait is how long an instance that decides alone waits for the list of
 	// targets.
 	aloneTargetsWait  = 60 * time.Millisecond
@@ -72,8 +74,14 @@
 	client     messenger.Placement
 	avoidUntil time.Time
 	avoidance  time.Duration
+	// isolatedUntil holds until when the instance is skipped as the owner of services whose
+	// targets it does not reach.
+	isolatedUntil map[hemlocktally.ServiceName]time.Time
 }
 
+// errIsolated means that the owner reaches hardly any target of the service.
+var errIsolated = errors.New("the owner reaches hardly any target")
+
 // errUnable means that the owner is leaving or knows no targets.
 var errUnable = errors.New("the owner is leaving or knows no targets")
 
@@ -143,7 +151,7 @@
 	tried := 0
 	for _, owner := range c.owners(msg.Request.Service) {
 		if owner.ID == c.Self {
-			if c.Server.CanDecide(msg.Request.Service) {
+			if c.Server.CanDecide(msg.Request.Service) && !c.Server.isolated(msg.Request.Service) {
 				return c.acquireLocal(ctx, c.Server, string(c.Self), msg)
 			}
 			continue
@@ -153,14 +161,16 @@
 			break
 		}
 		p := c.peer(owner.PeerAddress)
-		if c.peerAvoided(p, now) {
+		if c.peerAvoided(p, msg.Request.Service, now) {
 			continue
 		}
-		tried++
 		answer, err := c.acquireRemote(ctx, p, owner, msg)
 		if err == nil || ctx.Err() != nil {
 			return answer
 		}
+		if !errors.Is(err, errIsolated) { // An isolated owner answers at once, and knows nothing of the next one.
+			tried++
+		}
 		c.Log.Log(logger.EventOwnerUnresponsive, logger.Fields{"Owner": owner.ID, "Cause": err.Error()})
 	}
 	c.awaitTargets(ctx, msg.Request.Service)
@@ -211,13 +221,16 @@
 	if err == nil {
 		c.Suspects.Incoming(owner.ID, out.GetSuspects(), version)
 	}
-	if err == nil && out.GetUnable() {
+	switch {
+	case err == nil && out.GetIsolated():
+		err = errIsolated
+	case err == nil && out.GetUnable():
 		err = errUnable
 	}
 	if ctx.Err() != nil {
 		return RefuseCmd{Ticket: msg.Ticket, Error: notRunError(hemlocktally.ReasonCallerCancelled, "the caller disconnected before a target was available", 0)}, err
 	}
-	c.recordAnswer(p, err)
+	c.recordAnswer(p, msg.Request.Service, err)
 	if err != nil {
 		return nil, err
 	}
@@ -248,23 +261,30 @@
 	return p
 }
 
-func (c *Client) peerAvoided(p *peer, now time.Time) bool {
+func (c *Client) peerAvoided(p *peer, service hemlocktally.ServiceName, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return now.Before(p.avoidUntil)
+	return now.Before(p.avoidUntil) || now.Before(p.isolatedUntil[service])
 }
 
 // recordAnswer sets for how long a peer is skipped after a failed request.
-func (c *Client) recordAnswer(p *peer, err error) {
+func (c *Client) recordAnswer(p *peer, service hemlocktally.ServiceName, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err == nil {
 		p.avoidance = 0
 		return
 	}
-	if errors.Is(err, errUnable) {
+	switch {
+	case errors.Is(err, errUnable):
 		p.avoidUntil = time.Now().Add(unableAvoidance)
 		return
+	case errors.Is(err, errIsolated):
+		if p.isolatedUntil == nil {
+			p.isolatedUntil = map[hemlocktally.ServiceName]time.Time{}
+		}
+		p.isolatedUntil[service] = time.Now().Add(isolatedAvoidance)
+		return
 	}
 	p.avoidance = min(maxAvoidance, max(minAvoidance, 2*p.avoidance))
 	p.avoidUntil = time.Now().Add(p.avoidance)
--- a/placer/server.go
+++ b/placer/server.go
@@ -38,7 +38,8 @@
 	// Superseded reports whether the list of targets is too old to decide by for others, because
 	// the store answers them and not this instance. It may be nil.
 	Superseded func() bool
-	// Monitor learns of probes that fail. It may be nil.
+	// Monitor learns of probes that fail, and tells whether the instance reaches the targets. It
+	// may be nil.
 	Monitor *monitor.Monitor
 	// Suspects decides on trials of requests that were held back, and exchanges what is known of
 	// them with the clients. It may be nil.
@@ -126,6 +127,10 @@
 	return s.ctx != nil && !s.leaving && len(s.latest[service].Targets) > 0
 }
 
+// isolated reports whether the instance reaches hardly any target of the service. It must not
+// decide for others then: it would take the state of its own network for that of the targets.
+func (s *Server) isolated(service hemlocktally.ServiceName) bool { return s.Monitor.Isolated(service) }
+
 // waitUntilReady reports whether the server can decide for the service. If no targets are
 // known yet, it requests them and waits up to listWait: an owner reads the targets only when
 // it is first asked.
--- a/placer/wire.go
+++ b/placer/wire.go
@@ -16,6 +16,9 @@
 }
 
 func (s *Server) place(ctx context.Context, in *messenger.PlaceRequest) *messenger.PlaceResponse {
+	if s.isolated(hemlocktally.ServiceName(in.GetService())) {
+		return &messenger.PlaceResponse{Unable: true, Isolated: true}
+	}
 	if !s.waitUntilReady(ctx, hemlocktally.ServiceName(in.GetService())) || !s.refreshTargets(ctx) || s.isSuperseded() {
 		return &messenger.PlaceResponse{Unable: true}
 	}
