--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -20,6 +20,7 @@
 	"hemlocktally/dialer"
 	"hemlocktally/dispatcher"
 	"hemlocktally/follower"
+	"hemlocktally/forwarder"
 	"hemlocktally/logger"
 	"hemlocktally/messenger"
 	"hemlocktally/monitor"
@@ -60,6 +61,7 @@
 	granter    *placer.Client
 	suspects   *quarantiner.Quarantiner
 	monitor    *monitor.Monitor
+	forwarder  *forwarder.Forwarder
 	dialer     *dialer.Dialer
 	recorder   *recorder.Recorder
 	dispatcher dispatcher.Dispatcher
@@ -142,6 +144,7 @@
 		Viewer: b.follower, ProvenFor: connProvenFor, IdleLimit: connIdleLimit, DialTimeout: connDialTimeout, Dial: b.DialTarget,
 	}
 	b.monitor = &monitor.Monitor{Reach: b.dialer.Reach, Log: b.Log}
+	b.forwarder = &forwarder.Forwarder{Self: self, Zone: hemlocktally.ZoneName(s.Instance.Zone), View: b.follower, HTTP: peerTransport(), Log: b.Log}
 	probeTransport := transport(1, probeIdleTimeout, defaultDialTimeout)
 	probeTransport.DialContext = b.DialTarget
 	loadProber := &prober.LoadProber{Dialect: b.Platform, HTTP: &http.Client{Transport: probeTransport}}
@@ -279,7 +282,7 @@
 func (b *Balancer) setUpDispatcher() {
 	b.dispatcher = dispatcher.Dispatcher{
 		InstanceID: hemlocktally.InstanceID(b.Settings.Instance.ID), Configuration: b.follower, FirstConfiguration: b.follower, Granter: b.granter, Recorder: b.recorder,
-		Links: b.dialer, CrashDetector: b.dialer, Reachability: b.monitor, Quarantine: b.suspects, Log: b.Log, Dialect: b.Platform, BodyLimit: maxBodyBytes, BufferLimit: holdBackBytes,
+		Links: b.dialer, CrashDetector: b.dialer, Reachability: b.monitor, Forwarder: b.forwarder, Leaving: b.leaving.Load, Quarantine: b.suspects, Log: b.Log, Dialect: b.Platform, BodyLimit: maxBodyBytes, BufferLimit: holdBackBytes,
 	}
 	b.pipeline.Handler, b.pipeline.Idempotent, b.pipeline.Log = &b.dispatcher, b.dispatcher.Idempotent, b.Log
 	b.pipeline.MaxConcurrent, b.pipeline.MaxReadAheadBytes = b.Settings.Callers.PipelineDepth, b.Settings.Callers.PipelineBytes
--- a/balancer/isolated_test.go
+++ b/balancer/isolated_test.go
@@ -159,3 +159,28 @@
 		})
 	}
 }
+
+// The instance that serves a call of an isolated one stops: the call is not cut.
+func TestPlannedStopFinishesCallsOfIsolatedInstances(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := startFleet(t, "a", "b")
+	ranked := f.byRank()
+	taker, isolated := ranked[0], ranked[1]
+	isolated.network.cut(cutRefuse)
+	f.sendFirstAttempts(c, readPath, often, time.Second, isolated)
+	for _, u := range f.upstreams {
+		u.ChangeFaults(func(faults *imitator.UpstreamFaults) { faults.Pace = 20 })
+	}
+	results := make(chan callResult, 8)
+	for n := range cap(results) {
+		go func() { results <- f.call(isolated, http.MethodPost, "/pay/x", fmt.Sprint("stop-", n)) }()
+	}
+	time.Sleep(100 * time.Millisecond)
+	taker.stop()
+	for range cap(results) {
+		got := <-results
+		c.Check(got.err, qt.IsNil)
+		c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("%s", got.body))
+	}
+}
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -52,6 +52,11 @@
 	gauges = append(gauges, recorder.Metric{
 		Name: "isolated_services", Help: "Services of which this instance reaches no target.", Type: typeGauge, Value: float64(b.monitor.IsolatedServices()),
 	})
+	gauges = append(gauges, recorder.Metric{
+		Name: "calls_handed_over_total", Help: "Calls that other instances served because this one reaches no targets.", Type: typeCounter, Value: float64(b.forwarder.Forwarded()),
+	}, recorder.Metric{
+		Name: "calls_taken_over", Help: "Calls of other instances that are open.", Type: typeGauge, Value: float64(b.dispatcher.Forwarded()),
+	})
 	suspected, held, refused := b.suspects.Stats()
 	gauges = append(gauges, recorder.Metric{
 		Name: "suspected_requests", Help: "Requests under which targets crashed lately, as far as this instance knows.", Type: typeGauge, Value: float64(suspected),
--- a/balancer/peer.go
+++ b/balancer/peer.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 
+	"hemlocktally"
 	"hemlocktally/messenger"
 )
 
@@ -27,5 +28,11 @@
 	mux.Handle(messenger.PlacementPathPrefix, messenger.NewPlacementServer(b.owner))
 	mux.Handle(messenger.QuarantinePathPrefix, messenger.NewQuarantineServer(b.suspects))
 	mux.Handle(messenger.RelayPathPrefix, messenger.NewRelayServer(b.follower))
-	return serve(ctx, listener, peerServer(mux))
+	return serve(ctx, listener, peerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(hemlocktally.HeaderForwarded) != "" {
+			b.dispatcher.ServeForwarded(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})))
 }
--- a/balancer/stop.go
+++ b/balancer/stop.go
@@ -33,6 +33,7 @@
 	defer cancel()
 	b.pipeline.AwaitResponses(shutdownCtx) // Shutdown closes connections after the current response, even if more requests were read ahead.
 	err := server.Shutdown(shutdownCtx)
+	b.awaitForwarded(shutdownCtx)
 	if err != nil {
 		b.Log.Log(logger.EventShutdownTimedOut, logger.Fields{"Instance": b.Settings.Instance.ID, "Cause": err.Error()})
 		_ = server.Close()
@@ -43,6 +44,14 @@
 	return nil
 }
 
+// awaitForwarded waits until the calls of other instances have ended. No new ones are taken.
+func (b *Balancer) awaitForwarded(ctx context.Context) {
+	const interval = 5 * time.Millisecond
+	for b.dispatcher.Forwarded() > 0 && ctx.Err() == nil {
+		time.Sleep(interval)
+	}
+}
+
 func (b *Balancer) leave(ctx context.Context) {
 	b.leaving.Store(true)
 	b.pipeline.StopReadAhead()
--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -22,6 +22,9 @@
 	if !c.awaitConfiguration() {
 		return withRetryAfter(notRunError(hemlocktally.ReasonStarting, "the instance has not received its configuration yet"))
 	}
+	if c.olderThanForwarder() {
+		return notRunError(hemlocktally.ReasonStarting, "the instance that handed the call over has a newer configuration")
+	}
 	caller := identifyCaller(c.config, c.request)
 	c.record.Caller = caller.Name
 	c.record.Tenant = caller.Tenant
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -29,8 +29,10 @@
 	number  int
 	kind    hemlocktally.AttemptKind
 	exclude []hemlocktally.TargetName
-	cancel  context.CancelCauseFunc
-	started time.Time
+	// targetsLeft is how many targets another instance may send the call to.
+	targetsLeft int
+	cancel      context.CancelCauseFunc
+	started     time.Time
 
 	grant        hemlocktally.Grant
 	link         hemlocktally.TargetConn
@@ -39,6 +41,8 @@
 	// checked.
 	silenceTimeout time.Duration
 
+	peer hemlocktally.InstanceID // peer is the instance that the attempt was handed over to.
+
 	response *targetResponse // response is set by the call's goroutine, from the message.
 }
 
@@ -68,6 +72,7 @@
 	took    time.Duration
 	newLink bool
 	sent    bool
+	peer    hemlocktally.InstanceID
 }
 
 // planMessage returns the part of a message that Plan.Update takes.
@@ -98,7 +103,11 @@
 
 // run acquires a grant, makes the attempt and releases the grant.
 func (a *attempt) run(ctx context.Context) {
-	if !a.acquireGrant(ctx) {
+	if _, refused := a.checkQuarantine(); refused != nil {
+		a.call.messages <- GrantRefusedMsg{Attempt: a.number, Error: refused}
+		return
+	}
+	if a.handOver(ctx) || !a.acquireGrant(ctx) {
 		return
 	}
 	result := hemlocktally.GrantResult{
@@ -114,6 +123,7 @@
 		if result.Unreachable || silent || brokenOff(failed) {
 			a.reportFailure()
 		}
+		failed.HandOver = a.canHandOver()
 		summary := a.release(&result, silent)
 		if brokenOff(failed) {
 			failed.Crashed = a.checkCrash(ctx, failed.Error.Detail)
@@ -124,11 +134,7 @@
 
 func (a *attempt) acquireGrant(ctx context.Context) bool {
 	c := a.call
-	verdict, refused := a.checkQuarantine()
-	if refused != nil {
-		c.messages <- GrantRefusedMsg{Attempt: a.number, Error: refused}
-		return false
-	}
+	verdict, _ := a.checkQuarantine()
 	requested := time.Now()
 	grant, err := c.dispatcher.Granter.Acquire(ctx, hemlocktally.GrantRequest{
 		Call: c.record.Call, Service: c.contract.Service, Contract: c.contract.Name, Priority: c.contract.Priority,
@@ -349,10 +355,13 @@
 // release releases the connection and the grant, and returns the summary of the
 // attempt for the call's record. silent marks the connection as dead.
 func (a *attempt) release(result *hemlocktally.GrantResult, silent bool) attemptSummary {
-	if a.link != nil {
+	if a.link != nil || a.peer != "" {
 		result.Latency = time.Since(a.linkAcquired)
 	}
 	summary := a.summarize(*result)
+	if a.peer != "" {
+		return summary // The other instance had the grant.
+	}
 	if a.link != nil {
 		a.link.Release(silent)
 	}
@@ -364,7 +373,7 @@
 }
 
 func (a *attempt) summarize(result hemlocktally.GrantResult) attemptSummary {
-	summary := attemptSummary{outcome: result.Outcome, took: result.Latency}
+	summary := attemptSummary{outcome: result.Outcome, took: result.Latency, sent: a.peer != "", peer: a.peer}
 	if a.link != nil {
 		summary.newLink, summary.sent = a.link.New(), a.link.Sent()
 	}
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -25,7 +25,8 @@
 	fence           time.Time // fence is when a claimed call must have ended; zero means no limit.
 	depth           int
 	record          hemlocktally.CallRecord
-	claim           *activeClaim // claim is nil if the call runs without one.
+	claim           *activeClaim   // claim is nil if the call runs without one.
+	forwarded       *forwardedCall // forwarded is set if another instance handed the call over.
 	fingerprintOnce sync.Once
 	identity        hemlocktally.Fingerprint     // identity is set by fingerprint.
 	keptResponse    *hemlocktally.StoredResponse // keptResponse is the complete response, for the claim.
@@ -58,7 +59,7 @@
 // run drives the plan from StartMsg until the call has been responded to.
 func (c *call) run(ctx context.Context) {
 	c.plan = Plan{
-		NonIdempotent: c.contract.NonIdempotent, Hedge: c.hedgeAllowed(), Nested: c.depth > 0, MaxAttempts: c.contract.AttemptLimit(),
+		NonIdempotent: c.contract.NonIdempotent, Hedge: c.hedgeAllowed(), Nested: c.depth > 0, MaxAttempts: c.attemptLimit(),
 	}
 	c.messages = make(chan any, (c.contract.AttemptLimit()+1)*messagesPerAttempt)
 	defer c.stopAttempts()
@@ -134,7 +135,7 @@
 
 func (c *call) startAttempt(ctx context.Context, command StartAttemptCmd) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	a := &attempt{call: c, number: command.Attempt, kind: command.Kind, exclude: command.Exclude, cancel: cancel, started: time.Now()}
+	a := &attempt{call: c, number: command.Attempt, kind: command.Kind, exclude: command.Exclude, targetsLeft: command.TargetsLeft, cancel: cancel, started: time.Now()}
 	c.attempts = append(c.attempts, a)
 	c.record.Attempts = append(c.record.Attempts, hemlocktally.AttemptRecord{
 		Kind: command.Kind, Started: a.started.Sub(c.started), Outcome: hemlocktally.AttemptCancelled,
@@ -179,6 +180,7 @@
 		refused.RetryAfter = retryAfterFor(refused)
 	}
 	c.extendWriteDeadline()
+	c.writeForwardedRefusal(refused)
 	c.record.Status = c.dispatcher.writeRefusal(c.writer, refused, hemlocktally.Refusal{
 		Outcome: refused.Outcome, Reason: refused.Reason, Detail: refused.Detail,
 		Instance: c.dispatcher.InstanceID, Revision: c.config.Revision,
--- a/dispatcher/call_log.go
+++ b/dispatcher/call_log.go
@@ -42,9 +42,12 @@
 		if i > 0 {
 			b.WriteString("; ")
 		}
-		if a.Target == "" {
+		switch {
+		case a.Peer != "":
+			fmt.Fprintf(&b, "%s handed over to %s at %s: %s after %s", kindNames[a.Kind], a.Peer, a.Started, outcomeNames[a.Outcome], a.Took)
+		case a.Target == "":
 			fmt.Fprintf(&b, "%s without a target at %s", kindNames[a.Kind], a.Started)
-		} else {
+		default:
 			fmt.Fprintf(&b, "%s %s by %s at %s: %s after %s", kindNames[a.Kind], a.Target, a.Owner, a.Started, outcomeNames[a.Outcome], a.Took)
 		}
 		if a.Alone {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -30,6 +30,8 @@
 	CrashDetector      hemlocktally.CrashDetector // CrashDetector finds out whether a target that broke off a call has crashed; if nil, that is not known.
 	Quarantine         hemlocktally.Quarantine    // Quarantine holds back requests that crash targets; it may be nil.
 	Reachability       hemlocktally.Reachability  // Reachability learns of connections that fail; it may be nil.
+	Forwarder          hemlocktally.Forwarder     // Forwarder hands over the calls of services whose targets can't be reached; it may be nil.
+	Leaving            func() bool                // Leaving reports whether the instance stops; it may be nil.
 	Log                logger.Logger
 	Dialect            hemlocktally.HeaderCodec // Dialect is the header protocol of callers and targets; nil means hemlocktally's own.
 	BodyLimit          int64                    // BodyLimit is the maximum size of a request body in bytes, unless the configuration sets one.
@@ -41,6 +43,7 @@
 	latencies  latencies
 	held       heldBytes
 	violations atomic.Uint64
+	forwarded  atomic.Int64  // forwarded counts the open calls of other instances.
 	crashes    atomic.Uint64 // crashes counts the attempts that ended with a crash of their target.
 }
 
@@ -69,6 +72,10 @@
 func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := d.newCall(w, r)
 	defer func() { d.finish(c) }()
+	c.admitAndServe()
+}
+
+func (c *call) admitAndServe() {
 	if refused := c.admit(); refused != nil {
 		c.refuse(refused)
 		return
--- a/dispatcher/failure.go
+++ b/dispatcher/failure.go
@@ -14,7 +14,7 @@
 // roundTripFailure converts a failed round trip into a message and sets the
 // outcome in the grant's result.
 func (a *attempt) roundTripFailure(ctx context.Context, err error, result *hemlocktally.GrantResult) *FailedMsg {
-	failed := a.failure(ctx, err, a.link.Sent())
+	failed := a.failure(ctx, err, a.peer != "" || a.link.Sent())
 	switch {
 	case failed.Error.Reason == hemlocktally.ReasonCallerCancelled:
 		result.Outcome = hemlocktally.AttemptCancelled
@@ -44,7 +44,7 @@
 		outcome = hemlocktally.OutcomeUnknown
 	}
 	refused := &hemlocktally.RefusedError{
-		Outcome: outcome, Reason: reason, Detail: fmt.Sprintf("target %s: %v", a.grant.Target.Name, err),
+		Outcome: outcome, Reason: reason, Detail: a.destination() + ": " + err.Error(),
 	}
 	if bodyRefused := c.body.readError.Load(); bodyRefused != nil && ctx.Err() == nil {
 		refused.Reason, refused.Detail = bodyRefused.Reason, bodyRefused.Detail
@@ -52,6 +52,14 @@
 	return &FailedMsg{Attempt: a.number, Error: refused, Sent: sent, BodyConsumed: c.body.consumed.Load()}
 }
 
+// destination names the target or the instance that the attempt was sent to.
+func (a *attempt) destination() string {
+	if a.peer != "" {
+		return "instance " + string(a.peer)
+	}
+	return "target " + string(a.grant.Target.Name)
+}
+
 // callerNamesCall reports whether the caller gave its request an ID, which the targets then
 // repeat in their responses.
 func (a *attempt) callerNamesCall() bool {
--- a/dispatcher/header.go
+++ b/dispatcher/header.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/url"
 	"strings"
 	"time"
 
@@ -37,37 +36,14 @@
 	from := c.request
 	out := &http.Request{
 		Method: from.Method, Host: from.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		URL: a.targetURL(), Header: a.targetHeader(), Body: c.body.open(), ContentLength: c.body.length,
+		URL: c.requestURL(a.grant.Target.Address), Header: a.targetHeader(), Body: c.body.open(), ContentLength: c.body.length,
 	}
 	return out.WithContext(ctx)
 }
 
-// targetURL keeps the path as the caller sent it, without encoding it again.
-func (a *attempt) targetURL() *url.URL {
-	from := a.call.request
-	out := &url.URL{
-		Scheme: "http", Host: a.grant.Target.Address, Path: from.URL.Path, RawPath: from.URL.RawPath,
-		RawQuery: from.URL.RawQuery, ForceQuery: from.URL.ForceQuery,
-	}
-	path, _, _ := strings.Cut(from.RequestURI, "?")
-	if strings.HasPrefix(path, "/") && !strings.HasPrefix(path, "//") {
-		out.Opaque = path
-	}
-	return out
-}
-
 func (a *attempt) targetHeader() http.Header {
 	c := a.call
-	const addedHeaders = 5
-	header := make(http.Header, len(c.request.Header)+addedHeaders)
-	for name, values := range c.request.Header {
-		header[name] = values
-	}
-	stripHopByHop(header)
-	delete(header, "Expect")
-	if header["User-Agent"] == nil {
-		header["User-Agent"] = []string{""} // An empty value keeps net/http from setting its own.
-	}
+	header := c.endToEndHeader()
 	c.dispatcher.dialect().WriteAttempt(header, hemlocktally.AttemptInfo{
 		Call: c.record.Call, Number: a.number, Depth: c.depth, TimeLeft: time.Until(c.deadline),
 		Target: a.grant.Target.Name, Address: c.request.RemoteAddr,
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -23,6 +23,7 @@
 	attempts   []attemptState
 	callerGone bool
 	completed  bool // completed is set once a response or refusal was chosen.
+	handedOver bool // handedOver is set once an attempt was added to be handed over.
 	fallback   int  // fallback is the attempt that returned a server error; 0 if none.
 	lastError  *hemlocktally.RefusedError
 }
@@ -54,6 +55,9 @@
 		Attempt int
 		Target  hemlocktally.TargetName
 	}
+	// HandedOverMsg reports that an attempt is handed over to another instance, which makes its
+	// own second attempts.
+	HandedOverMsg struct{ Attempt int }
 	// GrantRefusedMsg reports that an attempt got no grant, which ends it.
 	GrantRefusedMsg struct {
 		Attempt int
@@ -74,7 +78,10 @@
 		Sent           bool // Sent is set if a byte may have reached the target.
 		DeclaredNotRun bool // DeclaredNotRun is set if the target stated that it did not run the call.
 		BodyConsumed   bool // BodyConsumed is set if the request body can't be sent again.
-		Crashed        bool // Crashed is set if the target crashed after the call was sent to it.
+		Final          bool // Final is set if no further attempt may be made: another instance has made its own.
+		// HandOver is set if the next attempt is handed over to another instance.
+		HandOver bool
+		Crashed  bool // Crashed is set if the target crashed after the call was sent to it.
 	}
 	// ConnectionSilentMsg reports that the connection of an attempt seems to be
 	// dead. The attempt continues, because the target may only be slow.
@@ -90,6 +97,8 @@
 		Attempt int
 		Kind    hemlocktally.AttemptKind
 		Exclude []hemlocktally.TargetName
+		// TargetsLeft is how many targets the attempt may be sent to, if another instance makes it.
+		TargetsLeft int
 	}
 	// StartHedgeTimerCmd asks for a HedgeDueMsg once the first attempt is slow: it
 	// has taken longer than the moving p95 of its contract or than a part of the
@@ -110,6 +119,9 @@
 		return p.startAttempt(hemlocktally.AttemptFirst)
 	case GrantedMsg:
 		return p.handleGranted(msg)
+	case HandedOverMsg:
+		p.attempts[msg.Attempt-1].phase = phaseSending
+		return nil
 	case GrantRefusedMsg:
 		return p.handleGrantRefused(msg)
 	case HedgeDueMsg:
@@ -133,9 +145,21 @@
 		p.Violation = "second attempt at a non-idempotent call that may have run"
 		return p.refuse(p.lastError)
 	}
-	exclude := p.excludedTargets()
+	cmd := StartAttemptCmd{Kind: kind, Exclude: p.excludedTargets(), TargetsLeft: p.targetsLeft()}
 	p.attempts = append(p.attempts, attemptState{kind: kind})
-	return []any{StartAttemptCmd{Attempt: len(p.attempts), Kind: kind, Exclude: exclude}}
+	cmd.Attempt = len(p.attempts)
+	return []any{cmd}
+}
+
+// targetsLeft returns how many targets the call may still be sent to, at least one.
+func (p *Plan) targetsLeft() int {
+	left := p.MaxAttempts
+	for _, attempt := range p.attempts {
+		if attempt.possiblyRun || attempt.phase == phaseSending {
+			left--
+		}
+	}
+	return max(1, left)
 }
 
 // excludedTargets returns the targets that must not be tried again.
@@ -217,6 +241,11 @@
 	if p.completed {
 		return nil
 	}
+	if msg.HandOver && !p.handedOver && !p.mayHaveRun() {
+		// Targets that could not be reached don't count.
+		p.handedOver = true
+		p.MaxAttempts = max(p.MaxAttempts, len(p.attempts)+1)
+	}
 	return p.proceed(p.mayRetry(msg))
 }
 
@@ -228,7 +257,7 @@
 	if reason != hemlocktally.ReasonTargetFailed && reason != hemlocktally.ReasonAnswerBroken {
 		return false
 	}
-	if msg.BodyConsumed || (p.Nested && msg.Sent) || p.crashes() >= maxCrashes {
+	if msg.Final || msg.BodyConsumed || (p.Nested && msg.Sent) || p.crashes() >= maxCrashes {
 		return false
 	}
 	return !p.NonIdempotent || !msg.Sent || msg.DeclaredNotRun
--- a/dispatcher/response.go
+++ b/dispatcher/response.go
@@ -64,6 +64,9 @@
 	forwarded := maps.Clone(from)
 	stripHopByHop(forwarded)
 	c.dispatcher.dialect().WriteResponse(forwarded, c.record.Call)
+	if c.forwarded != nil {
+		deleteForwardHeaders(forwarded) // A target must not make its response look like a refusal of this instance.
+	}
 	maps.Copy(header, forwarded)
 	switch {
 	case status == http.StatusNoContent:
@@ -143,6 +146,8 @@
 // recordMessage copies the data of an attempt's message into the call's record.
 func (c *call) recordMessage(msg any) {
 	switch msg := msg.(type) {
+	case HandedOverMsg:
+		c.busyTime.begin(time.Now())
 	case grantedMsg:
 		c.busyTime.begin(time.Now())
 		r := &c.record.Attempts[msg.Attempt-1]
@@ -210,5 +215,6 @@
 
 func (c *call) recordEnd(attempt int, summary attemptSummary, detail string) {
 	r := &c.record.Attempts[attempt-1]
+	r.Peer = summary.peer
 	r.Outcome, r.Took, r.NewLink, r.BytesOut, r.Detail = summary.outcome, summary.took, summary.newLink, summary.sent, detail
 }
--- /dev/null
+++ b/forward.go
@@ -0,0 +1,31 @@
+package hemlocktally
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+)
+
+// Forwarder hands calls over to other instances.
+type Forwarder interface {
+	// Forward sends a request to another instance. It tries further ones as long as the call
+	// certainly did not run. newRequest returns a new request to the instance at an address. The
+	// error is a *ForwardError.
+	Forward(ctx context.Context, newRequest func(address string) *http.Request) (*http.Response, InstanceID, error)
+}
+
+// ForwardError reports that no other instance served a call.
+type ForwardError struct {
+	Instance InstanceID // Instance is the last one that was tried; empty if there is none.
+	Sent     bool       // Sent is set if the request may have reached the instance.
+	Unable   bool       // Unable is set if all instances answered that they can't serve the call.
+	Cause    error
+}
+
+// Error returns a message with the instance and the cause.
+func (e *ForwardError) Error() string {
+	return fmt.Sprintf("handing over to %q: %v", e.Instance, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ForwardError) Unwrap() error { return e.Cause }
--- a/logger/entry_events.go
+++ b/logger/entry_events.go
@@ -66,6 +66,12 @@
 		Meaning: "A report of a request that crashed a target, or was cleared, did not reach the hub. It goes along with the next request to it.",
 		Action:  "Check the named instance if this continues.",
 	}
+	EventCallNotHandedOver = Event{
+		Number: 2012, Name: "instance did not take a call over", Level: logrus.InfoLevel,
+		Fields:  []string{"Peer", "Cause"},
+		Meaning: "This instance reaches no targets, and the named one could not be reached or can't serve the call either. The next one is tried.",
+		Action:  "Check the named instance, and this one's network: event 3012.",
+	}
 	EventResponseNotHeld = Event{
 		Number: 2007, Name: "large response streamed before later ones", Level: logrus.InfoLevel,
 		Fields:  []string{"Call", "Target", "Bytes"},
@@ -74,4 +80,4 @@
 	}
 )
 
-var entryEvents = []Event{EventCallInvariant, EventClaimOutcomeUnreported, EventReadinessWithdrawn, EventUnusualCall, EventReadAheadMismatch, EventReadAheadCancelled, EventResponseNotHeld, EventTargetBrokeOff, EventRequestHeld, EventRequestReleased, EventSuspectsUnreported}
+var entryEvents = []Event{EventCallInvariant, EventClaimOutcomeUnreported, EventReadinessWithdrawn, EventUnusualCall, EventReadAheadMismatch, EventReadAheadCancelled, EventResponseNotHeld, EventTargetBrokeOff, EventRequestHeld, EventRequestReleased, EventSuspectsUnreported, EventCallNotHandedOver}
--- a/outcome.go
+++ b/outcome.go
@@ -36,6 +36,7 @@
 	ReasonClaimNoLease    Reason = "ClaimNoLease"
 	ReasonRetryBudget     Reason = "RetryBudget"
 	ReasonDepth           Reason = "Depth"
+	ReasonIsolated        Reason = "Isolated"
 	ReasonQuarantined     Reason = "Quarantined"
 	ReasonCallerCancelled Reason = "CallerCancelled"
 )
@@ -83,7 +84,8 @@
 	Started  time.Duration // Started is relative to the start of the call.
 	Took     time.Duration
 	Waited   time.Duration
-	HeldBy   string // HeldBy describes the limits of targets that held the attempt back.
+	Peer     InstanceID // Peer is the instance that the call was handed over to; empty if it was not.
+	HeldBy   string     // HeldBy describes the limits of targets that held the attempt back.
 	Outcome  AttemptOutcome
 	NewLink  bool
 	BytesOut bool // BytesOut is set if any byte may have reached the target.
