Forwarder's tests share no answer with a running server

The race detector found TestCallThatMayHaveRunIsNotSentAgain writing the answer that the stand-in reads. Each answer has a stand-in of its own now; no check changed. No change of the product.

--- a/dispatcher/forward_test.go
+++ b/dispatcher/forward_test.go
@@ -159,7 +159,10 @@
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, isolated.url+"/x", http.NoBody)
 	c.Assert(err, qt.IsNil)
 	transport := &http.Transport{DisableKeepAlives: true}
-	_, err = transport.RoundTrip(request)
+	response, err := transport.RoundTrip(request)
+	if err == nil {
+		_ = response.Body.Close()
+	}
 	c.Check(errors.Is(err, context.DeadlineExceeded), qt.IsTrue)
 	select {
 	case <-closed:
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -106,7 +106,7 @@
 	c.Assert(errors.As(err, &failed), qt.IsTrue)
 	c.Check(failed.Sent, qt.IsTrue)
 	for _, answer := range []http.HandlerFunc{refuse(hemlocktally.ReasonShed, hemlocktally.OutcomeNotRun), refuse(hemlocktally.ReasonIsolated, hemlocktally.OutcomeUnknown)} {
-		first.answer = answer
+		first = startPeer(t, "first", "a", answer)
 		id, err := forward(t, &forwarder.Forwarder{Self: "self", Zone: "a", View: fixedView{first.Instance, next.Instance}})
 		c.Check(err, qt.IsNil)
 		c.Check(id, qt.Equals, hemlocktally.InstanceID("first"))
