--- a/follower/follower.go
+++ b/follower/follower.go
@@ -152,14 +152,16 @@
 // TargetsFreshness returns the time as of which the targets are known, and whether they can be
 // read now. A watch that waits would have returned with changes made before it began, so
 // its start counts; a watch that is overdue shows that the store does not answer. A failing
-// renewal suggests that the watch has not reached the store either.
+// renewal suggests that a watch, or a first read, will not reach the store either.
 func (f *Follower) TargetsFreshness() (at time.Time, readable bool) {
 	at, readable = f.FleetState().TargetsReadAt, !f.targetsUnreadable.Load()
 	began := f.targetWatchStartedAt.Load()
 	switch {
+	case f.renewalFails.Load():
+		return at, false
 	case began == 0:
 		return at, readable
-	case f.renewalFails.Load(), f.since(&f.targetWatchStartedAt) > targetWatchOverdue:
+	case f.since(&f.targetWatchStartedAt) > targetWatchOverdue:
 		return at, false
 	default:
 		return later(at, f.startedAt.Add(time.Duration(began))), readable
--- a/follower/isolation_test.go
+++ b/follower/isolation_test.go
@@ -209,3 +209,30 @@
 		})
 	}
 }
+
+// A hub takes a service over while the store answers nobody, and did not need the targets before.
+// Guards against refusing all calls as long as its first read of the list waits for an answer:
+// failed renewals show that there will be none.
+func TestListIsUsedByHubThatTakesOverDuringOutage(t *testing.T) {
+	for name, cutOff := range cutOffs {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := startIsolatedHub(c, "a", "b")
+				f.watch(2*time.Second, func() {})
+				time.Sleep(20 * time.Second) // Nobody needs the targets.
+				cutOff(f.hubStore)
+				cutOff(f.store)
+				time.Sleep(2500 * time.Millisecond)
+				refusing := time.Duration(0)
+				f.watch(3*time.Second, func() {
+					if at, readable := f.hub.TargetsFreshness(); readable && time.Since(at) > hemlocktally.MaxTargetListAge {
+						refusing += time.Millisecond
+					}
+				})
+				c.Check(refusing < 100*time.Millisecond, qt.IsTrue, qt.Commentf("no call was served for %s", refusing))
+				f.stop()
+			})
+		})
+	}
+}
