--- a/balancer/fleet_test.go
+++ b/balancer/fleet_test.go
@@ -133,7 +133,7 @@
 	}
 }
 
-func (f *fleet) startInstance(id, zone string) *instance {
+func (f *fleet) startInstance(id, zone string, changes ...func(*balancer.Settings)) *instance {
 	ip := uniqueIP()
 	settings := balancer.Settings{
 		Instance: balancer.InstanceSettings{ID: id, Zone: zone, Weight: 1},
@@ -141,6 +141,9 @@
 		Platform: balancer.PlatformSettings{Store: f.store},
 		Bounds:   balancer.BoundSettings{RetryRatio: 0.2, RetrySlack: 56}, Operators: balancer.OperatorSettings{Key: operatorKey},
 	}.WithDefaults()
+	for _, change := range changes {
+		change(&settings)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	i := &instance{settings: settings, network: &network{}, stop: stop, done: make(chan error, 1)}
 	transport := balancer.StoreTransport()
