--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -67,7 +67,8 @@
 	dispatcher dispatcher.Dispatcher
 	pipeline   acceptor.Pipeline // pipeline serves the callers' connections.
 	leaving    atomic.Bool
-	configured pictureVersion // configured is what owner and fallback were last configured with.
+	closesAt   atomic.Pointer[time.Time] // closesAt is when a stopping instance closes its callers' connections.
+	configured pictureVersion            // configured is what owner and fallback were last configured with.
 }
 
 // Limits of an instance's own work. According to the platform's documentation,
@@ -87,6 +88,7 @@
 	holdBackBytes     = 256 << 10               // holdBackBytes is how much of a response is buffered until it is complete.
 	drainDelay        = 2200 * time.Millisecond // drainDelay is how long new calls still arrive after an instance has stopped being ready.
 	epochLength       = 8                       // epochLength is how many characters of the incarnation's random part each grant ID contains, to distinguish incarnations.
+	interruptTime     = 250 * time.Millisecond  // interruptTime is how long the refusals of calls may take that are interrupted; less than stopReserve.
 	stopReserve       = 500 * time.Millisecond  // stopReserve is the part of StopTimeout that is kept in reserve.
 )
 
@@ -282,7 +284,7 @@
 func (b *Balancer) setUpDispatcher() {
 	b.dispatcher = dispatcher.Dispatcher{
 		InstanceID: hemlocktally.InstanceID(b.Settings.Instance.ID), Configuration: b.follower, FirstConfiguration: b.follower, Granter: b.granter, Recorder: b.recorder,
-		Links: b.dialer, CrashDetector: b.dialer, Reachability: b.monitor, Forwarder: b.forwarder, Leaving: b.leaving.Load, Quarantine: b.suspects, Log: b.Log, Dialect: b.Platform, BodyLimit: maxBodyBytes, BufferLimit: holdBackBytes,
+		Links: b.dialer, CrashDetector: b.dialer, Reachability: b.monitor, Forwarder: b.forwarder, StopsAt: b.stopsAt, Quarantine: b.suspects, Log: b.Log, Dialect: b.Platform, BodyLimit: maxBodyBytes, BufferLimit: holdBackBytes,
 	}
 	b.pipeline.Handler, b.pipeline.Idempotent, b.pipeline.Log = &b.dispatcher, b.dispatcher.Idempotent, b.Log
 	b.pipeline.MaxConcurrent, b.pipeline.MaxReadAheadBytes = b.Settings.Callers.PipelineDepth, b.Settings.Callers.PipelineBytes
--- a/balancer/stop.go
+++ b/balancer/stop.go
@@ -27,6 +27,7 @@
 	case <-ctx.Done():
 	}
 	deadline := time.Now().Add(b.Settings.Bounds.StopTimeout - stopReserve)
+	b.closesAt.Store(&deadline)
 	b.leave(ctx)
 	time.Sleep(drainDelay)
 	shutdownCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
@@ -36,7 +37,7 @@
 	b.awaitForwarded(shutdownCtx)
 	if err != nil {
 		b.Log.Log(logger.EventShutdownTimedOut, logger.Fields{"Instance": b.Settings.Instance.ID, "Cause": err.Error()})
-		_ = server.Close()
+		b.interruptCalls(server)
 	}
 	if serveErr := <-serveDone; !errors.Is(serveErr, http.ErrServerClosed) {
 		return serveErr
@@ -44,6 +45,25 @@
 	return nil
 }
 
+// interruptCalls answers the calls that are still open, and closes all connections.
+func (b *Balancer) interruptCalls(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), interruptTime)
+	defer cancel()
+	b.dispatcher.Interrupt()
+	if err := server.Shutdown(ctx); err != nil {
+		_ = server.Close()
+	}
+}
+
+// stopsAt returns when a stopping instance closes its callers' connections; zero while it does
+// not stop.
+func (b *Balancer) stopsAt() time.Time {
+	if at := b.closesAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // awaitForwarded waits until the calls of other instances have ended. No new ones are taken.
 func (b *Balancer) awaitForwarded(ctx context.Context) {
 	const interval = 5 * time.Millisecond
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -45,9 +45,7 @@
 
 // serve runs the call, under a claim if it needs one, and responds.
 func (c *call) serve() {
-	// A call may have to finish after its caller has disconnected, so attempts end
-	// only by commands of the plan and by the deadline.
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(c.request.Context()), c.deadline)
+	ctx, cancel := c.callContext()
 	defer cancel()
 	if c.needsClaim() {
 		c.serveClaimed(ctx)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -31,7 +31,7 @@
 	Quarantine         hemlocktally.Quarantine    // Quarantine holds back requests that crash targets; it may be nil.
 	Reachability       hemlocktally.Reachability  // Reachability learns of connections that fail; it may be nil.
 	Forwarder          hemlocktally.Forwarder     // Forwarder hands over the calls of services whose targets can't be reached; it may be nil.
-	Leaving            func() bool                // Leaving reports whether the instance stops; it may be nil.
+	StopsAt            func() time.Time           // StopsAt returns when a stopping instance closes its connections, and zero while it does not stop; it may be nil.
 	Log                logger.Logger
 	Dialect            hemlocktally.HeaderCodec // Dialect is the header protocol of callers and targets; nil means hemlocktally's own.
 	BodyLimit          int64                    // BodyLimit is the maximum size of a request body in bytes, unless the configuration sets one.
@@ -39,6 +39,7 @@
 	ReadTimeout        time.Duration            // ReadTimeout bounds the wait for the next part of a request body; zero means 10 s.
 	WriteTimeout       time.Duration            // WriteTimeout bounds the wait for the caller to accept the next part of a response; zero means 10 s.
 
+	interrupt  interrupt
 	splitter   trafficSplitter
 	latencies  latencies
 	held       heldBytes
@@ -80,6 +81,10 @@
 		c.refuse(refused)
 		return
 	}
+	if c.mayOutliveStop() {
+		c.refuse(notRunError(hemlocktally.ReasonLeaving, "the instance stops before the call's deadline"))
+		return
+	}
 	c.serve()
 }
 
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -49,7 +49,7 @@
 		c.refuse(notRunError(hemlocktally.ReasonBadRequest, err.Error()))
 	case open > maxForwarded:
 		c.refuse(notRunError(hemlocktally.ReasonShed, "too many calls of other instances are open"))
-	case d.Leaving != nil && d.Leaving():
+	case d.stopping():
 		c.refuse(notRunError(hemlocktally.ReasonLeaving, "the instance is leaving"))
 	default:
 		c.admitAndServe()
