--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -297,7 +297,7 @@
 	if closeDelimited(response) && int64(len(buffered)) <= a.call.dispatcher.BufferLimit {
 		delivered.length = int64(len(buffered))
 	}
-	msg := responseMsg{ResponseMsg: ResponseMsg{Attempt: a.number, Status: response.StatusCode}, response: delivered}
+	msg := responseMsg{ResponseMsg: ResponseMsg{Attempt: a.number, Status: response.StatusCode, Final: a.peer != ""}, response: delivered}
 	if int64(len(buffered)) <= a.call.dispatcher.BufferLimit {
 		msg.Buffered = true
 		msg.summary = a.release(result, false)
--- a/dispatcher/forward_test.go
+++ b/dispatcher/forward_test.go
@@ -170,3 +170,17 @@
 		c.Fatal("the target still works on the call")
 	}
 }
+
+// Server errors of all targets that the other instance tried: the call is not handed over once more,
+// beyond the attempts that the contract allows.
+func TestServerErrorOfHandedOverCallIsFinal(t *testing.T) {
+	c := qt.New(t)
+	failing := func(_ int64, _ *http.Request, conn net.Conn) bool {
+		return writeText(conn, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
+	}
+	first, second := startScriptedTarget(t, failing), startScriptedTarget(t, failing)
+	isolated, _, forwarder := newPair(t, hemlocktally.Contract{MaxAttempts: 2}, first, second)
+	c.Check(isolated.send(http.MethodGet, "/x", "").status, qt.Equals, http.StatusInternalServerError)
+	c.Check(first.runs.Load()+second.runs.Load(), qt.Equals, int64(2))
+	c.Check(forwarder.calls, qt.Equals, 1)
+}
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -70,6 +70,7 @@
 		Attempt  int
 		Status   int
 		Buffered bool // Buffered is set if the complete response is in memory.
+		Final    bool // Final is set if another instance has made further attempts already.
 	}
 	// FailedMsg reports that an attempt ended without a response to forward.
 	FailedMsg struct {
@@ -217,7 +218,7 @@
 // shouldRetryResponse reports whether a response is a server error to an
 // idempotent call, which another target may serve without an error.
 func (p *Plan) shouldRetryResponse(msg ResponseMsg) bool {
-	return msg.Buffered && msg.Status >= http.StatusInternalServerError && !p.NonIdempotent && !p.Nested && !p.callerGone
+	return !msg.Final && msg.Buffered && msg.Status >= http.StatusInternalServerError && !p.NonIdempotent && !p.Nested && !p.callerGone
 }
 
 // forwardResponse forwards the response of one attempt and cancels the others.
--- a/dispatcher/plan_test.go
+++ b/dispatcher/plan_test.go
@@ -128,10 +128,12 @@
 	if len(m.sending) == 0 {
 		t.Skip()
 	}
-	m.send(t, dispatcher.ResponseMsg{
+	msg := dispatcher.ResponseMsg{
 		Attempt: drawAndRemove(t, &m.sending), Status: rapid.SampledFrom([]int{200, 404, 500}).Draw(t, "status"),
-		Buffered: rapid.Bool().Draw(t, "whole"),
-	})
+		Buffered: rapid.Bool().Draw(t, "whole"), Final: rapid.Bool().Draw(t, "final"),
+	}
+	m.ended = m.ended || msg.Final
+	m.send(t, msg)
 }
 
 func TestPlanKeepsItsInvariants(t *testing.T) {
