--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -145,7 +145,7 @@
 	b.dialer = &dialer.Dialer{
 		Viewer: b.follower, ProvenFor: connProvenFor, IdleLimit: connIdleLimit, DialTimeout: connDialTimeout, Dial: b.DialTarget,
 	}
-	b.monitor = &monitor.Monitor{Reach: b.dialer.Reach, Log: b.Log}
+	b.monitor = &monitor.Monitor{Reach: b.dialer.Reach, Listed: b.listedTargets, Log: b.Log}
 	b.forwarder = &forwarder.Forwarder{Self: self, Zone: hemlocktally.ZoneName(s.Instance.Zone), View: b.follower, HTTP: peerTransport(), Log: b.Log}
 	probeTransport := transport(1, probeIdleTimeout, defaultDialTimeout)
 	probeTransport.DialContext = b.DialTarget
@@ -169,6 +169,17 @@
 	}
 }
 
+// listedTargets returns the targets of a service in the list that this instance holds, which may
+// be none.
+func (b *Balancer) listedTargets(service hemlocktally.ServiceName) []hemlocktally.Target {
+	registrations := b.follower.FleetState().Targets[service]
+	targets := make([]hemlocktally.Target, 0, len(registrations))
+	for _, r := range registrations {
+		targets = append(targets, r.Target)
+	}
+	return targets
+}
+
 // NoteGeneration records the store's generation, which each of its responses
 // carries. It returns a *follower.StaleGenerationError for a response of an earlier
 // generation.
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -138,16 +138,14 @@
 	return d.Forwarder != nil && d.Reachability != nil && c.forwarded == nil && d.Reachability.Isolated(c.contract.Service)
 }
 
-// handOverFailed ends the attempt, or reports that this instance may still try itself: no other
-// one got the call, and none said that it can't reach the targets either.
+// handOverFailed ends the attempt, or reports that this instance tries itself: no other one took
+// the call, so that the targets rather than its own network may be at fault.
 func (a *attempt) handOverFailed(ctx context.Context, err error) bool {
 	var forwardError *hemlocktally.ForwardError
 	if !errors.As(err, &forwardError) {
 		forwardError = &hemlocktally.ForwardError{Sent: true, Cause: err}
 	}
 	switch {
-	case forwardError.Unable:
-		a.endForwarded(&FailedMsg{Attempt: a.number, Error: isolatedError(), Final: true}, hemlocktally.AttemptUnused)
 	case forwardError.Sent || ctx.Err() != nil:
 		failed := a.failure(ctx, err, forwardError.Sent)
 		failed.Final = true
@@ -165,7 +163,7 @@
 }
 
 func isolatedError() *hemlocktally.RefusedError {
-	return notRunError(hemlocktally.ReasonIsolated, "neither this instance nor those that it asked reach the targets")
+	return notRunError(hemlocktally.ReasonIsolated, "the instance reaches hardly any target either")
 }
 
 // peerRequest builds the request to another instance: the caller's, but for the headers of its
--- a/forward.go
+++ b/forward.go
@@ -18,7 +18,6 @@
 type ForwardError struct {
 	Instance InstanceID // Instance is the last one that was tried; empty if there is none.
 	Sent     bool       // Sent is set if the request may have reached the instance.
-	Unable   bool       // Unable is set if all instances answered that they can't serve the call.
 	Cause    error
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -52,9 +52,7 @@
 			return response, instance.ID, nil
 		}
 		unable := errors.Is(err, errUnable)
-		failed = &hemlocktally.ForwardError{
-			Instance: instance.ID, Sent: sent && !unable, Unable: unable && (failed.Unable || failed.Instance == ""), Cause: err,
-		}
+		failed = &hemlocktally.ForwardError{Instance: instance.ID, Sent: sent && !unable, Cause: err}
 		if failed.Sent || ctx.Err() != nil {
 			break
 		}
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -1,6 +1,7 @@
 package monitor
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -26,7 +27,9 @@
 type Monitor struct {
 	// Reach returns an error if the target accepts no connection.
 	Reach func(ctx context.Context, target hemlocktally.Target) error
-	Log   logger.Logger
+	// Listed returns the targets of the service that the instance has a list of. It may be nil.
+	Listed func(service hemlocktally.ServiceName) []hemlocktally.Target
+	Log    logger.Logger
 
 	isolated atomic.Int64 // isolated counts the services that can't be reached. It spares most calls the lock.
 	mu       sync.Mutex
@@ -122,21 +125,37 @@
 	}
 }
 
-// selectTargets picks targets for a check at random, those that have failed only if there are no
-// others.
+// selectTargets picks targets for a check: the zones in turn, since a zone that is down says nothing
+// about the network of this instance, and in each of them at random those that have not failed
+// first.
 func (m *Monitor) selectTargets(command CheckCmd) []hemlocktally.Target {
 	targets := slices.Clone(m.known[command.Service])
-	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	failed := func(t hemlocktally.Target) int {
-		if slices.Contains(command.Except, t.Name) {
-			return 1
+	if m.Listed != nil {
+		if listed := m.Listed(command.Service); len(listed) > len(targets) {
+			targets = listed
 		}
-		return 0
 	}
-	slices.SortStableFunc(targets, func(a, b hemlocktally.Target) int { return failed(a) - failed(b) })
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	slices.SortStableFunc(targets, func(a, b hemlocktally.Target) int {
+		return cmp.Compare(failedRank(command, a), failedRank(command, b))
+	})
+	turn := map[hemlocktally.ZoneName]int{}
+	turns := make(map[hemlocktally.TargetName]int, len(targets))
+	for _, t := range targets {
+		turns[t.Name] = turn[t.Zone]
+		turn[t.Zone]++
+	}
+	slices.SortStableFunc(targets, func(a, b hemlocktally.Target) int { return cmp.Compare(turns[a.Name], turns[b.Name]) })
 	return targets[:min(len(targets), checkedTargets)]
 }
 
+func failedRank(command CheckCmd, t hemlocktally.Target) int {
+	if slices.Contains(command.Except, t.Name) {
+		return 1
+	}
+	return 0
+}
+
 // check connects to the targets at the same time and reports how many accept.
 func (m *Monitor) check(service hemlocktally.ServiceName, targets []hemlocktally.Target) {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
--- a/monitor/monitor_test.go
+++ b/monitor/monitor_test.go
@@ -55,3 +55,34 @@
 	cancel()
 	c.Check(<-done, qt.IsNil)
 }
+
+// A zone whose targets are all down, and of which this instance knows most, is not taken for a
+// failure of its own network.
+func TestZoneThatIsDownIsNoIsolation(t *testing.T) {
+	c := qt.New(t)
+	var checks atomic.Int64
+	m := &monitor.Monitor{Reach: func(_ context.Context, t hemlocktally.Target) error {
+		checks.Add(1)
+		if t.Zone == "down" {
+			return errors.New("connection refused")
+		}
+		return nil
+	}}
+	for n := range 40 {
+		t := target(n)
+		t.Zone = "down"
+		if n%10 == 0 {
+			t.Zone = hemlocktally.ZoneName(fmt.Sprint("up", n%20))
+		}
+		m.Note("s", t)
+	}
+	for round := range 20 {
+		before := checks.Load()
+		m.Failed("s", hemlocktally.Target{Name: hemlocktally.TargetName(fmt.Sprint(round%2 + 1)), Zone: "down", Address: fmt.Sprint("10.0.0.", round%2+1)})
+		m.Failed("s", hemlocktally.Target{Name: hemlocktally.TargetName(fmt.Sprint(round%2 + 3)), Zone: "down", Address: fmt.Sprint("10.0.0.", round%2+3)})
+		await(c, "a check", func() bool { return checks.Load() > before })
+		time.Sleep(20 * time.Millisecond)
+		c.Check(m.Isolated("s"), qt.IsFalse)
+		time.Sleep(300 * time.Millisecond)
+	}
+}
