--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -139,6 +139,7 @@
 	}
 	b.follower.Prepare()
 	b.suspects = &quarantiner.Quarantiner{Self: self, View: b.follower, HTTP: peers, Log: b.Log, Disabled: off}
+	b.follower.Suspects = b.suspects
 	if b.DialTarget == nil {
 		b.DialTarget = dial
 	}
--- a/balancer/crash_test.go
+++ b/balancer/crash_test.go
@@ -170,3 +170,24 @@
 		}
 	}
 }
+
+// An instance that serves no calls learns what the others hold back from its hub, so that it knows
+// when it becomes the hub itself.
+func TestIdleInstanceLearnsOfHeldRequest(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := startCrashFleet(t, "a", "a")
+	hub, idle := f.instances[0], f.instances[1]
+	f.awaitHeld(hub)
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		response, err := f.client.Get("http://" + idle.settings.Listen.Metrics + balancer.QuarantinePath)
+		c.Assert(err, qt.IsNil)
+		body, err := io.ReadAll(response.Body)
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.Body.Close(), qt.IsNil)
+		if len(body) > 0 {
+			break
+		}
+		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("the idle instance knows nothing"))
+	}
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -19,6 +19,7 @@
 
 	"hemlocktally"
 	"hemlocktally/logger"
+	"hemlocktally/quarantiner"
 )
 
 const (
@@ -36,6 +37,8 @@
 	HTTP        *http.Client // HTTP is the client for calls to hubs.
 	Log         logger.Logger
 	Disabled    hemlocktally.Mechanisms // Disabled holds the disabled mechanisms.
+	// Suspects exchanges what is known of requests that crash targets; it may be nil.
+	Suspects *quarantiner.Quarantiner
 	// OnChange is called with each new FleetState, from one goroutine; it may be nil.
 	OnChange func(*FleetState)
 
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -28,6 +28,14 @@
 
 // Sync answers a follower's request for updates. It implements messenger.Relay.
 func (f *Follower) Sync(ctx context.Context, in *messenger.SyncRequest) (*messenger.SyncResponse, error) {
+	out, err := f.syncEntries(ctx, in)
+	if err == nil {
+		out.Suspects = f.Suspects.Answer(in.GetSuspects())
+	}
+	return out, err
+}
+
+func (f *Follower) syncEntries(ctx context.Context, in *messenger.SyncRequest) (*messenger.SyncResponse, error) {
 	f.awaitHubRole(ctx)
 	f.awaitOperators(ctx)
 	if !f.isHub.Load() || f.leaving.Load() {
@@ -227,10 +235,15 @@
 func (r *role) sync(ctx context.Context, hub Hub, hold time.Duration) (connected, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
+	suspects, told := r.Suspects.Outgoing(hub.ID)
 	out, err := r.hubClients.of(hub.PeerAddress, r.Follower).Sync(ctx, &messenger.SyncRequest{
 		Instance: string(r.Self.ID), Version: r.syncedVersion, Added: r.addedVersions[hub.ID], HoldMicroseconds: hold.Microseconds(),
 		StoreAnswers: r.since(&r.cheapReadAnsweredAt) <= cheapReadValidity, Zone: string(r.Self.Zone), Weight: r.Self.Weight,
+		Suspects: suspects,
 	})
+	if err == nil {
+		r.Suspects.Incoming(hub.ID, out.GetSuspects(), told)
+	}
 	if err != nil || out.GetLeaving() {
 		if err != nil && ctx.Err() == nil {
 			r.Log.Log(logger.EventHubUnresponsive, logger.Fields{"Hub": hub.ID, "Cause": err.Error()})
