--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -60,6 +60,7 @@
 	fallback   *placer.Server // fallback decides while no owner responds.
 	granter    *placer.Client
 	suspects   *quarantiner.Quarantiner
+	keeper     *quarantiner.Keeper
 	monitor    *monitor.Monitor
 	forwarder  *forwarder.Forwarder
 	dialer     *dialer.Dialer
@@ -110,7 +111,7 @@
 	var group run.Group
 	group.Add(func() error { return b.serveCallers(ctx, listeners.callers) }, func(error) {})
 	for _, task := range []func(context.Context) error{
-		b.follower.Run, b.owner.Run, b.fallback.Run, b.dialer.Run, b.monitor.Run,
+		b.follower.Run, b.owner.Run, b.fallback.Run, b.dialer.Run, b.monitor.Run, b.keeper.Run,
 		func(ctx context.Context) error { return serve(ctx, listeners.ready, plainServer(b.readyHandler())) },
 		func(ctx context.Context) error { return b.servePeers(ctx, listeners.peers) },
 		func(ctx context.Context) error {
@@ -138,7 +139,9 @@
 		},
 	}
 	b.follower.Prepare()
-	b.suspects = &quarantiner.Quarantiner{Self: self, View: b.follower, HTTP: peers, Log: b.Log, Disabled: off}
+	b.keeper = &quarantiner.Keeper{Directory: b.Directory, Key: b.Platform.HeldRequestKey, IsHub: b.follower.IsHub, Log: b.Log}
+	b.keeper.Prepare()
+	b.suspects = &quarantiner.Quarantiner{Self: self, View: b.follower, HTTP: peers, Log: b.Log, Disabled: off, Keeper: b.keeper}
 	b.follower.Suspects = b.suspects
 	if b.DialTarget == nil {
 		b.DialTarget = dial
--- a/balancer/crash_test.go
+++ b/balancer/crash_test.go
@@ -14,6 +14,7 @@
 	"hemlocktally"
 	"hemlocktally/balancer"
 	"hemlocktally/imitator"
+	"hemlocktally/platform"
 )
 
 // The bound on requests that crash their targets, as operators state it.
@@ -56,6 +57,26 @@
 	return f.send(i, http.MethodGet, crashPath, crashPrefix+id, "")
 }
 
+// askOperators sends a request to the operators' address of an instance.
+func (f *fleet) askOperators(method, url, key string) (status int, body string) {
+	f.t.Helper()
+	request, err := http.NewRequest(method, url, http.NoBody)
+	qt.Assert(f.t, err, qt.IsNil)
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err := f.client.Do(request)
+	qt.Assert(f.t, err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	qt.Assert(f.t, err, qt.IsNil)
+	return response.StatusCode, string(text)
+}
+
+// heldAt returns the list of requests that the instance holds back.
+func (f *fleet) heldAt(i *instance) (status int, list string) {
+	f.t.Helper()
+	return f.askOperators(http.MethodGet, "http://"+i.settings.Listen.Metrics+balancer.QuarantinePath, "")
+}
+
 // awaitHeld sends the request to the instances in turn until all of them hold it back.
 func (f *fleet) awaitHeld(instances ...*instance) {
 	f.t.Helper()
@@ -134,31 +155,20 @@
 	f := startCrashFleet(t, "a", "b")
 	f.awaitHeld(f.instances...)
 	address := "http://" + f.instances[0].settings.Listen.Metrics + balancer.QuarantinePath
-	ask := func(method, url, key string) (int, string) {
-		request, err := http.NewRequest(method, url, http.NoBody)
-		c.Assert(err, qt.IsNil)
-		request.Header.Set("Authorization", "Bearer "+key)
-		response, err := f.client.Do(request)
-		c.Assert(err, qt.IsNil)
-		defer func() { _ = response.Body.Close() }()
-		body, err := io.ReadAll(response.Body)
-		c.Assert(err, qt.IsNil)
-		return response.StatusCode, string(body)
-	}
-	status, list := ask(http.MethodGet, address, "")
+	status, list := f.heldAt(f.instances[0])
 	c.Check(status, qt.Equals, http.StatusOK)
 	request, _, found := strings.Cut(list, " ")
 	c.Assert(found, qt.IsTrue)
 	for _, key := range []string{"", "wrong"} {
-		status, _ = ask(http.MethodDelete, address+"/"+request, key)
+		status, _ = f.askOperators(http.MethodDelete, address+"/"+request, key)
 		c.Check(status, qt.Equals, http.StatusForbidden)
 	}
-	status, _ = ask(http.MethodDelete, address+"/zz", operatorKey)
+	status, _ = f.askOperators(http.MethodDelete, address+"/zz", operatorKey)
 	c.Check(status, qt.Equals, http.StatusBadRequest)
 	for _, u := range f.upstreams {
 		u.SetFaults(imitator.UpstreamFaults{})
 	}
-	status, _ = ask(http.MethodDelete, address+"/"+request, operatorKey)
+	status, _ = f.askOperators(http.MethodDelete, address+"/"+request, operatorKey)
 	c.Check(status, qt.Equals, http.StatusOK)
 	for end := time.Now().Add(10 * time.Second); ; time.Sleep(50 * time.Millisecond) {
 		f.call(f.instances[1], http.MethodGet, "/read/x", fmt.Sprint(time.Now().UnixNano()))
@@ -180,14 +190,42 @@
 	hub, idle := f.instances[0], f.instances[1]
 	f.awaitHeld(hub)
 	for end := time.Now().Add(5 * time.Second); ; time.Sleep(20 * time.Millisecond) {
-		response, err := f.client.Get("http://" + idle.settings.Listen.Metrics + balancer.QuarantinePath)
-		c.Assert(err, qt.IsNil)
-		body, err := io.ReadAll(response.Body)
-		c.Assert(err, qt.IsNil)
-		c.Assert(response.Body.Close(), qt.IsNil)
-		if len(body) > 0 {
+		if _, list := f.heldAt(idle); list != "" {
 			break
 		}
 		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("the idle instance knows nothing"))
 	}
 }
+
+// All instances are lost at once and new ones start: the request is held back from the start.
+func TestHeldRequestOutlivesAllInstances(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := startCrashFleet(t, "a", "b")
+	f.awaitHeld(f.instances...)
+	_, list := f.heldAt(f.instances[0])
+	request, _, _ := strings.Cut(list, " ")
+	parsed, err := hemlocktally.ParseFingerprint(request)
+	c.Assert(err, qt.IsNil)
+	key := platform.Translator{}.HeldRequestKey(parsed)
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if _, ok := f.directory.Get(key); ok {
+			break
+		}
+		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("nothing is kept"))
+	}
+	before := len(f.crashArrivals())
+	for _, i := range f.instances {
+		i.stop()
+	}
+	fresh := []*instance{f.startInstance("e-new-0", "a"), f.startInstance("e-new-1", "b")}
+	f.instances = append(f.instances, fresh...)
+	for _, i := range fresh {
+		f.awaitReady(i)
+	}
+	for n := range 10 {
+		got := f.sendCrash(fresh[n%2], fmt.Sprint("fresh-", n))
+		c.Check(got.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s", got.body))
+	}
+	c.Check(len(f.crashArrivals()), qt.Equals, before)
+}
--- a/directory.go
+++ b/directory.go
@@ -64,6 +64,7 @@
 	EntryZoneStop      EntryKind = "ZoneStop"    // EntryZoneStop takes an availability zone out of service as long as the entry exists.
 	EntryTarget        EntryKind = "Target"      // EntryTarget is a target's own registration.
 	EntryHub           EntryKind = "Hub"         // EntryHub is the registration of an instance that reads the store for others.
+	EntryHeldRequest   EntryKind = "HeldRequest" // EntryHeldRequest is a request that instances hold back because it crashes targets.
 	EntryIgnored       EntryKind = "Foreign"     // EntryIgnored is any other entry; instances ignore it.
 )
 
@@ -90,6 +91,9 @@
 	HubPrefix() string
 	// ZoneStopKey returns the key that takes the zone out of service.
 	ZoneStopKey(zone ZoneName) string
+	// HeldRequestKey returns the key of a request that is held back. It is below HubPrefix, so
+	// that whoever reads the hubs reads it too.
+	HeldRequestKey(request Fingerprint) string
 	// Kind returns the kind of the object that the key describes, and its name.
 	Kind(key string) (kind EntryKind, name string)
 	// DecodeConfiguration decodes the operators' configuration. It leaves out what can't be
--- a/fingerprint.go
+++ b/fingerprint.go
@@ -28,5 +28,14 @@
 	return f, nil
 }
 
+// UnmarshalText parses the hexadecimal digits.
+func (f *Fingerprint) UnmarshalText(text []byte) error {
+	parsed, err := ParseFingerprint(string(text))
+	if err == nil {
+		*f = parsed
+	}
+	return err
+}
+
 // MarshalText returns the hexadecimal digits, also for the log.
 func (f Fingerprint) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
--- a/follower/feed.go
+++ b/follower/feed.go
@@ -97,7 +97,7 @@
 	defer cancel()
 	if known == 0 {
 		all, err := f.Directory.Snapshot(ctx, fd.prefix, false)
-		return SnapshotMsg{Kind: fd.kind, Entries: all.Entries, Revision: all.Revision, Generation: all.Generation}, all.Revision, err
+		return SnapshotMsg{Kind: fd.kind, Entries: f.takeHeldRequests(all.Entries), Revision: all.Revision, Generation: all.Generation}, all.Revision, err
 	}
 	ctx, end := f.generations.untilRestore(ctx)
 	defer end()
@@ -106,7 +106,7 @@
 		err = errRestored
 	}
 	revision := newestRevision(known, changes.Entries)
-	return ChangesMsg{Kind: fd.kind, Entries: changes.Entries, Revision: revision, Generation: changes.Generation}, revision, err
+	return ChangesMsg{Kind: fd.kind, Entries: f.takeHeldRequests(changes.Entries), Revision: revision, Generation: changes.Generation}, revision, err
 }
 
 // newestRevision is the revision of the last change seen. An answer without changes does
--- a/follower/role.go
+++ b/follower/role.go
@@ -200,6 +200,7 @@
 		r.noteReadFailure(ctx, r.inbox, feed{kind: hemlocktally.EntryHub, prefix: r.Interpreter.HubPrefix()}, 0, err)
 		return true
 	}
+	all.Entries = r.takeHeldRequests(all.Entries)
 	r.mark(&r.cheapReadAnsweredAt)
 	send(ctx, r.inbox, ChangesMsg{Kind: hemlocktally.EntryHub, Entries: all.Entries, Generation: all.Generation})
 	return slices.ContainsFunc(all.Entries, func(e hemlocktally.DirectoryEntry) bool {
@@ -398,6 +399,7 @@
 		}
 		return
 	}
+	all.Entries = r.takeHeldRequests(all.Entries)
 	r.mark(&r.cheapReadAnsweredAt)
 	r.wakeFeeds.signal()
 	published := r.published.wait()
--- a/logger/entry_events.go
+++ b/logger/entry_events.go
@@ -72,6 +72,12 @@
 		Meaning: "This instance reaches no targets, and the named one could not be reached or can't serve the call either. The next one is tried.",
 		Action:  "Check the named instance, and this one's network: event 3012.",
 	}
+	EventHeldRequestNotKept = Event{
+		Number: 2013, Name: "held request not kept", Level: logrus.InfoLevel,
+		Fields:  []string{"Request", "Cause"},
+		Meaning: "A hub could not write a request that is held back to the store, or remove one. It tries again; until then the request is forgotten if all instances restart.",
+		Action:  "None, unless it continues: then check the store.",
+	}
 	EventResponseNotHeld = Event{
 		Number: 2007, Name: "large response streamed before later ones", Level: logrus.InfoLevel,
 		Fields:  []string{"Call", "Target", "Bytes"},
@@ -80,4 +86,4 @@
 	}
 )
 
-var entryEvents = []Event{EventCallInvariant, EventClaimOutcomeUnreported, EventReadinessWithdrawn, EventUnusualCall, EventReadAheadMismatch, EventReadAheadCancelled, EventResponseNotHeld, EventTargetBrokeOff, EventRequestHeld, EventRequestReleased, EventSuspectsUnreported, EventCallNotHandedOver}
+var entryEvents = []Event{EventCallInvariant, EventClaimOutcomeUnreported, EventReadinessWithdrawn, EventUnusualCall, EventReadAheadMismatch, EventReadAheadCancelled, EventResponseNotHeld, EventTargetBrokeOff, EventRequestHeld, EventRequestReleased, EventSuspectsUnreported, EventCallNotHandedOver, EventHeldRequestNotKept}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -97,6 +97,7 @@
 	HTTP     *http.Client
 	Log      logger.Logger
 	Disabled hemlocktally.Mechanisms // Disabled holds the mechanisms that are disabled.
+	Keeper   *Keeper                 // Keeper keeps what is held back in the store; it may be nil.
 
 	size    atomic.Int64 // size is State.Len. It spares most calls the lock.
 	refused atomic.Uint64
@@ -197,10 +198,14 @@
 				"Request": command.Suspect.Request, "Service": command.Suspect.Service, "Crashes": CrashesText(command.Suspect, now),
 				"For": command.Until.Sub(now).String(), "HeardFrom": heardFrom,
 			})
+			if heardFrom != fromStore {
+				q.Keeper.note(command)
+			}
 		case ReleaseCmd:
 			q.Log.Log(logger.EventRequestReleased, logger.Fields{
 				"Request": command.Suspect.Request, "Service": command.Suspect.Service, "By": command.Suspect.ClearedBy, "HeardFrom": heardFrom,
 			})
+			q.Keeper.note(command)
 		case ShareCmd:
 			q.announce()
 		}
