Last read: no crash is reported by an isolated instance; tasks at rest are not woken

Found on reading the whole change: an instance that reaches hardly any target took a broken connection and a refused one for a crash; a streamed response that another instance breaks off led to a check of a target that it does not know; the monitor woke 20 times a second and the keeper every two seconds without need; two help texts said that no target is reached. Tests of dispatcher, monitor and quarantiner green with the race detector.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -173,8 +173,8 @@
 	}
 }
 
-// listedTargets returns the targets of a service in the list that this instance holds, which may
-// be none.
+// listedTargets returns the targets of a service that this instance has listed; it may have no
+// list.
 func (b *Balancer) listedTargets(service hemlocktally.ServiceName) []hemlocktally.Target {
 	registrations := b.follower.FleetState().Targets[service]
 	targets := make([]hemlocktally.Target, 0, len(registrations))
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -50,10 +50,10 @@
 		Name: "target_crashes_total", Help: "Attempts that ended with a crash of their target.", Type: typeCounter, Value: float64(b.dispatcher.Crashes()),
 	})
 	gauges = append(gauges, recorder.Metric{
-		Name: "isolated_services", Help: "Services of which this instance reaches no target.", Type: typeGauge, Value: float64(b.monitor.IsolatedServices()),
+		Name: "isolated_services", Help: "Services of which this instance reaches hardly any target.", Type: typeGauge, Value: float64(b.monitor.IsolatedServices()),
 	})
 	gauges = append(gauges, recorder.Metric{
-		Name: "calls_handed_over_total", Help: "Calls that other instances served because this one reaches no targets.", Type: typeCounter, Value: float64(b.forwarder.Forwarded()),
+		Name: "calls_handed_over_total", Help: "Calls that other instances served because this one reaches hardly any target.", Type: typeCounter, Value: float64(b.forwarder.Forwarded()),
 	}, recorder.Metric{
 		Name: "calls_taken_over", Help: "Calls of other instances that are open.", Type: typeGauge, Value: float64(b.dispatcher.Forwarded()),
 	})
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -340,7 +340,7 @@
 		}
 	}
 	a.release(result, false)
-	if result.Outcome == hemlocktally.AttemptFailed {
+	if result.Outcome == hemlocktally.AttemptFailed && a.peer == "" {
 		a.checkCrash(ctx, "the response broke off while it was streamed")
 	}
 }
--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -9,13 +9,14 @@
 
 // checkCrash finds out whether the target crashed during an attempt that it broke off, or only
 // the connection broke, and logs it. A target that is known to live was not crashed by the
-// request. One that does not answer proves nothing: the network may be at fault.
+// request. One that does not answer proves nothing: the network may be at fault, as it is where this
+// instance reaches hardly any target of the service.
 func (a *attempt) checkCrash(ctx context.Context, cause string) bool {
 	d := a.call.dispatcher
 	if d.CrashDetector == nil {
 		return false
 	}
-	crashed := d.CrashDetector.RefusesConnections(context.WithoutCancel(ctx), a.grant.Target)
+	crashed := !a.isolated() && d.CrashDetector.RefusesConnections(context.WithoutCancel(ctx), a.grant.Target)
 	if crashed {
 		d.crashes.Add(1)
 		if d.Quarantine != nil {
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -99,7 +99,7 @@
 func (a *attempt) handOver(ctx context.Context) bool {
 	c := a.call
 	d := c.dispatcher
-	if d.Reachability == nil || !d.Reachability.Isolated(c.contract.Service) {
+	if !a.isolated() {
 		return false
 	}
 	if c.forwarded != nil {
@@ -133,9 +133,13 @@
 
 // canHandOver reports whether the next attempt would be handed over.
 func (a *attempt) canHandOver() bool {
-	c := a.call
-	d := c.dispatcher
-	return d.Forwarder != nil && d.Reachability != nil && c.forwarded == nil && d.Reachability.Isolated(c.contract.Service)
+	return a.call.dispatcher.Forwarder != nil && a.call.forwarded == nil && a.isolated()
+}
+
+// isolated reports whether this instance reaches hardly any target of the call's service.
+func (a *attempt) isolated() bool {
+	r := a.call.dispatcher.Reachability
+	return r != nil && r.Isolated(a.call.contract.Service)
 }
 
 // handOverFailed ends the attempt, or reports that this instance tries itself: no other one took
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -31,7 +31,9 @@
 	Listed func(service hemlocktally.ServiceName) []hemlocktally.Target
 	Log    logger.Logger
 
-	isolated atomic.Int64 // isolated counts the services that can't be reached. It spares most calls the lock.
+	once     sync.Once
+	wake     chan struct{} // wake tells Run that a service became isolated.
+	isolated atomic.Int64  // isolated counts the services that can't be reached. It spares most calls the lock.
 	mu       sync.Mutex
 	state    State
 	known    map[hemlocktally.ServiceName][]hemlocktally.Target // known holds the targets of the last grants.
@@ -93,22 +95,28 @@
 
 // Run rechecks the services that can't be reached until the context ends.
 func (m *Monitor) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
+	m.once.Do(m.init)
+	timer := time.NewTimer(tick)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-m.wake:
+		case <-timer.C:
 		}
-		if m.isolated.Load() > 0 {
-			m.mu.Lock()
-			m.update(TickMsg{})
-			m.mu.Unlock()
+		if m.isolated.Load() == 0 {
+			continue // The timer is not set again: an instance at rest is not woken.
 		}
+		m.mu.Lock()
+		m.update(TickMsg{})
+		m.mu.Unlock()
+		timer.Reset(tick)
 	}
 }
 
+func (m *Monitor) init() { m.wake = make(chan struct{}, 1) }
+
 // update changes the state and executes its commands. The lock is held.
 func (m *Monitor) update(msg any) {
 	for _, command := range m.state.Update(msg, time.Now()) {
@@ -117,6 +125,11 @@
 			go m.check(command.Service, m.selectTargets(command))
 		case IsolatedCmd:
 			m.isolated.Add(1)
+			m.once.Do(m.init)
+			select {
+			case m.wake <- struct{}{}:
+			default:
+			}
 			m.Log.Log(logger.EventServiceIsolated, logger.Fields{"Service": command.Service, "Tried": command.Tried, "Reached": command.Reached})
 		case ReachableCmd:
 			m.isolated.Add(-1)
--- a/quarantiner/keeper.go
+++ b/quarantiner/keeper.go
@@ -72,7 +72,9 @@
 		if !k.writeAll(ctx, pending) {
 			pause = min(2*pause, maxKeepPause)
 		}
-		timer.Reset(pause)
+		if len(pending) > 0 {
+			timer.Reset(pause)
+		}
 	}
 }
 
