--- a/balancer/isolated_test.go
+++ b/balancer/isolated_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -184,3 +185,28 @@
 		c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("%s", got.body))
 	}
 }
+
+// All hubs are cut off from the targets, and other instances are not: the callers of the hubs are
+// served by those.
+func TestCallersOfIsolatedHubsAreServed(t *testing.T) {
+	t.Parallel()
+	for _, mode := range []cutMode{cutSilent, cutReset, cutRefuse} {
+		t.Run(mode.String(), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			f := startFleet(t, "a", "a", "b", "b")
+			var hubs, others []*instance
+			for _, i := range f.instances {
+				entry, _ := f.directory.Get("hemlocktally/hubs/" + i.settings.Instance.Zone)
+				if strings.Contains(entry, `"`+i.settings.Instance.ID+`"`) {
+					hubs = append(hubs, i)
+				} else {
+					others = append(others, i)
+				}
+			}
+			c.Assert(hubs, qt.HasLen, 2)
+			cut, rest := cutAndCount(c, f, mode, readPath, often, hubs, others)
+			checkServed(c, cut, rest)
+		})
+	}
+}
