Instances that reach the targets take calls over also where all hubs are cut off (RECOVER)

Cause: an isolated instance knows hubs by address and nobody else. A follower tells its hub its address and whether it is isolated with each request; an isolated one asks for some that are not, each second, and is answered at once; a hub knows its own followers. Nothing is asked for else.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -150,7 +150,8 @@
 		Viewer: b.follower, ProvenFor: connProvenFor, IdleLimit: connIdleLimit, DialTimeout: connDialTimeout, Dial: b.DialTarget,
 	}
 	b.monitor = &monitor.Monitor{Reach: b.dialer.Reach, Listed: b.listedTargets, Log: b.Log}
-	b.forwarder = &forwarder.Forwarder{Self: self, Zone: hemlocktally.ZoneName(s.Instance.Zone), View: b.follower, HTTP: peerTransport(), Log: b.Log}
+	b.follower.Isolated = func() bool { return b.monitor.IsolatedServices() > 0 }
+	b.forwarder = &forwarder.Forwarder{Self: self, Zone: hemlocktally.ZoneName(s.Instance.Zone), View: b.follower, Helpers: b.follower.Helpers, HTTP: peerTransport(), Log: b.Log}
 	probeTransport := transport(1, probeIdleTimeout, defaultDialTimeout)
 	probeTransport.DialContext = b.DialTarget
 	loadProber := &prober.LoadProber{Dialect: b.Platform, HTTP: &http.Client{Transport: probeTransport}}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -39,6 +39,8 @@
 	Disabled    hemlocktally.Mechanisms // Disabled holds the disabled mechanisms.
 	// Suspects exchanges what is known of requests that crash targets; it may be nil.
 	Suspects *quarantiner.Quarantiner
+	// Isolated reports whether the instance reaches hardly any target of a service; it may be nil.
+	Isolated func() bool
 	// OnChange is called with each new FleetState, from one goroutine; it may be nil.
 	OnChange func(*FleetState)
 
@@ -64,6 +66,7 @@
 	followerServedAt atomic.Int64
 	pollLimiter      pollLimiter
 	followers        followers
+	helpers          helperList
 	handover         handoverOffers
 	generations      generations
 	versions         contentVersions
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -41,7 +41,14 @@
 	if !f.isHub.Load() || f.leaving.Load() {
 		return &messenger.SyncResponse{Leaving: true}, nil
 	}
-	count := f.followers.note(in.GetInstance(), time.Now())
+	count := f.followers.note(in, time.Now())
+	if in.GetWantsHelpers() {
+		out, err := f.answerSync(nil, in.GetVersion(), count)
+		if err == nil {
+			out.Helpers = wireHelpers(f.followers.helpers(time.Now()))
+		}
+		return out, err
+	}
 	if f.shouldHandOver(in) {
 		return &messenger.SyncResponse{TakeOver: true, Version: in.GetVersion(), StoreAgeMicroseconds: f.storeAge().Microseconds(), Followers: int64(count)}, nil
 	}
@@ -236,11 +243,16 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	suspects, told := r.Suspects.Outgoing(hub.ID)
+	isolated := r.isolated()
+	wantsHelpers := isolated && r.helpers.outdated(time.Now())
 	out, err := r.hubClients.of(hub.PeerAddress, r.Follower).Sync(ctx, &messenger.SyncRequest{
 		Instance: string(r.Self.ID), Version: r.syncedVersion, Added: r.addedVersions[hub.ID], HoldMicroseconds: hold.Microseconds(),
 		StoreAnswers: r.since(&r.cheapReadAnsweredAt) <= cheapReadValidity, Zone: string(r.Self.Zone), Weight: r.Self.Weight,
-		Suspects: suspects,
+		Suspects: suspects, PeerAddress: r.Self.PeerAddress, Isolated: isolated, WantsHelpers: wantsHelpers,
 	})
+	if err == nil && wantsHelpers {
+		r.helpers.set(helpersOf(out.GetHelpers()), time.Now())
+	}
 	if err == nil {
 		r.Suspects.Incoming(hub.ID, out.GetSuspects(), told)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -21,18 +21,20 @@
 const (
 	// skipTime is how long an instance that could not be reached or can't serve calls is tried
 	// last.
-	skipTime = 300 * time.Millisecond
+	skipTime = time.Second
 	// maxInstances is how many instances are tried for one call.
-	maxInstances = 3
+	maxInstances = 5
 )
 
 // Forwarder implements hemlocktally.Forwarder. The exported fields must be set before use.
 type Forwarder struct {
 	Self hemlocktally.InstanceID
 	Zone hemlocktally.ZoneName
-	View hemlocktally.ViewSource // View lists the instances that take calls over.
-	HTTP http.RoundTripper
-	Log  logger.Logger
+	View hemlocktally.ViewSource // View lists the hubs, which take calls over.
+	// Helpers lists other instances that reach the targets. It may be nil.
+	Helpers func() []hemlocktally.Instance
+	HTTP    http.RoundTripper
+	Log     logger.Logger
 
 	forwarded atomic.Uint64
 	mu        sync.Mutex
@@ -73,7 +75,11 @@
 // candidates returns the instances to try: those of the own zone first, each group in random
 // order, and the ones that failed lately last.
 func (f *Forwarder) candidates() []hemlocktally.Instance {
-	instances := slices.DeleteFunc(slices.Clone(f.View.View().Serving()), func(i hemlocktally.Instance) bool { return i.ID == f.Self })
+	instances := slices.Clone(f.View.View().Serving())
+	if f.Helpers != nil {
+		instances = append(instances, f.Helpers()...)
+	}
+	instances = slices.DeleteFunc(instances, func(i hemlocktally.Instance) bool { return i.ID == f.Self })
 	rand.Shuffle(len(instances), func(i, j int) { instances[i], instances[j] = instances[j], instances[i] })
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -126,3 +126,19 @@
 		c.Check(failed.Sent, qt.IsFalse, qt.Commentf("%v", err))
 	}
 }
+
+// Where all hubs are isolated a call goes to an instance that a hub named.
+func TestHelpersTakeCallsOverWhereHubsCannot(t *testing.T) {
+	c := qt.New(t)
+	hub := startPeer(t, "hub", "a", refuse(hemlocktally.ReasonIsolated, hemlocktally.OutcomeNotRun))
+	helper := startPeer(t, "helper", "b", serve)
+	f := &forwarder.Forwarder{
+		Self: "self", Zone: "a", View: fixedView{hub.Instance}, Helpers: func() []hemlocktally.Instance { return []hemlocktally.Instance{helper.Instance} },
+	}
+	for range 5 {
+		id, err := forward(t, f)
+		c.Assert(err, qt.IsNil)
+		c.Check(id, qt.Equals, hemlocktally.InstanceID("helper"))
+	}
+	c.Check(hub.calls.Load(), qt.Equals, int64(1))
+}
