--- a/follower/relay.go
+++ b/follower/relay.go
@@ -237,11 +237,9 @@
 	return entries, nil
 }
 
-// sync asks one hub for updates. It reports whether the hub is connected to the store, and
-// whether it answered at all.
-func (r *role) sync(ctx context.Context, hub Hub, hold time.Duration) (connected, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
-	defer cancel()
+// requestSync sends one request to a hub, together with what this instance tells it and asks of it
+// besides the entries.
+func (r *role) requestSync(ctx context.Context, hub Hub, hold time.Duration) (*messenger.SyncResponse, error) {
 	suspects, told := r.Suspects.Outgoing(hub.ID)
 	isolated := r.isolated()
 	wantsHelpers := isolated && r.helpers.outdated(time.Now())
@@ -250,12 +248,22 @@
 		StoreAnswers: r.since(&r.cheapReadAnsweredAt) <= cheapReadValidity, Zone: string(r.Self.Zone), Weight: r.Self.Weight,
 		Suspects: suspects, PeerAddress: r.Self.PeerAddress, Isolated: isolated, WantsHelpers: wantsHelpers,
 	})
-	if err == nil && wantsHelpers {
-		r.helpers.set(helpersOf(out.GetHelpers()), time.Now())
+	if err != nil {
+		return nil, err
 	}
-	if err == nil {
-		r.Suspects.Incoming(hub.ID, out.GetSuspects(), told)
+	r.Suspects.Incoming(hub.ID, out.GetSuspects(), told)
+	if wantsHelpers {
+		r.helpers.set(helpersOf(out.GetHelpers()), time.Now())
 	}
+	return out, nil
+}
+
+// sync asks one hub for updates. It reports whether the hub is connected to the store, and
+// whether it answered at all.
+func (r *role) sync(ctx context.Context, hub Hub, hold time.Duration) (connected, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	out, err := r.requestSync(ctx, hub, hold)
 	if err != nil || out.GetLeaving() {
 		if err != nil && ctx.Err() == nil {
 			r.Log.Log(logger.EventHubUnresponsive, logger.Fields{"Hub": hub.ID, "Cause": err.Error()})
