--- a/follower/feed.go
+++ b/follower/feed.go
@@ -93,12 +93,14 @@
 
 // poll makes one call: a full read if no revision is known, otherwise a watch for changes.
 func (f *Follower) poll(ctx context.Context, fd feed, known uint64) (any, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout+fd.wait)
-	defer cancel()
 	if known == 0 {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
 		all, err := f.Directory.Snapshot(ctx, fd.prefix, false)
 		return SnapshotMsg{Kind: fd.kind, Entries: f.takeHeldRequests(all.Entries), Revision: all.Revision, Generation: all.Generation}, all.Revision, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+fd.wait)
+	defer cancel()
 	ctx, end := f.generations.untilRestore(ctx)
 	defer end()
 	changes, err := f.Directory.Watch(ctx, fd.prefix, known, fd.wait)
--- a/follower/outage_test.go
+++ b/follower/outage_test.go
@@ -191,3 +191,34 @@
 		}
 	})
 }
+
+// A hub's read hangs when the store comes back, since its connection does not. Guards against a
+// change that is in force late because the read may wait as long as a watch, which returns early
+// only where there are changes.
+func TestChangeAppliesSoonAfterSilentOutage(t *testing.T) {
+	const bound = 2500 * time.Millisecond // The bound on a change, with the slack that operators allow.
+	for moment := range 16 {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			d := storeWithHubs(c, follower.Hub{ID: "a1", Zone: "a", PeerAddress: "a1"})
+			hub := newInstance("a1", "a", slowDirectory{d, storeDelay}, imitator.Network{})
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan error, 1)
+			go func() { done <- hub.Run(ctx) }()
+			time.Sleep(4 * time.Second)
+			d.unreachable.Store(true)
+			time.Sleep(8*time.Second + time.Duration(moment)*200*time.Millisecond)
+			d.unreachable.Store(false)
+			time.Sleep(400 * time.Millisecond)
+			d.put("op/config", version("7"))
+			accepted := time.Now()
+			for hub.Current().Revision != 7 && time.Since(accepted) < 10*time.Second {
+				time.Sleep(time.Millisecond)
+			}
+			took := time.Since(accepted)
+			c.Check(took < bound, qt.IsTrue, qt.Commentf("%s, outage of %s", took, 8*time.Second+time.Duration(moment)*200*time.Millisecond))
+			cancel()
+			c.Check(<-done, qt.IsNil)
+		})
+	}
+}
