--- a/quarantiner/state.go
+++ b/quarantiner/state.go
@@ -8,6 +8,33 @@
 	"hemlocktally"
 )
 
+const (
+	// crashesToHold is how many crashes a request is held back after.
+	crashesToHold = 3
+	// crashesToShare is the number of crashes from which hubs tell all instances of a request,
+	// so that one at which it completes can clear it.
+	crashesToShare = 2
+	// commonCause is the span in which several crashes count as one: a request can't be blamed
+	// for what befalls several targets at the same moment.
+	commonCause = 50 * time.Millisecond
+	// suspicionTTL is how long a crash, or a completion, is remembered while the request is not
+	// held back.
+	suspicionTTL = 10 * time.Minute
+	// firstHold is how long after its last crash a request is held back. It doubles with each
+	// trial that ends with a crash.
+	firstHold = 10 * time.Minute
+	maxHold   = 24 * time.Hour
+	// trialTime is how long a trial may take before another one may start.
+	trialTime = 30 * time.Second
+	// maxSuspects limits the requests that are remembered; maxCrashes the crashes of each.
+	maxSuspects = 1024
+	maxCrashes  = 16
+	// maxSuspectsTold limits the requests in one message.
+	maxSuspectsTold = 64
+	// forgetInterval is the minimum time between two scans for outdated entries.
+	forgetInterval = time.Second
+)
+
 // State holds the suspected requests. Its zero value suspects none. Only Update changes it. It
 // has no lock and reads no clock.
 type State struct {
