--- a/balancer/crash_test.go
+++ b/balancer/crash_test.go
@@ -77,7 +77,8 @@
 	return f.askOperators(http.MethodGet, "http://"+i.settings.Listen.Metrics+balancer.QuarantinePath, "")
 }
 
-// awaitHeld sends the request to the instances in turn until all of them hold it back.
+// awaitHeld sends the request to the instances in turn until all of them refuse it and know it
+// themselves: an isolated one hands it over to another one that refuses it.
 func (f *fleet) awaitHeld(instances ...*instance) {
 	f.t.Helper()
 	held := 0
@@ -87,7 +88,8 @@
 		}
 		got := f.sendCrash(instances[n%len(instances)], fmt.Sprint("until-held-", n))
 		held++
-		if !strings.Contains(got.body, string(hemlocktally.ReasonQuarantined)) {
+		_, list := f.heldAt(instances[n%len(instances)])
+		if !strings.Contains(got.body, string(hemlocktally.ReasonQuarantined)) || list == "" {
 			held = 0
 		}
 		time.Sleep(60 * time.Millisecond)
