--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -154,6 +154,8 @@
 		failed := a.failure(ctx, err, forwardError.Sent)
 		failed.Final = true
 		a.endForwarded(failed, hemlocktally.AttemptFailed)
+	case a.call.body.consumed.Load():
+		a.endForwarded(&FailedMsg{Attempt: a.number, Error: isolatedError(), BodyConsumed: true, Final: true}, hemlocktally.AttemptUnused)
 	default:
 		a.peer = ""
 		return false
@@ -171,9 +173,12 @@
 }
 
 // peerRequest builds the request to another instance: the caller's, but for the headers of its
-// connection.
+// connection. It returns nil if the body can't be sent again.
 func (a *attempt) peerRequest(ctx context.Context, address string) *http.Request {
 	c := a.call
+	if c.body.consumed.Load() {
+		return nil
+	}
 	out := (&http.Request{
 		Method: c.request.Method, Host: c.request.Host, URL: c.requestURL(address), Header: c.endToEndHeader(),
 		Body: c.body.open(), ContentLength: c.body.length,
--- a/dispatcher/forward_test.go
+++ b/dispatcher/forward_test.go
@@ -184,3 +184,27 @@
 	c.Check(first.runs.Load()+second.runs.Load(), qt.Equals, int64(2))
 	c.Check(forwarder.calls, qt.Equals, 1)
 }
+
+// consumingForwarder reads the body for an instance that then can't serve the call, and asks for
+// the request to a second one.
+type consumingForwarder struct{ second *http.Request }
+
+func (f *consumingForwarder) Forward(_ context.Context, newRequest func(string) *http.Request) (*http.Response, hemlocktally.InstanceID, error) {
+	_, _ = newRequest("first").Body.Read(make([]byte, 5<<10))
+	f.second = newRequest("second")
+	return nil, "first", &hemlocktally.ForwardError{Instance: "first", Cause: errors.New("unable")}
+}
+
+// A body that is streamed can be sent once: after an instance that could not serve the call, neither
+// another one nor a target gets the rest of it.
+func TestStreamedBodyIsHandedOverOnce(t *testing.T) {
+	c := qt.New(t)
+	target := startScriptedTarget(t, func(_ int64, _ *http.Request, conn net.Conn) bool { return writeText(conn, okResponse) })
+	h := newHarness(t, hemlocktally.Contract{}, target)
+	f := &consumingForwarder{}
+	h.Reachability, h.Forwarder = fixedReachability{isolated: true}, f
+	got := h.send(http.MethodPost, "/x", strings.Repeat("x", 64<<10))
+	c.Check(got.status, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(f.second, qt.IsNil)
+	c.Check(target.runs.Load(), qt.Equals, int64(0))
+}
--- a/forward.go
+++ b/forward.go
@@ -9,7 +9,8 @@
 // Forwarder hands calls over to other instances.
 type Forwarder interface {
 	// Forward sends a request to another instance. It tries further ones as long as the call
-	// certainly did not run. newRequest returns a new request to the instance at an address. The
+	// certainly did not run. newRequest returns a new request to the instance at an address, or nil
+	// if the body can't be sent again. The
 	// error is a *ForwardError.
 	Forward(ctx context.Context, newRequest func(address string) *http.Request) (*http.Response, InstanceID, error)
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -48,7 +48,11 @@
 func (f *Forwarder) Forward(ctx context.Context, newRequest func(address string) *http.Request) (*http.Response, hemlocktally.InstanceID, error) {
 	failed := &hemlocktally.ForwardError{Cause: errors.New("there is no other instance")}
 	for _, instance := range f.candidates() {
-		response, sent, err := f.send(ctx, newRequest(instance.PeerAddress))
+		request := newRequest(instance.PeerAddress)
+		if request == nil {
+			break
+		}
+		response, sent, err := f.send(ctx, request)
 		if err == nil {
 			f.forwarded.Add(1)
 			return response, instance.ID, nil
