review: case 7, a list of long ago is used again after a planned stop

Cause: an instance that lost the store and the hub's role keeps the mark of the failed read; when it is the hub again, upstreams that left meanwhile stay in use.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts of review/7 and later start, into target/.
+set -euo pipefail
+cd "$(dirname "$0")/standins-2"
+go build -o ../../target/review-2 .
