Customers, keys and large responses

Configurations of a new deployment declare customers with keys and routes with large responses; the whole route was dropped for its unknown type, the key was passed on to the target, and unknown keys were served.

A call without a valid key gets 401 unless its contract is public; the key is removed and the customer named to the target. Nothing of it takes effect in a configuration without customers and large responses.

--- a/configuration.go
+++ b/configuration.go
@@ -11,15 +11,20 @@
 
 // Configuration is everything that operators have declared, at one revision.
 type Configuration struct {
-	Revision     Revision
-	ChangeID     string
-	Author       string
-	AcceptedAt   time.Time
-	Zones        []AvailabilityZone
-	Services     []Service
-	Contracts    []Contract
-	Callers      []Caller
-	Limits       CallerLimits
+	Revision   Revision
+	ChangeID   string
+	Author     string
+	AcceptedAt time.Time
+	Zones      []AvailabilityZone
+	Services   []Service
+	Contracts  []Contract
+	Callers    []Caller
+	Limits     CallerLimits
+	// KeysRequired is set if the configuration declares customers, also if none of them is
+	// valid: calls then need a customer's key unless their contract is public.
+	KeysRequired bool         `json:",omitempty"`
+	Customers    []Customer   `json:",omitempty"`
+	CustomerKeys CustomerKeys `json:"-"` // CustomerKeys holds the positions of keys' holders in Customers.
 	InstancesOut []InstanceID
 	// Hash is computed over all accepted changes up to the revision.
 	// Configurations of the same revision with different hashes are different.
--- a/contract.go
+++ b/contract.go
@@ -71,6 +71,10 @@
 	RetryBudget   float64       // RetryBudget is the share of calls that may be retried; zero means DefaultRetryBudget.
 	Objective     time.Duration // Objective is the response time to aim for, from the start of the call; zero means the deadline.
 	MaxAttempts   int           // MaxAttempts limits how many targets one call may be sent to; zero means DefaultMaxAttempts.
+	// Public contracts need no customer's key.
+	Public bool `json:",omitempty"`
+	// LargeResponses is set if the responses are so large that their transfer matters.
+	LargeResponses bool `json:",omitempty"`
 	// Split distributes the calls over several services in proportion to their
 	// weights; empty means that all go to Service.
 	Split []ServiceShare
--- a/dialect.go
+++ b/dialect.go
@@ -29,6 +29,10 @@
 	TimeLeft time.Duration // TimeLeft is the time until the call's deadline.
 	Target   TargetName
 	Address  string // Address is the caller's IP:port.
+	// KeysRequired is set if the configuration declares customers. The target is then told
+	// Customer, which is empty for a call of no customer.
+	KeysRequired bool
+	Customer     CustomerName
 }
 
 // ResponseInfo is the information in a response about its call and its target.
--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -33,6 +33,9 @@
 		return notRunError(hemlocktally.ReasonNoContract, "no contract matches the request")
 	}
 	c.contract = contract
+	if refused := c.identifyCustomer(); refused != nil {
+		return refused
+	}
 	c.contract.Service = c.dispatcher.splitter.next(contract)
 	c.record.Contract = contract.Name
 	c.record.Service = c.contract.Service
@@ -61,6 +64,9 @@
 // a known key the caller is anonymous. No other header can set the name.
 func identifyCaller(config *hemlocktally.Configuration, r *http.Request) hemlocktally.Caller {
 	anonymous := hemlocktally.Caller{Name: hemlocktally.AnonymousCaller}
+	if len(config.Callers) == 0 {
+		return anonymous
+	}
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
 		return anonymous
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -18,6 +18,7 @@
 	controller      *http.ResponseController
 	request         *http.Request
 	contract        hemlocktally.Contract
+	customer        hemlocktally.Customer // customer has no name if the call is no customer's.
 	idempotencyKey  string
 	body            *requestBody
 	started         time.Time
--- a/dispatcher/header.go
+++ b/dispatcher/header.go
@@ -44,9 +44,11 @@
 func (a *attempt) targetHeader() http.Header {
 	c := a.call
 	header := c.endToEndHeader()
+	c.removeKey(header)
 	c.dispatcher.dialect().WriteAttempt(header, hemlocktally.AttemptInfo{
 		Call: c.record.Call, Number: a.number, Depth: c.depth, TimeLeft: time.Until(c.deadline),
 		Target: a.grant.Target.Name, Address: c.request.RemoteAddr,
+		KeysRequired: c.config.KeysRequired, Customer: c.customer.Name,
 	})
 	return header
 }
--- a/grant.go
+++ b/grant.go
@@ -48,6 +48,7 @@
 	// deadline.
 	Objective     time.Time
 	NonIdempotent bool
+	Customer      CustomerName // Customer is whose quota the call counts against; it may be empty.
 	// Trial is the fingerprint of a request that was held back and is tried once more; it is
 	// zero for all others.
 	Trial Fingerprint
--- a/outcome.go
+++ b/outcome.go
@@ -21,6 +21,7 @@
 	ReasonBadRequest      Reason = "BadRequest"
 	ReasonTooLarge        Reason = "TooLarge"
 	ReasonUnauthorized    Reason = "Unauthorized"
+	ReasonQuota           Reason = "Quota"
 	ReasonDeadline        Reason = "Deadline"
 	ReasonQueueFull       Reason = "QueueFull"
 	ReasonShed            Reason = "Shed"
--- a/placer/wire.go
+++ b/placer/wire.go
@@ -56,6 +56,7 @@
 		Deadline: now.Add(messenger.Duration(in.GetDeadlineMicroseconds())), Objective: now.Add(messenger.Duration(in.GetObjectiveMicroseconds())),
 		NonIdempotent: in.GetNonIdempotent(),
 	}
+	request.Customer = hemlocktally.CustomerName(in.GetCustomer())
 	if trial := in.GetTrial(); len(trial) == hemlocktally.FingerprintBytes {
 		request.Trial = hemlocktally.Fingerprint(trial)
 	}
@@ -74,7 +75,7 @@
 		Ticket: msg.Ticket, Service: string(r.Service), Contract: string(r.Contract), Priority: int32(r.Priority),
 		Kind: int32(r.Kind), Zone: string(msg.Zone), Instance: string(msg.From),
 		DeadlineMicroseconds: r.Deadline.Sub(now).Microseconds(), ObjectiveMicroseconds: r.Objective.Sub(now).Microseconds(),
-		NonIdempotent: r.NonIdempotent, Limits: wireLimits(msg.Limits, now), LimitsVersion: msg.LimitsVersion,
+		NonIdempotent: r.NonIdempotent, Customer: string(r.Customer), Limits: wireLimits(msg.Limits, now), LimitsVersion: msg.LimitsVersion,
 	}
 	if r.Trial != (hemlocktally.Fingerprint{}) {
 		out.Trial = r.Trial[:]
