--- a/placer/choice.go
+++ b/placer/choice.go
@@ -141,7 +141,8 @@
 			return w.refuse(refused)
 		}
 	}
-	return true, []any{s.issueGrant(w, best, now)}
+	grant := s.issueGrant(w, best, now)
+	return true, append([]any{grant}, s.probeBusy(best.t, now)...)
 }
 
 // refuse answers the waiter with a refusal.
@@ -205,14 +206,7 @@
 	if !t.accepting(now) || t.busy(now) >= s.concurrencyLimit(t, now) || !s.withinLimit(t, now) {
 		return false
 	}
-	return !t.cold(now) || (!s.Alone && t.allowsColdCall(s.coldRate(), s.Bounds.ColdShare, now))
-}
-
-func (s *State) coldRate() float64 {
-	if s.service.ColdPerSecond > 0 {
-		return s.service.ColdPerSecond
-	}
-	return 1
+	return !t.cold(now) || s.allowsColdCall(t, now)
 }
 
 // expectedLatency returns how long the contract's work should take on the target.
@@ -293,8 +287,8 @@
 	s.spendLimit(c.t, now)
 	if grant.Cold {
 		grant.LeaseEnd = now.Add(coldGrantTTL)
-		c.t.coldGrants = append(c.t.coldGrants, now)
 	}
+	c.t.recent.add(now)
 	rationale := Rationale{
 		Expected: c.expected, Pace: c.t.pace, Age: c.t.reportAge(now), Busy: c.t.busy(now), Waiting: len(s.queue) - 1,
 	}
--- a/placer/state.go
+++ b/placer/state.go
@@ -27,7 +27,8 @@
 	queue         []*waiter
 	retries       retryWindow
 	workEstimates map[hemlocktally.ContractName]*estimate
-	meanPace      float64 // meanPace is the moving mean of the reported paces.
+	meanPace      float64   // meanPace is the moving mean of the reported paces.
+	startedAt     time.Time // startedAt is the time of the first message.
 	granted       uint64
 	probes        uint64
 	expiredAt     time.Time
@@ -104,6 +105,7 @@
 		s.targets = map[hemlocktally.TargetName]*targetState{}
 		s.workEstimates = map[hemlocktally.ContractName]*estimate{}
 		s.meanPace = defaultPace
+		s.startedAt = now
 	}
 	var commands []any
 	switch msg := msg.(type) {
@@ -334,7 +336,7 @@
 	if t == nil {
 		return
 	}
-	t.probing = false
+	t.probing, t.recent.sinceProbe = false, 0
 	switch {
 	case msg.Failed:
 		t.backOff(now)
--- a/placer/target.go
+++ b/placer/target.go
@@ -35,7 +35,7 @@
 	otherCallsAt time.Time
 	coldUntil    time.Time
 	rate         rateBudget
-	coldGrants   []time.Time // coldGrants holds when grants were issued in the last second while the target was cold.
+	recent       recentGrants
 
 	probing      bool
 	probedAt     time.Time
@@ -65,7 +65,6 @@
 	coldSlowdown = 2.0
 	// defaultPace is the pace assumed before any report.
 	defaultPace        = 1.6
-	coldWindow         = time.Second
 	misdirectedBackoff = time.Second
 	// avoidJitter is the largest share by which a time to stay away is lengthened at random.
 	avoidJitter = 0.1
@@ -114,22 +113,6 @@
 	return max(0, t.avoidUntil[from].Sub(now))
 }
 
-// allowsColdCall reports whether a cold target may get one more call in the current second. It
-// allows at least one call per second unless the share is zero.
-func (t *targetState) allowsColdCall(perSecond, share float64, now time.Time) bool {
-	kept := t.coldGrants[:0]
-	for _, at := range t.coldGrants {
-		if now.Sub(at) < coldWindow {
-			kept = append(kept, at)
-		}
-	}
-	t.coldGrants = kept
-	if share <= 0 {
-		return false
-	}
-	return len(t.coldGrants) < int(math.Max(1, math.Floor(perSecond*share)))
-}
-
 // idleConnections counts the connections of one instance to a target that carry no call.
 type idleConnections struct {
 	count int
