--- a/placer/cold.go
+++ b/placer/cold.go
@@ -46,11 +46,20 @@
 	return len(t.recent.issued) < coldAllowance(s.coldRate(), share)
 }
 
+// recordRequest notes a request. Before the first one and in a pause another owner may have
+// been asked.
+func (s *State) recordRequest(now time.Time) {
+	if s.requestedAt.IsZero() || now.Sub(s.requestedAt) >= coldWindow {
+		s.activeSince = now
+	}
+	s.requestedAt = now
+}
+
 // coldShare returns the share of a cold target's rate that this owner may use. Owners may
 // follow each other within one second, and what an earlier one has used is not known, so an
-// owner uses half of its share in its first second.
+// owner uses half of its share in the first second in which it is asked.
 func (s *State) coldShare(now time.Time) float64 {
-	if now.Sub(s.startedAt) < coldWindow {
+	if now.Sub(s.activeSince) < coldWindow {
 		return s.Bounds.ColdShare / 2
 	}
 	return s.Bounds.ColdShare
--- a/placer/cold_probe_test.go
+++ b/placer/cold_probe_test.go
@@ -112,6 +112,19 @@
 	}
 }
 
+// Guards against an owner that is asked again after a pause, in which another one decided, and
+// gives a cold target the share of a whole second.
+func TestOwnerAskedAgainUsesHalfTheShare(t *testing.T) {
+	c := qt.New(t)
+	b := newBusyTarget()
+	b.coldSince = b.now
+	b.run(2 * time.Second)
+	b.now = b.now.Add(3 * time.Second)
+	before := len(b.sent)
+	b.run(900 * time.Millisecond)
+	c.Check(len(b.sent)-before <= coldPerSecond/2, qt.IsTrue, qt.Commentf("%d calls", len(b.sent)-before))
+}
+
 // Guards against owners that follow each other within a second and each give a cold target the
 // share of a whole second.
 func TestOwnersInSuccessionShareAColdTarget(t *testing.T) {
--- a/placer/state.go
+++ b/placer/state.go
@@ -28,7 +28,8 @@
 	retries       retryWindow
 	workEstimates map[hemlocktally.ContractName]*estimate
 	meanPace      float64   // meanPace is the moving mean of the reported paces.
-	startedAt     time.Time // startedAt is the time of the first message.
+	activeSince   time.Time // activeSince is since when requests have come without a pause of coldWindow.
+	requestedAt   time.Time // requestedAt is when the last request came.
 	granted       uint64
 	probes        uint64
 	expiredAt     time.Time
@@ -105,13 +106,13 @@
 		s.targets = map[hemlocktally.TargetName]*targetState{}
 		s.workEstimates = map[hemlocktally.ContractName]*estimate{}
 		s.meanPace = defaultPace
-		s.startedAt = now
 	}
 	var commands []any
 	switch msg := msg.(type) {
 	case TargetsMsg:
 		s.configure(msg, now)
 	case AcquireMsg:
+		s.recordRequest(now)
 		s.learnLimits(msg.Limits, msg.From, now)
 		commands = append(s.enqueue(msg, now), s.probeLimits(now)...)
 	case WithdrawMsg:
