--- a/placer/cold.go
+++ b/placer/cold.go
@@ -57,12 +57,17 @@
 
 // coldShare returns the share of a cold target's rate that this owner may use. Owners may
 // follow each other within one second, and what an earlier one has used is not known, so an
-// owner uses half of its share in the first second in which it is asked.
+// owner uses half of its share in the first second in which it is asked. All owners but the
+// first use half of the share together, since the first one may be asked too.
 func (s *State) coldShare(now time.Time) float64 {
+	share := s.Bounds.ColdShare
+	if s.ownerRank.Further {
+		share /= 2 * float64(max(1, s.ownerRank.Others))
+	}
 	if now.Sub(s.activeSince) < coldWindow {
-		return s.Bounds.ColdShare / 2
+		share /= 2
 	}
-	return s.Bounds.ColdShare
+	return share
 }
 
 func coldAllowance(perSecond, share float64) int {
--- a/placer/cold_probe_test.go
+++ b/placer/cold_probe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -125,6 +126,25 @@
 	c.Check(len(b.sent)-before <= coldPerSecond/2, qt.IsTrue, qt.Commentf("%d calls", len(b.sent)-before))
 }
 
+// Guards against several owners that are asked at the same time and each give a cold target the
+// whole share.
+func TestOwnersAtOnceShareAColdTarget(t *testing.T) {
+	c := qt.New(t)
+	const owners = 4
+	var sent []time.Time
+	for n := range owners {
+		b := newBusyTarget()
+		b.update(RankMsg{Rank: Rank{Further: n > 0, Others: owners - 1}})
+		b.coldSince = b.now
+		b.run(4 * time.Second)
+		sent = append(sent, b.sent...)
+	}
+	slices.SortFunc(sent, time.Time.Compare)
+	most := mostInOneSecond(sent, startTime)
+	c.Check(most <= coldBound, qt.IsTrue, qt.Commentf("%d calls in one second, %v are allowed", most, coldBound))
+	c.Check(most >= coldPerSecond/2, qt.IsTrue, qt.Commentf("%d calls in one second", most))
+}
+
 // Guards against owners that follow each other within a second and each give a cold target the
 // share of a whole second.
 func TestOwnersInSuccessionShareAColdTarget(t *testing.T) {
