--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -133,7 +133,7 @@
 	b.recorder = &recorder.Recorder{}
 	peers := &http.Client{Transport: messenger.LimitResponses(peerTransport())}
 	b.follower = &follower.Follower{
-		Directory: b.Directory, Interpreter: b.Platform, Log: b.Log, OnChange: b.applyPicture, HTTP: peers, Disabled: off,
+		Directory: b.Directory, Interpreter: b.Platform, Log: b.Log, Heartbeat: s.Platform.Heartbeat, OnChange: b.applyPicture, HTTP: peers, Disabled: off,
 		Self: follower.Hub{
 			ID: self, Incarnation: incarnation, Zone: hemlocktally.ZoneName(s.Instance.Zone), PeerAddress: s.Listen.Peers, Weight: s.Instance.Weight,
 		},
--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -48,7 +48,8 @@
 
 // PlatformSettings hold the address of the platform's store.
 type PlatformSettings struct {
-	Store string // Store is IP:port.
+	Store     string        // Store is IP:port.
+	Heartbeat time.Duration // Heartbeat is the interval at which targets renew their entries.
 }
 
 // BoundSettings hold the limits that operators have agreed on with their users.
@@ -73,6 +74,7 @@
 // Defaults of the settings.
 const (
 	defaultStopTimeout     = 6 * time.Second
+	defaultHeartbeat       = 1500 * time.Millisecond
 	defaultRetryRatio      = 0.1
 	defaultRetryWindow     = 10 * time.Second
 	defaultProbesPerSecond = 50
@@ -83,6 +85,7 @@
 	s.Instance.Weight = cmp.Or(s.Instance.Weight, 1)
 	s.Callers.PipelineDepth = cmp.Or(s.Callers.PipelineDepth, acceptor.DefaultMaxConcurrent)
 	s.Callers.PipelineBytes = cmp.Or(s.Callers.PipelineBytes, acceptor.DefaultReadAheadBytes)
+	s.Platform.Heartbeat = cmp.Or(s.Platform.Heartbeat, defaultHeartbeat)
 	s.Bounds.StopTimeout = cmp.Or(s.Bounds.StopTimeout, defaultStopTimeout)
 	s.Bounds.RetryRatio = cmp.Or(s.Bounds.RetryRatio, defaultRetryRatio)
 	s.Bounds.RetryWindow = cmp.Or(s.Bounds.RetryWindow, defaultRetryWindow)
--- a/follower/feed.go
+++ b/follower/feed.go
@@ -71,6 +71,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		began := time.Now()
 		msg, revision, err := f.poll(ctx, fd, known)
 		if err != nil {
 			send(ctx, inbox, FeedStoppedMsg{Kind: fd.kind})
@@ -80,9 +81,9 @@
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
-		f.noteStoreAnswer()
+		f.noteStoreAnswer(began)
 		backoff, known = minBackoff, revision
-		send(ctx, inbox, msg)
+		send(ctx, inbox, f.holdRemovals(msg))
 		sleep(ctx, fd.pause)
 	}
 }
@@ -129,6 +130,7 @@
 	if ctx.Err() != nil {
 		return known
 	}
+	f.outage.noteFailure(time.Now())
 	if !f.storeDown.Swap(true) {
 		f.Log.Log(logger.EventStoreUnavailable, logger.Fields{"Store": fd.prefix, "Cause": err.Error()})
 	}
@@ -136,10 +138,25 @@
 	return known
 }
 
-func (f *Follower) noteStoreAnswer() {
+// holdRemovals adds to what was read until when missing entries may reappear.
+func (f *Follower) holdRemovals(msg any) any {
+	until := f.outage.holdRemovalsUntil(f.Heartbeat)
+	switch msg := msg.(type) {
+	case SnapshotMsg:
+		msg.HoldRemovalsUntil = until
+		return msg
+	case ChangesMsg:
+		msg.HoldRemovalsUntil = until
+		return msg
+	}
+	return msg
+}
+
+// noteStoreAnswer records that the store answered a call that began at the given time.
+func (f *Follower) noteStoreAnswer(began time.Time) {
+	f.outage.noteAnswer(began, time.Now())
 	f.mark(&f.storeAnsweredAt)
 	if f.storeDown.Swap(false) {
-		f.mark(&f.storeBackAt)
 		f.Log.Log(logger.EventStoreAvailable, logger.Fields{"Store": "directory"})
 	}
 }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -40,7 +40,8 @@
 	// Suspects exchanges what is known of requests that crash targets; it may be nil.
 	Suspects *quarantiner.Quarantiner
 	// Isolated reports whether the instance reaches hardly any target of a service; it may be nil.
-	Isolated func() bool
+	Isolated  func() bool
+	Heartbeat time.Duration // Heartbeat is the interval at which targets renew their entries; zero means 1.5 s.
 	// OnChange is called with each new FleetState, from one goroutine; it may be nil.
 	OnChange func(*FleetState)
 
@@ -55,7 +56,7 @@
 	instances            atomic.Int64 // instances is the estimated number of instances.
 	isHub                atomic.Bool
 	leaving              atomic.Bool
-	storeBackAt          atomic.Int64 // storeBackAt is when the store last answered again after a failed read.
+	outage               outageTracker
 	storeDown            atomic.Bool
 	targetsUnreadable    atomic.Bool // targetsUnreadable is set while the target list can't be read.
 	renewalFails         atomic.Bool // renewalFails is set while this hub can't renew its lease.
--- a/follower/message.go
+++ b/follower/message.go
@@ -17,6 +17,9 @@
 		// Revision is the store's revision up to which the entries hold all changes; zero if
 		// unknown. A key that is missing from them may have been written later.
 		Revision uint64
+		// HoldRemovalsUntil is until when entries that are missing may reappear, as they have
+		// lapsed in an outage of the store; zero if those that are missing are gone.
+		HoldRemovalsUntil time.Time
 		// Reconciled is set if the entries come from a hub that knew the state before the
 		// store's last restore, and so has already applied it over the backup.
 		Reconciled bool
@@ -28,6 +31,8 @@
 		Revision   uint64 // Revision is the store's revision up to which all changes are known; zero if unknown.
 		Generation hemlocktally.StoreGeneration
 		Source     hemlocktally.InstanceID // Source is the hub that sent the entries; empty if they were read from the store.
+		// HoldRemovalsUntil is as in SnapshotMsg.
+		HoldRemovalsUntil time.Time
 	}
 	// TargetListMsg holds all targets as sent by a hub.
 	TargetListMsg struct {
--- a/follower/poll.go
+++ b/follower/poll.go
@@ -51,6 +51,7 @@
 
 // noteFollowerServed records that the store answers a follower, and wakes waiting requests.
 func (f *Follower) noteFollowerServed() {
+	f.outage.noteOthersServed(time.Now())
 	wake := f.since(&f.followerServedAt) > pollInterval
 	f.mark(&f.followerServedAt)
 	if wake {
--- a/follower/role.go
+++ b/follower/role.go
@@ -213,6 +213,7 @@
 // if the instance was the hub until the store was restored from a backup, it replaces
 // whatever entry the backup holds.
 func (r *role) claim(ctx context.Context, expectedVersion hemlocktally.StoreVersion, overwrite bool) (lease string, claimPoint hemlocktally.GenerationVersion, err error) {
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	granted, err := r.Directory.Grant(ctx, hubTTL)
@@ -234,7 +235,7 @@
 		r.revoke(ctx, granted.ID)
 		return "", claimPoint, err
 	}
-	r.noteStoreAnswer()
+	r.noteStoreAnswer(began)
 	return granted.ID, hemlocktally.GenerationVersion{Generation: r.Generation(), Version: version}, nil
 }
 
@@ -249,19 +250,19 @@
 		r.resign(ctx)
 		return
 	}
+	began := time.Now()
 	err := r.renew(ctx)
 	var conflict *hemlocktally.ConflictError
 	switch {
 	case err == nil:
-		r.noteStoreAnswer()
+		r.noteStoreAnswer(began)
 		r.renewedAt, r.failing = time.Now(), false
-		if r.renewalFails.Swap(false) {
-			r.mark(&r.storeBackAt)
-		}
+		r.renewalFails.Store(false)
 	case errors.As(err, &conflict):
 		r.resign(ctx)
 	default:
 		r.noteFailure(err)
+		r.outage.noteFailure(time.Now())
 		r.renewalFails.Store(true)
 		if time.Since(r.renewedAt) > hubTTL && r.otherHubConnected(ctx) {
 			r.resign(ctx)
--- a/follower/state.go
+++ b/follower/state.go
@@ -64,7 +64,7 @@
 
 // feedState is what the state knows about one prefix.
 type feedState struct {
-	failing         bool
+	failing         bool            // failing is set while reads fail; pending removals wait meanwhile.
 	graceEnd        time.Time       // graceEnd is when pending removals take effect.
 	pendingRemovals map[string]bool // pendingRemovals holds the keys whose removal is delayed.
 }
@@ -109,6 +109,7 @@
 		s.feed(msg.Kind).failing = true
 		return nil, true
 	case FeedStoppedMsg:
+		s.stopFeed(msg.Kind)
 		if msg.Kind != hemlocktally.EntryConfiguration || !s.operators.Complete {
 			return nil, true
 		}
@@ -119,7 +120,7 @@
 }
 
 func (s *State) applyChanges(msg ChangesMsg, now time.Time) []any {
-	f := s.markAnswered(msg.Kind, now)
+	f := s.markAnswered(msg.Kind, msg.HoldRemovalsUntil, now)
 	var notes []any
 	for _, entry := range msg.Entries {
 		notes = append(notes, s.applyEntry(f, entry, now)...)
@@ -159,14 +160,19 @@
 	return f
 }
 
-// markAnswered records an answer of the store. The first one after a failure starts the
-// grace period for removals.
-func (s *State) markAnswered(kind hemlocktally.EntryKind, now time.Time) *feedState {
+// stopFeed forgets failed reads of a prefix that is no longer read from the store. When it is
+// read again they say nothing about the entries that are missing then.
+func (s *State) stopFeed(kind hemlocktally.EntryKind) {
 	f := s.feed(kind)
-	if f.failing {
-		f.failing = false
-		f.graceEnd = now.Add(reappearGrace)
-	}
+	f.failing, f.graceEnd = false, time.Time{}
+}
+
+// markAnswered records an answer of the store. After an outage in which entries may have
+// lapsed, removals are held for a time.
+func (s *State) markAnswered(kind hemlocktally.EntryKind, holdUntil, now time.Time) *feedState {
+	f := s.feed(kind)
+	f.failing = false
+	f.graceEnd = later(f.graceEnd, holdUntil)
 	if kind == hemlocktally.EntryTarget {
 		s.targetsReadAt = now
 	}
@@ -174,7 +180,7 @@
 }
 
 func (s *State) applySnapshot(msg SnapshotMsg, now time.Time) []any {
-	f := s.markAnswered(msg.Kind, now)
+	f := s.markAnswered(msg.Kind, msg.HoldRemovalsUntil, now)
 	present := make(map[string]bool, len(msg.Entries))
 	holdsPrevious := s.restore.holdsPrevious(now) && !msg.Reconciled
 	var notes []any
--- a/follower/targets.go
+++ b/follower/targets.go
@@ -25,9 +25,14 @@
 // owners stop answering, all instances need the list at the same moment.
 func (f *Follower) followTargets(ctx context.Context, inbox chan<- any) {
 	t := &targetFeed{Follower: f, inbox: inbox}
+	reading := false // reading is set while the targets are read from the store.
 	for ctx.Err() == nil {
 		hub, needed := f.isHub.Load(), f.targetsNeeded()
 		readsDirectly := hub || f.readsStoreDirectly() || f.Disabled.Has(hemlocktally.MechanismRelayedLists)
+		if reading && !readsDirectly {
+			send(ctx, inbox, FeedStoppedMsg{Kind: hemlocktally.EntryTarget})
+		}
+		reading = readsDirectly
 		idleElapsed := t.polledAt.IsZero() || time.Since(t.polledAt) >= idlePollInterval
 		switch {
 		case !needed && (!hub || !idleElapsed):
@@ -78,6 +83,7 @@
 	if t.knownRevision > 0 {
 		t.mark(&t.targetWatchStartedAt)
 	}
+	began := time.Now()
 	msg, revision, err := t.Follower.poll(ctx, fd, t.knownRevision)
 	t.targetWatchStartedAt.Store(0)
 	t.polledAt = time.Now()
@@ -89,14 +95,10 @@
 		sleep(ctx, jitter(t.failurePause))
 		return
 	}
-	if t.knownRevision == 0 && t.storeUnsettled() {
-		// Nobody needed the targets during the outage, so that only other calls have failed.
-		send(ctx, t.inbox, ReadFailedMsg{Kind: hemlocktally.EntryTarget})
-	}
-	t.noteStoreAnswer()
+	t.noteStoreAnswer(began)
 	t.targetsUnreadable.Store(false)
 	t.failurePause, t.misses, t.knownRevision = 0, 0, revision
-	send(ctx, t.inbox, msg)
+	send(ctx, t.inbox, t.holdRemovals(msg))
 	switch {
 	case needed && t.isHub.Load():
 		sleep(ctx, fd.pause)
@@ -183,6 +185,7 @@
 // noteSuperseded records that the store answers some instances while no hub can read it. A
 // hub keeps this for its own followers; any other instance reads the store itself.
 func (t *targetFeed) noteSuperseded() {
+	t.outage.noteOthersServed(time.Now())
 	if t.isHub.Load() {
 		t.mark(&t.followerServedAt)
 		return
@@ -227,12 +230,6 @@
 	return slices.ContainsFunc(f.hubs(), func(hub Hub) bool { return hub.ID == id })
 }
 
-// storeUnsettled reports whether the store has failed to answer this instance until recently,
-// so that entries that lapsed meanwhile may not have reappeared yet.
-func (f *Follower) storeUnsettled() bool {
-	return f.storeDown.Load() || f.renewalFails.Load() || f.since(&f.storeBackAt) < reappearGrace
-}
-
 // awaitFreshList waits up to freshListWait for a recent list, if the store can be read.
 func (f *Follower) awaitFreshList(ctx context.Context) *FleetState {
 	end := time.Now().Add(freshListWait)
