--- a/follower/targets.go
+++ b/follower/targets.go
@@ -25,14 +25,9 @@
 // owners stop answering, all instances need the list at the same moment.
 func (f *Follower) followTargets(ctx context.Context, inbox chan<- any) {
 	t := &targetFeed{Follower: f, inbox: inbox}
-	reading := false // reading is set while the targets are read from the store.
 	for ctx.Err() == nil {
 		hub, needed := f.isHub.Load(), f.targetsNeeded()
-		readsDirectly := hub || f.readsStoreDirectly() || f.Disabled.Has(hemlocktally.MechanismRelayedLists)
-		if reading && !readsDirectly {
-			send(ctx, inbox, FeedStoppedMsg{Kind: hemlocktally.EntryTarget})
-		}
-		reading = readsDirectly
+		readsDirectly := t.noteReading(ctx, hub || f.readsStoreDirectly() || f.Disabled.Has(hemlocktally.MechanismRelayedLists))
 		idleElapsed := t.polledAt.IsZero() || time.Since(t.polledAt) >= idlePollInterval
 		switch {
 		case !needed && (!hub || !idleElapsed):
@@ -48,6 +43,16 @@
 	}
 }
 
+// noteReading notes whether the targets are read from the store, and tells the state when that
+// ends.
+func (t *targetFeed) noteReading(ctx context.Context, reading bool) bool {
+	if t.reading && !reading {
+		send(ctx, t.inbox, FeedStoppedMsg{Kind: hemlocktally.EntryTarget})
+	}
+	t.reading = reading
+	return reading
+}
+
 // nextRequestPause is the pause before the next request to the hubs. A stale list is
 // requested again soon, with growing pauses while that fails; a recent one, at the latest
 // when it becomes too old.
@@ -71,6 +76,7 @@
 	failurePause   time.Duration                // failurePause grows with consecutive failures.
 	polledAt       time.Time
 	staleListPause time.Duration // staleListPause is the pause before a stale list is requested again.
+	reading        bool          // reading is set while the targets are read from the store.
 	misses         int           // misses counts consecutive rounds in which no hub sent a list.
 }
 
