Quotas of customers over the whole fleet

Cause: nothing counted the calls of a customer. 2,886 requests were executed in five seconds where 997 were allowed (docs/design/customers-and-load.md).

Change: package limiter counts first attempts at the owners of services, in a sliding window. Hubs exchange counts and shares (messenger/quota.proto); a share rises only when all other hubs have answered, so that all shares add up to at most one. A hub that dies counts with what it reported and what it may have granted since. Instances that reach no owner send as many calls as before, or a small part of the quota. A call counts once, and is given back if it certainly did not run. Without a quota in the configuration nothing is counted or sent.

Settings [Quotas]; an empty value of any setting is its default, because earlier deployments have no such fields. Events 3030 and 3031, metrics quota_*.

Ruled out: a token bucket refuses a burst of more than the burst in less than the window, which the window allows.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -21,6 +21,7 @@
 	"hemlocktally/dispatcher"
 	"hemlocktally/follower"
 	"hemlocktally/forwarder"
+	"hemlocktally/limiter"
 	"hemlocktally/logger"
 	"hemlocktally/messenger"
 	"hemlocktally/monitor"
@@ -59,6 +60,8 @@
 	owner      *placer.Server // owner decides for the services that the instance owns.
 	fallback   *placer.Server // fallback decides while no owner responds.
 	granter    *placer.Client
+	quotas     *limiter.Limiter // quotas counts customers' calls to the services that the instance owns.
+	alone      *limiter.Alone   // alone counts them while no owner responds.
 	suspects   *quarantiner.Quarantiner
 	keeper     *quarantiner.Keeper
 	monitor    *monitor.Monitor
@@ -111,7 +114,7 @@
 	var group run.Group
 	group.Add(func() error { return b.serveCallers(ctx, listeners.callers) }, func(error) {})
 	for _, task := range []func(context.Context) error{
-		b.follower.Run, b.owner.Run, b.fallback.Run, b.dialer.Run, b.monitor.Run, b.keeper.Run,
+		b.follower.Run, b.owner.Run, b.fallback.Run, b.dialer.Run, b.monitor.Run, b.keeper.Run, b.quotas.Run,
 		func(ctx context.Context) error { return serve(ctx, listeners.ready, plainServer(b.readyHandler())) },
 		func(ctx context.Context) error { return b.servePeers(ctx, listeners.peers) },
 		func(ctx context.Context) error {
@@ -154,19 +157,20 @@
 	b.forwarder = &forwarder.Forwarder{Self: self, Zone: hemlocktally.ZoneName(s.Instance.Zone), View: b.follower, Helpers: b.follower.Helpers, HTTP: peerTransport(), Log: b.Log}
 	probeTransport := transport(1, probeIdleTimeout, defaultDialTimeout)
 	probeTransport.DialContext = b.DialTarget
+	b.setUpQuotas(incarnation, peers)
 	loadProber := &prober.LoadProber{Dialect: b.Platform, HTTP: &http.Client{Transport: probeTransport}}
 	bounds := placer.Bounds{
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: s.Bounds.RetryWindow, RetrySlack: s.Bounds.RetrySlack,
 		ColdShare: coldShare, ProbesPerSecond: s.Bounds.ProbesPerSecond, Disabled: off,
 	}
-	b.owner = &placer.Server{Self: self, Epoch: epoch, Bounds: bounds, Prober: loadProber, Log: b.Log, RequestTargets: b.follower.NeedTargets, TargetsRead: b.follower.TargetsFreshness, View: b.follower, Superseded: b.follower.Superseded, Suspects: b.suspects, Monitor: b.monitor}
+	b.owner = &placer.Server{Self: self, Epoch: epoch, Bounds: bounds, Prober: loadProber, Log: b.Log, RequestTargets: b.follower.NeedTargets, TargetsRead: b.follower.TargetsFreshness, View: b.follower, Superseded: b.follower.Superseded, Suspects: b.suspects, Monitor: b.monitor, Quotas: b.quotas}
 	// Many instances may decide without the owner at the same time, so each uses
 	// only a small part of the fleet's budget and leaves cold targets to the owner.
 	bounds.ColdShare, bounds.RetryRatio = 0, bounds.RetryRatio/2
-	b.fallback = &placer.Server{Self: self, Epoch: epoch + "A", Bounds: bounds, Prober: loadProber, Log: b.Log, RequestTargets: b.follower.NeedTargets, TargetsRead: b.follower.TargetsFreshness, Alone: true, Suspects: b.suspects, Monitor: b.monitor}
+	b.fallback = &placer.Server{Self: self, Epoch: epoch + "A", Bounds: bounds, Prober: loadProber, Log: b.Log, RequestTargets: b.follower.NeedTargets, TargetsRead: b.follower.TargetsFreshness, Alone: true, Suspects: b.suspects, Monitor: b.monitor, Quotas: b.alone}
 	b.granter = &placer.Client{
 		Self: self, Zone: hemlocktally.ZoneName(s.Instance.Zone), Epoch: epoch, View: b.follower, Server: b.owner, Alone: b.fallback,
-		HTTP: peers, Log: b.Log, RequestTargets: b.follower.NeedTargets, Suspects: b.suspects, Monitor: b.monitor, Disabled: off,
+		HTTP: peers, Log: b.Log, RequestTargets: b.follower.NeedTargets, Suspects: b.suspects, Monitor: b.monitor, Disabled: off, Quotas: b.alone,
 	}
 	b.setUpDispatcher()
 	if off.Has(hemlocktally.MechanismReadAhead) {
@@ -206,6 +210,8 @@
 		return // Only the age of the data has changed.
 	}
 	b.configured = current
+	b.quotas.Configure(p.Configuration.Customers)
+	b.alone.Configure(p.Configuration.Customers, instances)
 	services := placedServices(p, instances)
 	b.fallback.Configure(services)
 	b.owner.Configure(services)
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -71,6 +71,7 @@
 	}, recorder.Metric{
 		Name: "limited_grants_total", Help: "Grants that were counted against a limit of their target.", Type: typeCounter, Value: float64(granted),
 	})
+	gauges = append(gauges, customerGauges(b.quotas.Stats())...)
 	gauges = append(gauges, serviceGauges("owner", b.owner.Stats(ctx))...)
 	gauges = append(gauges, serviceGauges("alone", b.fallback.Stats(ctx))...)
 	if b.LinesDropped != nil {
--- a/balancer/peer.go
+++ b/balancer/peer.go
@@ -27,6 +27,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(messenger.PlacementPathPrefix, messenger.NewPlacementServer(b.owner))
 	mux.Handle(messenger.QuarantinePathPrefix, messenger.NewQuarantineServer(b.suspects))
+	mux.Handle(messenger.QuotaPathPrefix, messenger.NewQuotaServer(b.quotas))
 	mux.Handle(messenger.RelayPathPrefix, messenger.NewRelayServer(b.follower))
 	return serve(ctx, listener, peerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(hemlocktally.HeaderForwarded) != "" {
--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -9,6 +9,7 @@
 
 	"hemlocktally"
 	"hemlocktally/acceptor"
+	"hemlocktally/limiter"
 	"hemlocktally/loader"
 )
 
@@ -20,6 +21,7 @@
 	Callers   CallerSettings
 	Platform  PlatformSettings
 	Bounds    BoundSettings
+	Quotas    QuotaSettings
 	Policy    PolicySettings
 	Operators OperatorSettings
 	Log       loader.LogSettings
@@ -60,6 +62,13 @@
 	ProbesPerSecond float64       // ProbesPerSecond limits the load probes of one target.
 }
 
+// QuotaSettings hold the bounds of what customers with a quota may have executed.
+type QuotaSettings struct {
+	Window    time.Duration // Window is the time over which calls are counted.
+	Overshoot float64       // Overshoot is how many times a quota may be executed in a window.
+	Slack     float64       // Slack is how many calls may be executed in addition.
+}
+
 // PolicySettings switch parts of the decision logic off.
 type PolicySettings struct {
 	Off string // Off lists the mechanisms to switch off, separated by commas, so that their effect can be measured.
@@ -87,6 +96,8 @@
 	s.Bounds.RetryRatio = cmp.Or(s.Bounds.RetryRatio, defaultRetryRatio)
 	s.Bounds.RetryWindow = cmp.Or(s.Bounds.RetryWindow, defaultRetryWindow)
 	s.Bounds.ProbesPerSecond = cmp.Or(s.Bounds.ProbesPerSecond, defaultProbesPerSecond)
+	s.Quotas.Window = cmp.Or(s.Quotas.Window, limiter.DefaultWindow)
+	s.Quotas.Overshoot = cmp.Or(s.Quotas.Overshoot, limiter.DefaultOvershoot)
 	s.Log.Format = cmp.Or(s.Log.Format, "Text")
 	s.Log.Level = cmp.Or(s.Log.Level, "info")
 	return s
@@ -110,6 +121,8 @@
 	maxPipelineDepth = 64
 	minPipelineBytes = 4 << 10
 	maxPipelineBytes = 1 << 20
+	maxOvershoot     = 2
+	maxQuotaSlack    = 1e6
 )
 
 func inRange(n, lo, hi int) bool { return n >= lo && n <= hi }
@@ -135,6 +148,9 @@
 		{"Callers", "PipelineBytes", strconv.Itoa(s.Callers.PipelineBytes), "a number of bytes from 4096 to 1048576", inRange(s.Callers.PipelineBytes, minPipelineBytes, maxPipelineBytes)},
 		{"Platform", "Store", s.Platform.Store, address, loader.IsAddress(s.Platform.Store)},
 		{"Bounds", "RetryRatio", strconv.FormatFloat(s.Bounds.RetryRatio, 'g', -1, 64), "a share from 0 to 1", s.Bounds.RetryRatio <= 1},
+		{"Quotas", "Window", s.Quotas.Window.String(), "a duration from 1s to 1m", s.Quotas.Window >= time.Second && s.Quotas.Window <= time.Minute},
+		{"Quotas", "Overshoot", strconv.FormatFloat(s.Quotas.Overshoot, 'g', -1, 64), "a factor from 1 to 2", s.Quotas.Overshoot >= 1 && s.Quotas.Overshoot <= maxOvershoot},
+		{"Quotas", "Slack", strconv.FormatFloat(s.Quotas.Slack, 'g', -1, 64), "a number from 0 to 1000000", s.Quotas.Slack >= 0 && s.Quotas.Slack <= maxQuotaSlack},
 		{"Policy", "Off", s.Policy.Off, "a comma-separated list of mechanism names, or nothing", policyErr == nil},
 		{"Log", "Format", s.Log.Format, "Text, JSON", s.Log.Format == "Text" || s.Log.Format == "JSON"},
 		{"Log", "Level", s.Log.Level, "debug, info, warning, error", slices.Contains(levels, s.Log.Level)},
--- a/balancer/stop.go
+++ b/balancer/stop.go
@@ -77,6 +77,7 @@
 	b.pipeline.StopReadAhead()
 	b.follower.ResignHub()
 	b.owner.Leave()
+	b.quotas.Leave()
 	b.Log.Log(logger.EventStopping, logger.Fields{"Instance": b.Settings.Instance.ID, "Cause": context.Cause(ctx).Error()})
 	b.Log.Log(logger.EventReadinessWithdrawn, logger.Fields{"Instance": b.Settings.Instance.ID, "Settle": drainDelay})
 }
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -31,8 +31,10 @@
 	exclude []hemlocktally.TargetName
 	// targetsLeft is how many targets another instance may send the call to.
 	targetsLeft int
-	cancel      context.CancelCauseFunc
-	started     time.Time
+	// counted is set if an earlier attempt, which may have run, counts against the quota.
+	counted bool
+	cancel  context.CancelCauseFunc
+	started time.Time
 
 	grant        hemlocktally.Grant
 	link         hemlocktally.TargetConn
@@ -140,7 +142,7 @@
 		Call: c.record.Call, Service: c.contract.Service, Contract: c.contract.Name, Priority: c.contract.Priority,
 		Kind: a.kind, Deadline: c.deadline, QueueLimit: a.queueLimit(), Exclude: a.exclude,
 		Objective: c.started.Add(c.contract.EffectiveObjective()), NonIdempotent: c.contract.NonIdempotent,
-		Trial: a.trial(verdict), Customer: c.customer.Name,
+		Trial: a.trial(verdict), Customer: c.customer.Name, Counted: a.counted,
 	})
 	if err != nil {
 		c.messages <- GrantRefusedMsg{Attempt: a.number, Error: grantError(ctx, err)}
@@ -365,6 +367,7 @@
 	if a.link != nil {
 		a.link.Release(silent)
 	}
+	result.Counted = a.call.countShared.Load()
 	a.call.dispatcher.Granter.Release(*result)
 	if result.Outcome == hemlocktally.AttemptDone {
 		a.recordCompletion()
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hemlocktally"
@@ -32,6 +33,7 @@
 	identity        hemlocktally.Fingerprint     // identity is set by fingerprint.
 	keptResponse    *hemlocktally.StoredResponse // keptResponse is the complete response, for the claim.
 	responseStarted bool                         // responseStarted is set before the first byte of the response is written.
+	countShared     atomic.Bool                  // countShared is set once a further attempt relies on the count of an earlier one against the quota.
 	truncated       bool                         // truncated is set if the response could not be forwarded completely.
 
 	plan       Plan
@@ -134,7 +136,11 @@
 
 func (c *call) startAttempt(ctx context.Context, command StartAttemptCmd) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	a := &attempt{call: c, number: command.Attempt, kind: command.Kind, exclude: command.Exclude, targetsLeft: command.TargetsLeft, cancel: cancel, started: time.Now()}
+	counted := command.Kind != hemlocktally.AttemptFirst && c.plan.mayHaveRun()
+	if counted {
+		c.countShared.Store(true)
+	}
+	a := &attempt{call: c, counted: counted, number: command.Attempt, kind: command.Kind, exclude: command.Exclude, targetsLeft: command.TargetsLeft, cancel: cancel, started: time.Now()}
 	c.attempts = append(c.attempts, a)
 	c.record.Attempts = append(c.record.Attempts, hemlocktally.AttemptRecord{
 		Kind: command.Kind, Started: a.started.Sub(c.started), Outcome: hemlocktally.AttemptCancelled,
--- a/dispatcher/refusal.go
+++ b/dispatcher/refusal.go
@@ -20,6 +20,8 @@
 		return http.StatusRequestEntityTooLarge
 	case hemlocktally.ReasonUnauthorized:
 		return http.StatusUnauthorized
+	case hemlocktally.ReasonQuota:
+		return http.StatusTooManyRequests
 	case hemlocktally.ReasonClaimHeld:
 		return http.StatusConflict
 	case hemlocktally.ReasonClaimDiffers:
--- a/grant.go
+++ b/grant.go
@@ -49,6 +49,7 @@
 	Objective     time.Time
 	NonIdempotent bool
 	Customer      CustomerName // Customer is whose quota the call counts against; it may be empty.
+	Counted       bool         // Counted is set if an earlier attempt of the call counts against the quota.
 	// Trial is the fingerprint of a request that was held back and is tried once more; it is
 	// zero for all others.
 	Trial Fingerprint
@@ -92,6 +93,7 @@
 	// nothing.
 	Limit       *RateLimit
 	Unreachable bool // Unreachable is set if no connection to the target was available.
+	Counted     bool // Counted is set if another attempt relies on this one's count against the quota.
 }
 
 // Granter hands out grants. Acquire returns a *RefusedError if no grant is
--- a/logger/owner_events.go
+++ b/logger/owner_events.go
@@ -83,8 +83,21 @@
 		Meaning: "The instance decides for the service and counts its calls to the target against another limit from now on, of which it uses Share. ReportedBy is the instance that reported it; it is empty if the grant had expired.",
 		Action:  "None; docs/operators/limits.md.",
 	}
+	EventQuotaRefused = Event{
+		Number: 3030, Name: "calls beyond a quota refused", Level: logrus.InfoLevel,
+		Fields:  []string{"Customer", "Refused", "Quota", "Used", "Share"},
+		Meaning: "The instance refused calls of the customer since the last line about it, at most one line in ten seconds. Quota is the number of calls in a window, Used how many of them are used by all hubs, Share the part that this hub may use.",
+		Action:  "None; docs/operators/quotas.md.",
+	}
+	EventQuotaHubSilent = Event{
+		Number: 3031, Name: "hub exchanges no counts", Level: logrus.WarnLevel,
+		Fields:  []string{"Hub"},
+		Meaning: "The hub has not answered for a second about the counts of customers' calls. An equal share of each quota is left to it.",
+		Action:  "Check the named instance if this continues.",
+	}
 )
 
 var ownerEvents = []Event{
+	EventQuotaRefused, EventQuotaHubSilent,
 	EventOwnerInvariant, EventTargetState, EventOwnerUnresponsive, EventColdTargetsWithheld, EventColdTargetsServed, EventLoadQueryFailed, EventTargetGranted, EventTargetLeaving, EventTargetLimit, EventLimitCounted, EventResponseHeaderUnreadable, EventServiceIsolated, EventServiceReachable,
 }
--- a/messenger/relay.twirp.go
+++ b/messenger/relay.twirp.go
@@ -785,7 +785,7 @@
 }
 
 func (s *relayServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor7, 0
+	return twirpFileDescriptor8, 0
 }
 
 func (s *relayServer) ProtocGenTwirpVersion() string {
@@ -799,7 +799,7 @@
 	return baseServicePath(s.pathPrefix, "hemlocktally.messenger", "Relay")
 }
 
-var twirpFileDescriptor7 = []byte{
+var twirpFileDescriptor8 = []byte{
 	// 816 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x55, 0xdd, 0x8e, 0xdb, 0x44,
 	0x14, 0x96, 0xd7, 0xf9, 0xf3, 0x71, 0xda, 0xa6, 0xa3, 0x6a, 0x65, 0x2d, 0x55, 0x95, 0xba, 0x85,
--- a/placer/client.go
+++ b/placer/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"hemlocktally"
+	"hemlocktally/limiter"
 	"hemlocktally/logger"
 	"hemlocktally/messenger"
 	"hemlocktally/monitor"
@@ -57,6 +58,7 @@
 	RequestTargets func()
 	Monitor        *monitor.Monitor         // Monitor learns of the targets in use; it may be nil.
 	Suspects       *quarantiner.Quarantiner // Suspects exchanges what is known of requests that crash targets; it may be nil.
+	Quotas         *limiter.Alone           // Quotas counts the customers' calls that this instance sends; it may be nil.
 	Disabled       hemlocktally.Mechanisms  // Disabled holds the mechanisms that are disabled.
 
 	avoidList avoidList
@@ -91,7 +93,7 @@
 	if request.Objective.IsZero() {
 		request.Objective = request.Deadline
 	}
-	msg := AcquireMsg{Ticket: c.nextTicket(), From: c.Self, Zone: c.Zone, Request: request}
+	msg := AcquireMsg{Ticket: c.nextTicket(), From: c.Self, Zone: c.Zone, Request: request, Sent: c.sent(request)}
 	started := time.Now()
 	for returned := 0; ; {
 		answer := c.acquire(ctx, msg)
@@ -106,6 +108,7 @@
 				msg.Ticket = c.nextTicket()
 				break
 			}
+			c.noteGranted(request, answer.Grant)
 			if answer.Grant.Limit.Named {
 				c.limits.granted.Add(1)
 			}
@@ -186,6 +189,9 @@
 		heard(answer.News)
 	case RefuseCmd:
 		heard(answer.News)
+		if server != c.Alone {
+			c.noteRefused(msg.Request, answer.Error.Reason)
+		}
 	case PendingCmd:
 		heard(answer.News)
 	}
@@ -239,6 +245,7 @@
 	case out.GetGrant() != "":
 		return GrantCmd{Ticket: msg.Ticket, Grant: grantFromResponse(out, msg, owner.ID, sentAt)}, nil
 	case out.GetRefused() != "":
+		c.noteRefused(msg.Request, hemlocktally.Reason(out.GetRefused()))
 		return RefuseCmd{Ticket: msg.Ticket, Error: notRunError(
 			hemlocktally.Reason(out.GetRefused()), out.GetDetail(), messenger.Duration(out.GetRetryAfterMicroseconds()),
 		)}, nil
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -51,6 +51,9 @@
 		// LimitsVersion is the version of the last LimitNews that the client got from this
 		// server.
 		LimitsVersion uint64
+		// Sent is how many calls of the customer the client has sent in the parts of the last
+		// window, the latest first.
+		Sent []uint32
 	}
 	// WithdrawMsg cancels a request.
 	WithdrawMsg struct{ Ticket string }
--- a/placer/server.go
+++ b/placer/server.go
@@ -44,7 +44,10 @@
 	// Suspects decides on trials of requests that were held back, and exchanges what is known of
 	// them with the clients. It may be nil.
 	Suspects *quarantiner.Quarantiner
+	// Quotas counts the calls of customers. If it is nil, there are no quotas.
+	Quotas Quotas
 
+	charges       charges
 	mu            sync.Mutex
 	ctx           context.Context //nolint:containedctx // The tasks end with Run, not with a single request.
 	services      map[hemlocktally.ServiceName]*serviceTask
@@ -222,6 +225,16 @@
 		return RefuseCmd{Ticket: msg.Ticket, Error: notRunError(hemlocktally.ReasonNoTarget, "the list of targets is stale", minRetryAfter)}
 	}
 	msg.ReplyBy = time.Now().Add(maxHold)
+	if refused := s.charge(msg, time.Now()); refused != nil {
+		return RefuseCmd{Ticket: msg.Ticket, Error: refused}
+	}
+	answer := s.acquire(ctx, task, msg)
+	s.settleTicket(msg.Ticket, answer)
+	return answer
+}
+
+// acquire passes the request to the task and waits for the answer.
+func (s *Server) acquire(ctx context.Context, task *serviceTask, msg AcquireMsg) any {
 	call := acquireCall{AcquireMsg: msg, reply: make(chan any, 1)}
 	task.send(call)
 	select {
@@ -301,6 +314,7 @@
 
 // Release returns a grant.
 func (s *Server) Release(result hemlocktally.GrantResult) {
+	s.settleGrant(result)
 	if task := s.task(result.Grant.Service); task != nil {
 		task.send(ReleaseMsg{Result: result})
 	}
--- a/placer/wire.go
+++ b/placer/wire.go
@@ -56,7 +56,7 @@
 		Deadline: now.Add(messenger.Duration(in.GetDeadlineMicroseconds())), Objective: now.Add(messenger.Duration(in.GetObjectiveMicroseconds())),
 		NonIdempotent: in.GetNonIdempotent(),
 	}
-	request.Customer = hemlocktally.CustomerName(in.GetCustomer())
+	request.Customer, request.Counted = hemlocktally.CustomerName(in.GetCustomer()), in.GetCounted()
 	if trial := in.GetTrial(); len(trial) == hemlocktally.FingerprintBytes {
 		request.Trial = hemlocktally.Fingerprint(trial)
 	}
@@ -65,7 +65,7 @@
 	}
 	return AcquireMsg{
 		Ticket: in.GetTicket(), From: hemlocktally.InstanceID(in.GetInstance()), Zone: hemlocktally.ZoneName(in.GetZone()), Request: request,
-		Limits: targetLimits(in.GetLimits(), now), LimitsVersion: in.GetLimitsVersion(),
+		Limits: targetLimits(in.GetLimits(), now), LimitsVersion: in.GetLimitsVersion(), Sent: in.GetSent(),
 	}
 }
 
@@ -75,7 +75,7 @@
 		Ticket: msg.Ticket, Service: string(r.Service), Contract: string(r.Contract), Priority: int32(r.Priority),
 		Kind: int32(r.Kind), Zone: string(msg.Zone), Instance: string(msg.From),
 		DeadlineMicroseconds: r.Deadline.Sub(now).Microseconds(), ObjectiveMicroseconds: r.Objective.Sub(now).Microseconds(),
-		NonIdempotent: r.NonIdempotent, Customer: string(r.Customer), Limits: wireLimits(msg.Limits, now), LimitsVersion: msg.LimitsVersion,
+		NonIdempotent: r.NonIdempotent, Customer: string(r.Customer), Counted: r.Counted, Sent: msg.Sent, Limits: wireLimits(msg.Limits, now), LimitsVersion: msg.LimitsVersion,
 	}
 	if r.Trial != (hemlocktally.Fingerprint{}) {
 		out.Trial = r.Trial[:]
@@ -154,6 +154,7 @@
 		Grant: string(r.Grant.ID), Service: string(r.Grant.Service), Target: string(r.Grant.Target.Name), Contract: string(r.Contract),
 		Outcome: int32(r.Outcome), LatencyMicroseconds: r.Latency.Microseconds(), SaidDraining: r.ReportedDraining,
 		Misdirected: r.Misdirected, Unreachable: r.Unreachable, StayAwayMicroseconds: r.RetryAfter.Microseconds(), ColdMicroseconds: r.ColdFor.Microseconds(),
+		Counted: r.Counted,
 	}
 	if r.Limit != nil {
 		out.Limit = wireLimit(r.Grant.Target, *r.Limit, time.Now())
@@ -175,7 +176,7 @@
 		},
 		Contract: hemlocktally.ContractName(in.GetContract()), Outcome: hemlocktally.AttemptOutcome(in.GetOutcome()),
 		Latency: messenger.Duration(in.GetLatencyMicroseconds()), ReportedDraining: in.GetSaidDraining(), Misdirected: in.GetMisdirected(),
-		Unreachable: in.GetUnreachable(), RetryAfter: messenger.Duration(in.GetStayAwayMicroseconds()),
+		Unreachable: in.GetUnreachable(), Counted: in.GetCounted(), RetryAfter: messenger.Duration(in.GetStayAwayMicroseconds()),
 		ReportedCold: in.GetColdMicroseconds() > 0, ColdFor: messenger.Duration(in.GetColdMicroseconds()),
 	}
 	if in.GetLimit() != nil {
--- a/recorder/exposition.go
+++ b/recorder/exposition.go
@@ -26,14 +26,24 @@
 	Help    string
 	Type    string                   // Type is "counter" or "gauge".
 	Service hemlocktally.ServiceName // Service is the service label; empty means no label.
-	Value   float64
+	// Customer is the customer label; empty means no label.
+	Customer hemlocktally.CustomerName
+	// Reason is the reason label beside that of the customer; empty means no label.
+	Reason hemlocktally.Reason
+	Value  float64
 }
 
 func (g Metric) labels() string {
-	if g.Service == "" {
+	switch {
+	case g.Service != "":
+		return "{service=" + quote(string(g.Service)) + "}"
+	case g.Customer != "" && g.Reason != "":
+		return "{customer=" + quote(string(g.Customer)) + ",reason=" + quote(string(g.Reason)) + "}"
+	case g.Customer != "":
+		return "{customer=" + quote(string(g.Customer)) + "}"
+	default:
 		return ""
 	}
-	return "{service=" + quote(string(g.Service)) + "}"
 }
 
 // WriteMetrics writes the histograms, refusals, attempts and gauges in the
