--- a/dispatcher/customer.go
+++ b/dispatcher/customer.go
@@ -26,6 +26,7 @@
 		return nil
 	}
 	c.record.Caller, c.record.Tenant = hemlocktally.CallerName(c.customer.Name), string(c.customer.Name)
+	c.record.Customer = c.customer.Name
 	if c.customer.PrioritySet {
 		c.contract.Priority = c.customer.Priority
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -113,6 +113,7 @@
 
 func (d *Dispatcher) finish(c *call) {
 	c.record.Total = time.Since(c.started)
+	c.record.Late = c.contract.Objective > 0 && c.record.Total > c.contract.Objective
 	if d.Recorder != nil {
 		d.Recorder.Record(c.record)
 	}
--- a/limiter/alone.go
+++ b/limiter/alone.go
@@ -161,7 +161,7 @@
 		s.drawTurn(a, rate, now)
 		return 0, true
 	}
-	wait := min(a.turn.Sub(now), s.Bounds.Window)
+	wait := max(minRetryAfter, min(a.turn.Sub(now), s.Bounds.Window))
 	if a.sent.sum <= a.before && !refusedLately && !surge {
 		wait = min(wait, s.nextExpiry(a, bucket, now))
 	}
@@ -209,8 +209,10 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.state.Bounds = l.Bounds
 	now := time.Now()
+	if l.state.startedAt.IsZero() {
+		l.state.Bounds = l.Bounds
+	}
 	l.state.start(now)
 	use(&l.state, now)
 }
--- a/limiter/state.go
+++ b/limiter/state.go
@@ -167,7 +167,7 @@
 
 func (s *State) refuse(a *account, now time.Time, buckets int64) *hemlocktally.RefusedError {
 	width := s.Bounds.bucketWidth()
-	wait := time.Duration(buckets)*width - now.Sub(s.startedAt)%width
+	wait := max(minRetryAfter, time.Duration(buckets)*width-now.Sub(s.startedAt)%width)
 	a.stats.Requested++
 	a.stats.Refused++
 	a.unlogged++
@@ -197,6 +197,9 @@
 	}
 }
 
+// minRetryAfter is the shortest Retry-After; a shorter one would be written as zero.
+const minRetryAfter = 5 * time.Millisecond
+
 // RefusalMsg reports that calls of a customer were refused, for the log.
 type RefusalMsg struct {
 	Customer hemlocktally.CustomerName
--- a/outcome.go
+++ b/outcome.go
@@ -56,6 +56,8 @@
 	Call     CallID
 	Caller   CallerName
 	Tenant   string
+	Customer CustomerName // Customer is empty if the call is no customer's.
+	Late     bool         // Late is set if the response came after the contract's objective.
 	Contract ContractName
 	Service  ServiceName
 	Method   string
--- a/recorder/exposition.go
+++ b/recorder/exposition.go
@@ -54,6 +54,7 @@
 	writeHistograms(out, r.Distributions())
 	writeRefusals(out, r.Refusals())
 	r.writeAttempts(out)
+	gauges = slices.Concat(customerMetrics(r.Customers()), gauges)
 	for i, g := range gauges {
 		if i == 0 || gauges[i-1].Name != g.Name {
 			writeHeader(out, g.Name, g.Type, g.Help)
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -37,6 +37,8 @@
 	classes  map[ClassKey]*class
 	refusals map[RefusalKey]*RefusalCount
 	history  callHistory
+	// customers holds the counts of customers' calls.
+	customers map[hemlocktally.CustomerName]*CustomerCount
 }
 
 // shard buffers calls so that Record rarely waits for the lock of the histograms.
@@ -90,6 +92,7 @@
 	if record.Outcome != hemlocktally.OutcomeDone {
 		r.countRefusal(record)
 	}
+	r.countCustomer(record)
 	r.history.add(record, k.isSlow(record.Total))
 }
 
