--- a/balancer/quota.go
+++ b/balancer/quota.go
@@ -13,7 +13,7 @@
 // setUpQuotas creates the limiters of customers' calls.
 func (b *Balancer) setUpQuotas(incarnation string, peers *http.Client) {
 	s := b.Settings
-	bounds := limiter.Bounds{Window: s.Quotas.Window, Overshoot: s.Quotas.Overshoot, Slack: s.Quotas.Slack}
+	bounds := limiter.Bounds{Window: s.Quotas.Window, Overshoot: 1 + s.Quotas.Overshoot, Slack: s.Quotas.Slack}
 	b.quotas = &limiter.Limiter{
 		Self: hemlocktally.InstanceID(s.Instance.ID), Incarnation: incarnation, Address: s.Listen.Peers, Bounds: bounds,
 		View: b.follower, HTTP: peers, Log: b.Log,
--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -66,7 +66,7 @@
 // QuotaSettings hold the bounds of what customers with a quota may have executed.
 type QuotaSettings struct {
 	Window    time.Duration // Window is the time over which calls are counted.
-	Overshoot float64       // Overshoot is how many times a quota may be executed in a window.
+	Overshoot float64       // Overshoot is the share of the quota that may be executed in addition.
 	Slack     float64       // Slack is how many calls may be executed in addition.
 }
 
@@ -100,7 +100,7 @@
 	s.Bounds.RetryWindow = cmp.Or(s.Bounds.RetryWindow, defaultRetryWindow)
 	s.Bounds.ProbesPerSecond = cmp.Or(s.Bounds.ProbesPerSecond, defaultProbesPerSecond)
 	s.Quotas.Window = cmp.Or(s.Quotas.Window, limiter.DefaultWindow)
-	s.Quotas.Overshoot = cmp.Or(s.Quotas.Overshoot, limiter.DefaultOvershoot)
+	s.Quotas.Overshoot = cmp.Or(s.Quotas.Overshoot, limiter.DefaultOvershoot-1)
 	s.Log.Format = cmp.Or(s.Log.Format, "Text")
 	s.Log.Level = cmp.Or(s.Log.Level, "info")
 	return s
@@ -124,7 +124,6 @@
 	maxPipelineDepth = 64
 	minPipelineBytes = 4 << 10
 	maxPipelineBytes = 1 << 20
-	maxOvershoot     = 2
 	maxQuotaSlack    = 1e6
 )
 
@@ -152,7 +151,7 @@
 		{"Platform", "Store", s.Platform.Store, address, loader.IsAddress(s.Platform.Store)},
 		{"Bounds", "RetryRatio", strconv.FormatFloat(s.Bounds.RetryRatio, 'g', -1, 64), "a share from 0 to 1", s.Bounds.RetryRatio <= 1},
 		{"Quotas", "Window", s.Quotas.Window.String(), "a duration from 1s to 1m", s.Quotas.Window >= time.Second && s.Quotas.Window <= time.Minute},
-		{"Quotas", "Overshoot", strconv.FormatFloat(s.Quotas.Overshoot, 'g', -1, 64), "a factor from 1 to 2", s.Quotas.Overshoot >= 1 && s.Quotas.Overshoot <= maxOvershoot},
+		{"Quotas", "Overshoot", strconv.FormatFloat(s.Quotas.Overshoot, 'g', -1, 64), "a share from 0 to 1", s.Quotas.Overshoot >= 0 && s.Quotas.Overshoot <= 1},
 		{"Quotas", "Slack", strconv.FormatFloat(s.Quotas.Slack, 'g', -1, 64), "a number from 0 to 1000000", s.Quotas.Slack >= 0 && s.Quotas.Slack <= maxQuotaSlack},
 		{"Policy", "Off", s.Policy.Off, "a comma-separated list of mechanism names, or nothing", policyErr == nil},
 		{"Log", "Format", s.Log.Format, "Text, JSON", s.Log.Format == "Text" || s.Log.Format == "JSON"},
