--- a/limiter/exchange_test.go
+++ b/limiter/exchange_test.go
@@ -88,9 +88,11 @@
 		l.Prepare()
 		l.Configure(customers)
 		n.handlers[instance.PeerAddress] = messenger.NewQuotaServer(l)
-		go func() { _ = l.Run(ctx) }()
 		limiters = append(limiters, l)
 	}
+	for _, l := range limiters { // None calls another one before all are known to the network.
+		go func() { _ = l.Run(ctx) }()
+	}
 	return limiters
 }
 
