placer: decide by demand, speed and cost when a call leaves its zone

Cause: a target of the caller's zone was used while it needed at most 0.6 of the time left, another zone cost a constant 10 ms, and a new connection up to 0.35 of the time left, so that calls ran on targets that were slow for a moment while quick ones were free.

Change: where a configuration declares customers or large responses, the owner weighs the zones (placer/spillover.go): a price of the path by delay and learned size of the responses, a share of a short zone's calls with hysteresis, a wait for a target at home as long as the path costs, probes until the best target has a fresh report, and second attempts only for calls that will miss. All other configurations use the constants as before; [Policy] Off = Spillover too.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -158,6 +159,7 @@
 	bounds := placer.Bounds{
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: s.Bounds.RetryWindow, RetrySlack: s.Bounds.RetrySlack,
 		ColdShare: coldShare, ProbesPerSecond: s.Bounds.ProbesPerSecond, Disabled: off,
+		PricePerMB: s.Zones.PricePerMB, ZoneDelay: s.Zones.Delay,
 	}
 	b.owner = &placer.Server{Self: self, Epoch: epoch, Bounds: bounds, Prober: loadProber, Log: b.Log, RequestTargets: b.follower.NeedTargets, TargetsRead: b.follower.TargetsFreshness, View: b.follower, Superseded: b.follower.Superseded, Suspects: b.suspects, Monitor: b.monitor}
 	// Many instances may decide without the owner at the same time, so each uses
@@ -169,6 +171,7 @@
 		HTTP: peers, Log: b.Log, RequestTargets: b.follower.NeedTargets, Suspects: b.suspects, Monitor: b.monitor, Disabled: off,
 	}
 	b.setUpDispatcher()
+	b.dispatcher.EarlyHedges = !off.Has(hemlocktally.MechanismSpillover)
 	if off.Has(hemlocktally.MechanismReadAhead) {
 		b.pipeline.MaxConcurrent = 1
 	}
@@ -223,17 +226,31 @@
 		out[zone.Name] = zone.Out
 	}
 	services := make(map[hemlocktally.ServiceName]placer.TargetsMsg, len(p.Targets))
+	spillover := p.Configuration.WeighsZones()
 	for name, targets := range p.Targets {
-		services[name] = placer.TargetsMsg{Targets: targets, Out: out, Revision: p.Configuration.Revision, Instances: instances}
+		services[name] = placer.TargetsMsg{Targets: targets, Out: out, Revision: p.Configuration.Revision, Instances: instances, Spillover: spillover}
 	}
 	for _, service := range p.Configuration.Services {
 		msg := services[service.Name]
 		msg.Service, msg.Out, msg.Revision, msg.Instances = service, out, p.Configuration.Revision, instances
+		msg.Spillover, msg.LargeResponses = spillover, largeResponses(p.Configuration.Contracts, service.Name)
 		services[service.Name] = msg
 	}
 	return services
 }
 
+// largeResponses returns the names of the service's contracts with large responses.
+func largeResponses(contracts []hemlocktally.Contract, service hemlocktally.ServiceName) []hemlocktally.ContractName {
+	var names []hemlocktally.ContractName
+	for _, contract := range contracts {
+		splits := slices.ContainsFunc(contract.Split, func(share hemlocktally.ServiceShare) bool { return share.Service == service })
+		if contract.LargeResponses && (contract.Service == service || splits) {
+			names = append(names, contract.Name)
+		}
+	}
+	return names
+}
+
 // listeners holds the listening sockets of an instance; those without an address
 // are nil.
 type listeners struct {
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -71,8 +71,10 @@
 	}, recorder.Metric{
 		Name: "limited_grants_total", Help: "Grants that were counted against a limit of their target.", Type: typeCounter, Value: float64(granted),
 	})
-	gauges = append(gauges, serviceGauges("owner", b.owner.Stats(ctx))...)
+	owned := b.owner.Stats(ctx)
+	gauges = append(gauges, serviceGauges("owner", owned)...)
 	gauges = append(gauges, serviceGauges("alone", b.fallback.Stats(ctx))...)
+	gauges = append(gauges, spilloverGauges(owned)...)
 	if b.LinesDropped != nil {
 		gauges = append(gauges, recorder.Metric{
 			Name: "log_lines_dropped_total", Help: "Log lines over the budget, or that nobody read.", Type: typeCounter, Value: float64(b.LinesDropped()),
@@ -90,6 +92,30 @@
 	return gauges
 }
 
+// spilloverGauges returns the metrics of the calls that leave their zone, of the services that
+// this instance owns.
+func spilloverGauges(services []placer.Stats) []recorder.Metric {
+	var calls, shares, left, sizes []recorder.Metric
+	for _, service := range services {
+		for _, zone := range service.Zones {
+			metric := recorder.Metric{Service: service.Service, Zone: zone.Zone, Type: typeCounter}
+			metric.Name, metric.Help, metric.Value = "owner_zone_calls_total", "Calls from the zone.", float64(zone.Calls)
+			calls = append(calls, metric)
+			metric.Name, metric.Help, metric.Value = "owner_zone_left_bytes_total", "Bytes of responses from other zones to the zone's calls.", float64(zone.Bytes)
+			sizes = append(sizes, metric)
+			for _, reason := range placer.LeaveReasons() {
+				metric.Name, metric.Help, metric.Value = "owner_zone_left_total", "Attempts for the zone's calls that were sent to another zone.", float64(zone.Left[reason])
+				metric.Reason = string(reason)
+				left = append(left, metric)
+			}
+			metric.Name, metric.Help, metric.Value = "owner_zone_share", "Share of the zone's calls that may leave because its targets are too few.", zone.Share
+			metric.Reason, metric.Type = "", typeGauge
+			shares = append(shares, metric)
+		}
+	}
+	return slices.Concat(calls, shares, left, sizes)
+}
+
 // serviceGauges returns the metrics of the services that this instance places
 // calls for in a role: as their owner, or alone, without the owner.
 func serviceGauges(role string, services []placer.Stats) []recorder.Metric {
--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -20,6 +20,7 @@
 	Callers   CallerSettings
 	Platform  PlatformSettings
 	Bounds    BoundSettings
+	Zones     ZoneSettings
 	Policy    PolicySettings
 	Operators OperatorSettings
 	Log       loader.LogSettings
@@ -60,6 +61,12 @@
 	ProbesPerSecond float64       // ProbesPerSecond limits the load probes of one target.
 }
 
+// ZoneSettings hold what traffic between zones costs.
+type ZoneSettings struct {
+	PricePerMB time.Duration // PricePerMB is the time that a caller must gain to justify one megabyte between zones.
+	Delay      time.Duration // Delay is how long a message takes from one zone to another.
+}
+
 // PolicySettings switch parts of the decision logic off.
 type PolicySettings struct {
 	Off string // Off lists the mechanisms to switch off, separated by commas, so that their effect can be measured.
@@ -76,6 +83,8 @@
 	defaultRetryRatio      = 0.1
 	defaultRetryWindow     = 10 * time.Second
 	defaultProbesPerSecond = 50
+	defaultPricePerMB      = 40 * time.Millisecond
+	defaultZoneDelay       = 1200 * time.Microsecond
 )
 
 // WithDefaults returns the settings with a default in place of each zero value.
@@ -87,6 +96,8 @@
 	s.Bounds.RetryRatio = cmp.Or(s.Bounds.RetryRatio, defaultRetryRatio)
 	s.Bounds.RetryWindow = cmp.Or(s.Bounds.RetryWindow, defaultRetryWindow)
 	s.Bounds.ProbesPerSecond = cmp.Or(s.Bounds.ProbesPerSecond, defaultProbesPerSecond)
+	s.Zones.PricePerMB = cmp.Or(s.Zones.PricePerMB, defaultPricePerMB)
+	s.Zones.Delay = cmp.Or(s.Zones.Delay, defaultZoneDelay)
 	s.Log.Format = cmp.Or(s.Log.Format, "Text")
 	s.Log.Level = cmp.Or(s.Log.Level, "info")
 	return s
@@ -112,6 +123,12 @@
 	maxPipelineBytes = 1 << 20
 )
 
+// Allowed values of ZoneSettings.
+const (
+	maxPricePerMB = time.Minute
+	maxZoneDelay  = time.Second
+)
+
 func inRange(n, lo, hi int) bool { return n >= lo && n <= hi }
 
 // Check returns a *hemlocktally.SettingError for each key that is missing or has
@@ -135,6 +152,8 @@
 		{"Callers", "PipelineBytes", strconv.Itoa(s.Callers.PipelineBytes), "a number of bytes from 4096 to 1048576", inRange(s.Callers.PipelineBytes, minPipelineBytes, maxPipelineBytes)},
 		{"Platform", "Store", s.Platform.Store, address, loader.IsAddress(s.Platform.Store)},
 		{"Bounds", "RetryRatio", strconv.FormatFloat(s.Bounds.RetryRatio, 'g', -1, 64), "a share from 0 to 1", s.Bounds.RetryRatio <= 1},
+		{"Zones", "PricePerMB", s.Zones.PricePerMB.String(), "a duration from 0s to 1m", s.Zones.PricePerMB >= 0 && s.Zones.PricePerMB <= maxPricePerMB},
+		{"Zones", "Delay", s.Zones.Delay.String(), "a duration from 0s to 1s", s.Zones.Delay >= 0 && s.Zones.Delay <= maxZoneDelay},
 		{"Policy", "Off", s.Policy.Off, "a comma-separated list of mechanism names, or nothing", policyErr == nil},
 		{"Log", "Format", s.Log.Format, "Text, JSON", s.Log.Format == "Text" || s.Log.Format == "JSON"},
 		{"Log", "Level", s.Log.Level, "debug, info, warning, error", slices.Contains(levels, s.Log.Level)},
--- a/configuration.go
+++ b/configuration.go
@@ -74,6 +74,12 @@
 	return c.Services[i], true
 }
 
+// WeighsZones reports whether calls leave their zone by demand, speed and the cost of the path:
+// in a configuration that declares customers or contracts with large responses.
+func (c *Configuration) WeighsZones() bool {
+	return c.KeysRequired || slices.ContainsFunc(c.Contracts, func(contract Contract) bool { return contract.LargeResponses })
+}
+
 // ZoneOut reports whether operators have taken the zone out of service.
 func (c *Configuration) ZoneOut(name ZoneName) bool {
 	for _, z := range c.Zones {
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"hemlocktally"
@@ -300,6 +301,7 @@
 	msg := responseMsg{ResponseMsg: ResponseMsg{Attempt: a.number, Status: response.StatusCode, Final: a.peer != ""}, response: delivered}
 	if int64(len(buffered)) <= a.call.dispatcher.BufferLimit {
 		msg.Buffered = true
+		result.ResponseBytes = int64(len(buffered))
 		msg.summary = a.release(result, false)
 		a.call.messages <- msg
 		return nil
@@ -309,15 +311,29 @@
 		return a.brokenResponse(ctx, err, result)
 	}
 	defer releaseRest()
-	delivered.remaining = rest
+	counted := &countingReader{reader: rest}
+	delivered.remaining = counted
 	delivered.streamed = make(chan hemlocktally.AttemptOutcome, 1)
 	result.Latency = time.Since(a.linkAcquired)
 	msg.summary = a.summarize(*result)
 	a.call.messages <- msg
-	a.awaitStreamed(ctx, delivered, result)
+	a.awaitStreamed(ctx, delivered, counted, result)
 	return nil
 }
 
+// countingReader counts the bytes that are read.
+type countingReader struct {
+	reader io.Reader
+	bytes  atomic.Int64
+}
+
+// Read reads from the underlying reader.
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	r.bytes.Add(int64(n))
+	return n, err
+}
+
 // brokenResponse returns the message for a response that could not be read completely.
 func (a *attempt) brokenResponse(ctx context.Context, err error, result *hemlocktally.GrantResult) *FailedMsg {
 	failed := a.roundTripFailure(ctx, err, result)
@@ -329,7 +345,7 @@
 
 // awaitStreamed waits until the call has streamed the remaining body or has
 // cancelled the attempt.
-func (a *attempt) awaitStreamed(ctx context.Context, response *targetResponse, result *hemlocktally.GrantResult) {
+func (a *attempt) awaitStreamed(ctx context.Context, response *targetResponse, remaining *countingReader, result *hemlocktally.GrantResult) {
 	select {
 	case result.Outcome = <-response.streamed:
 	case <-ctx.Done():
@@ -339,6 +355,7 @@
 		default:
 		}
 	}
+	result.ResponseBytes = int64(len(response.buffered)) + remaining.bytes.Load()
 	a.release(result, false)
 	if result.Outcome == hemlocktally.AttemptFailed && a.peer == "" {
 		a.checkCrash(ctx, "the response broke off while it was streamed")
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -123,6 +123,10 @@
 
 func (c *call) startHedgeTimer() {
 	if c.contract.Objective > 0 {
+		if delay, ok := c.earlyHedgeDelay(time.Now()); ok {
+			c.hedgeTimer = time.NewTimer(delay)
+			return
+		}
 		delay := c.started.Add(time.Duration(hedgeObjectiveFraction * float64(c.contract.Objective)))
 		c.hedgeTimer = time.NewTimer(max(0, time.Until(delay)))
 		return
@@ -132,6 +136,39 @@
 	}
 }
 
+// Factors of a contract's median latency for the second attempt of a call.
+const (
+	// earlyHedgeReserve is the multiple that must be left before the objective: the second
+	// attempt takes its own work, on a target that may be full, and the choice of the target.
+	earlyHedgeReserve = 1.75
+	// minHedgeWork is the multiple that the first attempt gets at least. A call that has waited
+	// for its target would otherwise get a second attempt while the first one is on time.
+	minHedgeWork = 1.3
+)
+
+// earlyHedgeDelay returns when the call gets a second attempt in a configuration that weighs
+// the zones, counted from now, when its first one has got a target. Half of the objective is
+// too late where the objective is less than about three times the work. It reports false if the
+// constant applies.
+func (c *call) earlyHedgeDelay(now time.Time) (time.Duration, bool) {
+	if !c.dispatcher.EarlyHedges || !c.config.WeighsZones() {
+		return 0, false
+	}
+	median, ok := c.dispatcher.latencies.median(c.contract.Name, now)
+	if !ok {
+		return 0, false
+	}
+	return hedgeDelay(c.contract.Objective, now.Sub(c.started), median), true
+}
+
+// hedgeDelay returns the time from the grant of the first attempt to the second one. waited is
+// the time from the start of the call to that grant.
+func hedgeDelay(objective, waited, median time.Duration) time.Duration {
+	latest := time.Duration(hedgeObjectiveFraction * float64(objective))
+	inTime := objective - time.Duration(earlyHedgeReserve*float64(median))
+	return max(min(latest, inTime)-waited, time.Duration(minHedgeWork*float64(median)))
+}
+
 func (c *call) startAttempt(ctx context.Context, command StartAttemptCmd) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	a := &attempt{call: c, number: command.Attempt, kind: command.Kind, exclude: command.Exclude, targetsLeft: command.TargetsLeft, cancel: cancel, started: time.Now()}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -39,6 +39,10 @@
 	ReadTimeout        time.Duration            // ReadTimeout bounds the wait for the next part of a request body; zero means 10 s.
 	WriteTimeout       time.Duration            // WriteTimeout bounds the wait for the caller to accept the next part of a response; zero means 10 s.
 
+	// EarlyHedges allows the second attempt of a call to start as early as its objective
+	// requires, in configurations that weigh the zones.
+	EarlyHedges bool
+
 	interrupt  interrupt
 	splitter   trafficSplitter
 	latencies  latencies
--- a/dispatcher/latencies.go
+++ b/dispatcher/latencies.go
@@ -17,6 +17,7 @@
 	latencyRefreshCalls   = 32                                        // latencyRefreshCalls is the number of calls after which the p95 is recomputed.
 	latencyMinCalls       = 20                                        // latencyMinCalls is the number of calls below which the p95 counts as unknown.
 	latencyQuantile       = 95
+	medianQuantile        = 50
 	silenceTimeoutFactor  = 4 // silenceTimeoutFactor multiplies the p95.
 	minSilenceTimeout     = 100 * time.Millisecond
 	defaultSilenceTimeout = 250 * time.Millisecond // defaultSilenceTimeout applies while the p95 is unknown.
@@ -35,6 +36,7 @@
 	rotated           time.Time
 	callsSinceRefresh int
 	p95               time.Duration
+	median            time.Duration
 	count             int64
 }
 
@@ -73,22 +75,34 @@
 	c.callsSinceRefresh = 0
 	c.count = merged.TotalCount()
 	c.p95 = time.Duration(merged.ValueAtQuantile(latencyQuantile)) * time.Microsecond
+	c.median = time.Duration(merged.ValueAtQuantile(medianQuantile)) * time.Microsecond
 }
 
 // percentile95 returns the moving p95 latency of the contract; false if it is
 // unknown.
 func (l *latencies) percentile95(name hemlocktally.ContractName, now time.Time) (time.Duration, bool) {
+	p95, _, known := l.quantiles(name, now)
+	return p95, known
+}
+
+// median returns the moving median latency of the contract; false if it is unknown.
+func (l *latencies) median(name hemlocktally.ContractName, now time.Time) (time.Duration, bool) {
+	_, median, known := l.quantiles(name, now)
+	return median, known
+}
+
+func (l *latencies) quantiles(name hemlocktally.ContractName, now time.Time) (p95, median time.Duration, known bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	contract := l.contracts[name]
 	if contract == nil {
-		return 0, false
+		return 0, 0, false
 	}
 	contract.rotate(now)
 	if contract.callsSinceRefresh >= latencyRefreshCalls {
 		contract.refresh()
 	}
-	return contract.p95, contract.count >= latencyMinCalls
+	return contract.p95, contract.median, contract.count >= latencyMinCalls
 }
 
 // silenceTimeout returns how long a connection may receive nothing before it is
--- a/grant.go
+++ b/grant.go
@@ -92,6 +92,8 @@
 	// nothing.
 	Limit       *RateLimit
 	Unreachable bool // Unreachable is set if no connection to the target was available.
+	// ResponseBytes is the size of the response's body; zero if it is not known.
+	ResponseBytes int64
 }
 
 // Granter hands out grants. Acquire returns a *RefusedError if no grant is
--- a/logger/owner_events.go
+++ b/logger/owner_events.go
@@ -83,8 +83,21 @@
 		Meaning: "The instance decides for the service and counts its calls to the target against another limit from now on, of which it uses Share. ReportedBy is the instance that reported it; it is empty if the grant had expired.",
 		Action:  "None; docs/operators/limits.md.",
 	}
+	EventSpilloverShare = Event{
+		Number: 3030, Name: "share of calls that may leave their zone changed", Level: logrus.InfoLevel,
+		Fields:  []string{"Service", "Zone", "Share", "Before", "Demand", "Capacity"},
+		Meaning: "The owner of the service lets this share of the calls from the zone go to other zones because its own targets are too few. Demand and Capacity are in slots of targets at their usual speed.",
+		Action:  "If it lasts, add targets in the zone; docs/operators/spillover.md.",
+	}
+	EventCallLeavesZone = Event{
+		Number: 3031, Name: "call leaves its zone", Level: logrus.DebugLevel,
+		Fields:  []string{"Service", "Ticket", "Zone", "Target", "TargetZone", "Reason"},
+		Meaning: "The owner of the service chose a target outside the caller's zone. Reason is NoTargets, Full, Short or Slow.",
+		Action:  "None; docs/operators/spillover.md.",
+	}
 )
 
 var ownerEvents = []Event{
 	EventOwnerInvariant, EventTargetState, EventOwnerUnresponsive, EventColdTargetsWithheld, EventColdTargetsServed, EventLoadQueryFailed, EventTargetGranted, EventTargetLeaving, EventTargetLimit, EventLimitCounted, EventResponseHeaderUnreadable, EventServiceIsolated, EventServiceReachable,
+	EventSpilloverShare, EventCallLeavesZone,
 }
--- a/mechanism.go
+++ b/mechanism.go
@@ -28,6 +28,7 @@
 	MechanismHandover       Mechanism = "Handover"       // MechanismHandover lets a hub of low weight hand its role over to an instance of much higher weight.
 	MechanismSpreadReturn   Mechanism = "SpreadReturn"   // MechanismSpreadReturn adds jitter to the retry time advised to refused callers.
 	MechanismQuarantine     Mechanism = "Quarantine"     // MechanismQuarantine holds back requests that crash their targets.
+	MechanismSpillover      Mechanism = "Spillover"      // MechanismSpillover weighs zones by demand, speed and the cost of the path.
 )
 
 // AllMechanisms returns all mechanisms.
@@ -36,7 +37,7 @@
 		MechanismOwners, MechanismLoadQuestions, MechanismZoneFirst, MechanismLinkPrice, MechanismJoinFirst,
 		MechanismFaultRanking, MechanismWidth, MechanismAdmission, MechanismPriorityOrder, MechanismPromptFirst,
 		MechanismSecondAttempts, MechanismReadAhead, MechanismRelayedLists, MechanismHandover, MechanismSpreadReturn,
-		MechanismQuarantine,
+		MechanismQuarantine, MechanismSpillover,
 	}
 }
 
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -64,7 +64,8 @@
 	cost     time.Duration
 	sameZone bool
 	fresh    bool
-	spared   bool // spared is set for a limited target, which is used only if no other is prompt.
+	spared   bool        // spared is set for a limited target, which is used only if no other is prompt.
+	left     LeaveReason // left is why the call leaves its caller's zone for the target.
 }
 
 // serveQueue grants targets to the waiters in queue order, as far as targets have capacity.
@@ -154,7 +155,7 @@
 // rounds while the best target would miss the objective but another one could still meet it.
 func (s *State) awaitLoadReports(w *waiter, candidates []candidate, best candidate, now time.Time) (wait bool, probes []any) {
 	r := w.msg.Request
-	if hedged := s.hedgedTarget(r); w.probeRounds == 0 && (!best.fresh || (hedged != nil && !hedged.fresh(now))) {
+	if hedged := s.hedgedTarget(r); s.probesAgain(w, best, now) && (!best.fresh || (hedged != nil && !hedged.fresh(now))) {
 		asked := s.probeTargets(w, candidates, best, hedged, now)
 		if len(w.probedTargets) > 0 {
 			w.startProbeRound(now)
@@ -173,6 +174,15 @@
 	return true, s.probeTargets(w, candidates, best, nil, now)
 }
 
+// probesAgain reports whether a choice that lacks a fresh report may probe. Where the zones are
+// weighed, it does so again while the call has time for it.
+func (s *State) probesAgain(w *waiter, best candidate, now time.Time) bool {
+	if w.probeRounds == 0 || !s.spills(now) {
+		return w.probeRounds == 0
+	}
+	return w.probeRounds < spilloverProbeRounds && !best.fresh && best.expected+spilloverProbeRounds*probeWait < w.msg.Request.Objective.Sub(now)
+}
+
 // startProbeRound counts a probe round and sets its deadline.
 func (w *waiter) startProbeRound(now time.Time) {
 	w.probeRounds++
@@ -187,6 +197,9 @@
 	}
 	hedged := s.hedgedTarget(r)
 	lightlyLoaded := hedged != nil && hedged.fresh(now) && hedged.pace < lightLoadPace
+	if s.spills(now) {
+		lightlyLoaded = hedged != nil && hedged.fresh(now) && !s.misses(hedged, r, now)
+	}
 	if lightlyLoaded && !s.retries.allows(now, s.effectiveBounds(), lightLoadHedgeShare) {
 		return notRunError(hemlocktally.ReasonRetryBudget, "the first attempt is still running on a lightly loaded target", 0)
 	}
@@ -297,10 +310,13 @@
 	}
 	rationale := Rationale{
 		Expected: c.expected, Pace: c.t.pace, Age: c.t.reportAge(now), Busy: c.t.busy(now), Waiting: len(s.queue) - 1,
+		Left: c.left, From: w.msg.Zone,
 	}
+	s.recordLeave(w.msg.Zone, c.left)
 	c.t.grants[grant.ID] = activeGrant{
 		contract: r.Contract, from: w.msg.From, deadline: r.Deadline, pace: c.t.expectedPace(s.meanPace, now),
 		level: c.t.nextLevel(now), counted: c.t.rate.limit.Named,
+		zone: w.msg.Zone, left: c.left, at: now,
 	}
 	c.t.grantedAt = now
 	c.t.takeConnection(w.msg.From)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -22,6 +22,10 @@
 	// ProbesPerSecond limits the probes of one target. Only the built-in minimum interval
 	// applies if it is not positive.
 	ProbesPerSecond float64
+	// PricePerMB is the time that a call must gain to justify one megabyte between zones, and
+	// ZoneDelay the time that a message takes from one zone to another.
+	PricePerMB time.Duration
+	ZoneDelay  time.Duration
 	// Disabled holds the mechanisms that are disabled, for measuring what they contribute.
 	Disabled hemlocktally.Mechanisms
 }
@@ -37,6 +41,11 @@
 		// Instances is the estimated number of instances in the fleet. A state that decides
 		// alone uses only its share of the retry slack.
 		Instances int
+		// Spillover is set if the owner weighs the zones against each other by demand and cost.
+		// Otherwise calls leave their zone by localTimeShare and crossZonePenalty.
+		Spillover bool
+		// LargeResponses holds the contracts of the service with large responses.
+		LargeResponses []hemlocktally.ContractName
 	}
 	// AcquireMsg requests a grant. The client sends it again with the same ticket until it
 	// gets a grant or a refusal.
@@ -117,4 +126,8 @@
 	Age      time.Duration // Age is the age of the reported pace, or negative if there is none.
 	Busy     int
 	Waiting  int // Waiting is the number of other calls queued for the service.
+	// Left is why the call leaves its caller's zone; empty if it does not, or if the state does
+	// not weigh the zones.
+	Left LeaveReason
+	From hemlocktally.ZoneName // From is the caller's zone.
 }
--- a/placer/ranking.go
+++ b/placer/ranking.go
@@ -25,6 +25,8 @@
 	zones  map[hemlocktally.ZoneName][]*targetState
 	all    []*targetState
 	listed bool // listed is set once all holds the targets of all zones.
+	// serving tells of each zone whether it has a warm target that accepts calls.
+	serving map[hemlocktally.ZoneName]bool
 }
 
 func (f *freeTargets) filter(targets []*targetState) []*targetState {
@@ -59,6 +61,19 @@
 	return list
 }
 
+// serves reports whether the zone has a warm target that accepts calls, free or not.
+func (f *freeTargets) serves(zone hemlocktally.ZoneName) bool {
+	serving, ok := f.serving[zone]
+	if !ok {
+		if f.serving == nil {
+			f.serving = map[hemlocktally.ZoneName]bool{}
+		}
+		serving = slices.ContainsFunc(f.state.byZone[zone], func(t *targetState) bool { return t.accepting(f.now) && !t.cold(f.now) })
+		f.serving[zone] = serving
+	}
+	return serving
+}
+
 // hasAny reports whether any target has capacity.
 func (f *freeTargets) hasAny() bool {
 	return slices.ContainsFunc(f.state.sorted, func(t *targetState) bool { return f.state.hasCapacity(t, f.now) })
@@ -70,6 +85,9 @@
 // one.
 func (s *State) choose(w *waiter, free *freeTargets, now time.Time) (list []candidate, best candidate, ok bool) {
 	left := w.msg.Request.Objective.Sub(now)
+	if s.spills(now) {
+		return s.chooseZone(w, free, left, now)
+	}
 	if local := free.inZone(w.msg.Zone); len(local) >= minLocalTargets && !s.disabled(hemlocktally.MechanismZoneFirst) {
 		if list, best, ok = s.rank(w, local, left, now); ok && best.fastLocal(left) {
 			return list, best, true
@@ -83,6 +101,7 @@
 func (s *State) rank(w *waiter, targets []*targetState, left time.Duration, now time.Time) (list []candidate, best candidate, ok bool) {
 	var local candidate
 	hedge := w.msg.Request.Kind == hemlocktally.AttemptHedge
+	costs := s.costs(w.msg.Request.Contract, left, now)
 	for _, t := range targets {
 		s.examined++
 		// The list is made once per message, so some of its targets may have been filled by
@@ -93,7 +112,7 @@
 		if !s.hasCapacity(t, now) || t.avoidedFor(w.msg.From, now) > 0 || slices.Contains(w.msg.Request.Exclude, t.target.Name) {
 			continue
 		}
-		c := s.newCandidate(t, w, left, now)
+		c := s.newCandidate(t, w, costs, left, now)
 		if c.fastLocal(left) && (local.t == nil || c.compare(local) < 0) {
 			local = c
 		}
@@ -120,8 +139,25 @@
 	return slices.Insert(list, i, c)
 }
 
+// choiceCosts are the costs of targets that don't depend on the target itself.
+type choiceCosts struct {
+	crossZone     time.Duration // crossZone is the cost of another zone.
+	newConnection time.Duration
+}
+
+// costs returns the costs for a call with the given time left.
+func (s *State) costs(contract hemlocktally.ContractName, left time.Duration, now time.Time) choiceCosts {
+	if s.spills(now) {
+		return choiceCosts{
+			crossZone:     s.pathCost(contract),
+			newConnection: max(spilloverConnectionCost, time.Duration(spilloverConnectionShare*float64(left))),
+		}
+	}
+	return choiceCosts{crossZone: crossZonePenalty, newConnection: max(newConnectionCost, time.Duration(newConnectionShare*float64(left)))}
+}
+
 // newCandidate computes the expected latency and the cost of a target for the waiter's call.
-func (s *State) newCandidate(t *targetState, w *waiter, left time.Duration, now time.Time) candidate {
+func (s *State) newCandidate(t *targetState, w *waiter, costs choiceCosts, left time.Duration, now time.Time) candidate {
 	c := candidate{t: t, sameZone: t.target.Zone == w.msg.Zone || s.disabled(hemlocktally.MechanismZoneFirst), fresh: t.fresh(now)}
 	c.expected = s.expectedLatency(t, w.msg.Request.Contract, now)
 	c.adjusted = c.expected
@@ -133,13 +169,13 @@
 	}
 	c.cost = c.adjusted
 	if !c.sameZone {
-		c.cost += crossZonePenalty
+		c.cost += costs.crossZone
 	}
 	if c.spared = t.rate.limit.Named && now.Sub(t.rate.limit.At) < limitRetestAge; c.spared {
 		c.cost += max(0, left)
 	}
 	if !t.hasIdleConnection(w.msg.From, now) && !s.disabled(hemlocktally.MechanismLinkPrice) {
-		c.cost += max(newConnectionCost, time.Duration(newConnectionShare*float64(left)))
+		c.cost += costs.newConnection
 	}
 	if c.fastLocal(left) && s.joinsFirst(t, c.fresh, now) {
 		c.cost = 0
--- a/placer/server.go
+++ b/placer/server.go
@@ -341,6 +341,7 @@
 	for _, command := range append(t.updateRank(now), t.state.Update(msg, now)...) {
 		switch command := command.(type) {
 		case GrantCmd:
+			t.logLeave(command)
 			command.News = t.limitNews(command.Ticket)
 			t.reply(command.Ticket, command)
 		case RefuseCmd:
@@ -353,6 +354,8 @@
 			go t.probe(ctx, t.state.service.Name, command)
 		case LimitCmd:
 			t.logLimit(command)
+		case SpilloverCmd:
+			t.logSpillover(command)
 		}
 	}
 	if withdrawn, ok := msg.(WithdrawMsg); ok {
@@ -384,6 +387,24 @@
 	})
 }
 
+// logLeave logs that a call leaves its caller's zone.
+func (t *serviceTask) logLeave(command GrantCmd) {
+	if command.Rationale.Left == LeaveNone {
+		return
+	}
+	t.server.Log.Log(logger.EventCallLeavesZone, logger.Fields{
+		"Service": t.state.service.Name, "Ticket": command.Ticket, "Zone": command.Rationale.From, "Target": command.Grant.Target.Name,
+		"TargetZone": command.Grant.Target.Zone, "Reason": command.Rationale.Left,
+	})
+}
+
+func (t *serviceTask) logSpillover(command SpilloverCmd) {
+	t.server.Log.Log(logger.EventSpilloverShare, logger.Fields{
+		"Service": t.state.service.Name, "Zone": command.Zone, "Share": command.Share, "Before": command.Before,
+		"Demand": command.Demand, "Capacity": command.Capacity,
+	})
+}
+
 func (t *serviceTask) reply(ticket string, command any) {
 	if reply, ok := t.replies[ticket]; ok {
 		reply.channel <- command
--- a/placer/state.go
+++ b/placer/state.go
@@ -36,10 +36,12 @@
 	// instances is the estimated number of instances in the fleet.
 	instances     int
 	ownerRank     Rank
-	limited       []*targetState // limited holds the targets that name a limit, sorted by name.
-	limitChanges  []any          // limitChanges holds the LimitCmds that Update has not returned yet.
-	limitVersion  uint32         // limitVersion counts the changes of limits.
-	limitRefusals uint64         // limitRefusals counts the calls that limits held back.
+	limited       []*targetState          // limited holds the targets that name a limit, sorted by name.
+	limitChanges  []any                   // limitChanges holds the LimitCmds that Update has not returned yet.
+	limitVersion  uint32                  // limitVersion counts the changes of limits.
+	limitRefusals uint64                  // limitRefusals counts the calls that limits held back.
+	zoneNames     []hemlocktally.ZoneName // zoneNames holds the zones with targets, sorted.
+	spill         spillover
 }
 
 // waiter is a request in the queue.
@@ -123,9 +125,10 @@
 	case TickMsg:
 	}
 	s.expire(now)
+	s.updateSpillover(now)
 	commands = append(commands, s.serveQueue(now)...)
-	commands = append(append(commands, s.limitChanges...), s.replyPending(now)...)
-	s.limitChanges = nil
+	commands = append(append(append(commands, s.limitChanges...), s.spill.changes...), s.replyPending(now)...)
+	s.limitChanges, s.spill.changes = nil, nil
 	return commands
 }
 
@@ -158,7 +161,9 @@
 		t.index = index
 		s.byZone[t.target.Zone] = append(s.byZone[t.target.Zone], t)
 	}
+	s.zoneNames = slices.Sorted(maps.Keys(s.byZone))
 	s.countLimited()
+	s.configureSpillover(msg, now)
 }
 
 func laterOf(a, b time.Time) time.Time {
@@ -177,12 +182,13 @@
 			return s.reconsider(w, now)
 		}
 	}
+	s.recordDemand(msg, now)
 	switch {
 	case msg.Request.Kind == hemlocktally.AttemptHedge && s.disabled(hemlocktally.MechanismSecondAttempts):
 		return []any{RefuseCmd{Ticket: msg.Ticket, Error: notRunError(hemlocktally.ReasonShed, "second attempts are disabled", 0)}}
 	case msg.Request.Kind == hemlocktally.AttemptFirst:
 		s.retries.recordCall(now, s.Bounds.RetryWindow)
-	case !s.retries.allows(now, s.effectiveBounds(), retryShare(msg.Request.Kind)):
+	case !s.retries.allows(now, s.effectiveBounds(), s.attemptShare(msg.Request.Kind, now)):
 		return []any{RefuseCmd{Ticket: msg.Ticket, Error: notRunError(hemlocktally.ReasonRetryBudget, "the retry budget is used up", 0)}}
 	}
 	if refused := s.admit(msg, now); refused != nil {
@@ -225,6 +231,14 @@
 	return 1
 }
 
+// attemptShare is retryShare, or the larger share for hedges where the zones are weighed.
+func (s *State) attemptShare(kind hemlocktally.AttemptKind, now time.Time) float64 {
+	if kind == hemlocktally.AttemptHedge && s.spills(now) {
+		return spilloverHedgeShare
+	}
+	return retryShare(kind)
+}
+
 // effectiveBounds returns the bounds of this state. One that decides alone, or that is not the
 // first owner, is one of several that count at the same time, so it gets only its share of the
 // retry slack.
@@ -273,6 +287,7 @@
 		t.coldUntil = now.Add(result.ColdFor)
 	}
 	t.recordResult(result, now)
+	s.recordBytes(active, result.ResponseBytes)
 	if ok && result.Outcome == hemlocktally.AttemptDone {
 		t.addIdleConnection(active.from, now)
 		if active.pace > 0 && !t.cold(now) {
--- a/placer/stats.go
+++ b/placer/stats.go
@@ -26,6 +26,8 @@
 	// calls that were refused because of them.
 	Limited       int
 	LimitRefusals uint64
+	// Zones are the counters by the callers' zone; empty if the zones are not weighed.
+	Zones []ZoneStats
 }
 
 // Stats returns the current statistics of the service.
@@ -35,6 +37,7 @@
 		Examined:   s.examined,
 		BudgetUsed: s.retries.usedShare(now, s.effectiveBounds()),
 		Limited:    len(s.limited), LimitRefusals: s.limitRefusals,
+		Zones: s.zoneStats(),
 	}
 	for _, t := range s.sorted {
 		out.ActiveGrants += len(t.grants)
--- a/placer/target.go
+++ b/placer/target.go
@@ -14,9 +14,12 @@
 	contract hemlocktally.ContractName
 	from     hemlocktally.InstanceID
 	deadline time.Time
-	pace     float64   // pace is the expected pace of the target when the grant was issued.
-	level    loadLevel // level is the load level of the target including this grant.
-	counted  bool      // counted is set if the grant was counted against the target's limit.
+	pace     float64               // pace is the expected pace of the target when the grant was issued.
+	level    loadLevel             // level is the load level of the target including this grant.
+	counted  bool                  // counted is set if the grant was counted against the target's limit.
+	at       time.Time             // at is when the grant was issued.
+	zone     hemlocktally.ZoneName // zone is the caller's zone.
+	left     LeaveReason           // left is why the call left it.
 }
 
 // targetState is what the owner knows about one target.
--- a/placer/wire.go
+++ b/placer/wire.go
@@ -8,6 +8,9 @@
 	"hemlocktally/messenger"
 )
 
+// maxResponseBytes bounds the size of a response that another instance reports.
+const maxResponseBytes = 1 << 40
+
 // Place handles a request from another instance. It implements messenger.Placement.
 func (s *Server) Place(ctx context.Context, in *messenger.PlaceRequest) (*messenger.PlaceResponse, error) {
 	out := s.place(ctx, in)
@@ -154,6 +157,7 @@
 		Grant: string(r.Grant.ID), Service: string(r.Grant.Service), Target: string(r.Grant.Target.Name), Contract: string(r.Contract),
 		Outcome: int32(r.Outcome), LatencyMicroseconds: r.Latency.Microseconds(), SaidDraining: r.ReportedDraining,
 		Misdirected: r.Misdirected, Unreachable: r.Unreachable, StayAwayMicroseconds: r.RetryAfter.Microseconds(), ColdMicroseconds: r.ColdFor.Microseconds(),
+		ResponseBytes: r.ResponseBytes,
 	}
 	if r.Limit != nil {
 		out.Limit = wireLimit(r.Grant.Target, *r.Limit, time.Now())
@@ -177,6 +181,7 @@
 		Latency: messenger.Duration(in.GetLatencyMicroseconds()), ReportedDraining: in.GetSaidDraining(), Misdirected: in.GetMisdirected(),
 		Unreachable: in.GetUnreachable(), RetryAfter: messenger.Duration(in.GetStayAwayMicroseconds()),
 		ReportedCold: in.GetColdMicroseconds() > 0, ColdFor: messenger.Duration(in.GetColdMicroseconds()),
+		ResponseBytes: min(maxResponseBytes, max(0, in.GetResponseBytes())),
 	}
 	if in.GetLimit() != nil {
 		limit := rateLimit(in.GetLimit(), time.Now())
--- a/recorder/exposition.go
+++ b/recorder/exposition.go
@@ -26,14 +26,24 @@
 	Help    string
 	Type    string                   // Type is "counter" or "gauge".
 	Service hemlocktally.ServiceName // Service is the service label; empty means no label.
+	Zone    hemlocktally.ZoneName    // Zone is the zone label; empty means no label.
+	Reason  string                   // Reason is the reason label; empty means no label.
 	Value   float64
 }
 
 func (g Metric) labels() string {
-	if g.Service == "" {
+	var labels []string
+	for _, label := range []struct{ name, value string }{
+		{"service", string(g.Service)}, {"zone", string(g.Zone)}, {"reason", g.Reason},
+	} {
+		if label.value != "" {
+			labels = append(labels, label.name+"="+quote(label.value))
+		}
+	}
+	if len(labels) == 0 {
 		return ""
 	}
-	return "{service=" + quote(string(g.Service)) + "}"
+	return "{" + strings.Join(labels, ",") + "}"
 }
 
 // WriteMetrics writes the histograms, refusals, attempts and gauges in the
