--- a/placer/spillover_test.go
+++ b/placer/spillover_test.go
@@ -42,10 +42,10 @@
 // their objective than with the constants, and fewer bytes may pass between zones.
 func TestSpilloverServesMoreCallsWithFewerBytes(t *testing.T) {
 	for name, load := range map[string]zoneSimulation{
-		"gateway calm":     gateway(calm(270), 12*time.Second),
-		"gateway waves":    gateway(waves(300), 25*time.Second),
-		"quick calm":       quick(calm(500), 8*time.Second),
-		"quick waves":      quick(waves(600), 10*time.Second),
+		"gateway calm":  gateway(calm(270), 12*time.Second),
+		"gateway waves": gateway(waves(300), 25*time.Second),
+		"quick calm":    quick(calm(500), 8*time.Second),
+		"quick waves":   quick(waves(600), 10*time.Second),
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
