placer: waits for a zone don't count as calls ahead

The shares of the zones changed with the noise of single intervals.

Change: admission passes over these calls; longer means of demand and capacity.

--- a/placer/choice.go
+++ b/placer/choice.go
@@ -155,7 +155,7 @@
 // rounds while the best target would miss the objective but another one could still meet it.
 func (s *State) awaitLoadReports(w *waiter, candidates []candidate, best candidate, now time.Time) (wait bool, probes []any) {
 	r := w.msg.Request
-	if hedged := s.hedgedTarget(r); s.probesAgain(w, best, now) && (!best.fresh || (hedged != nil && !hedged.fresh(now))) {
+	if hedged := s.hedgedTarget(r); w.probeRounds == 0 && (!best.fresh || (hedged != nil && !hedged.fresh(now))) {
 		asked := s.probeTargets(w, candidates, best, hedged, now)
 		if len(w.probedTargets) > 0 {
 			w.startProbeRound(now)
@@ -174,15 +174,6 @@
 	return true, s.probeTargets(w, candidates, best, nil, now)
 }
 
-// probesAgain reports whether a choice that lacks a fresh report may probe. Where the zones are
-// weighed, it does so again while the call has time for it.
-func (s *State) probesAgain(w *waiter, best candidate, now time.Time) bool {
-	if w.probeRounds == 0 || !s.spills(now) {
-		return w.probeRounds == 0
-	}
-	return w.probeRounds < spilloverProbeRounds && !best.fresh && best.expected+spilloverProbeRounds*probeWait < w.msg.Request.Objective.Sub(now)
-}
-
 // startProbeRound counts a probe round and sets its deadline.
 func (w *waiter) startProbeRound(now time.Time) {
 	w.probeRounds++
@@ -338,7 +329,7 @@
 	}
 	ahead := 0
 	for _, w := range s.queue {
-		if w.msg.Request.Priority >= msg.Request.Priority {
+		if w.msg.Request.Priority >= msg.Request.Priority && !w.holding {
 			ahead++
 		}
 	}
--- a/placer/spillover.go
+++ b/placer/spillover.go
@@ -20,10 +20,10 @@
 	spilloverWarmup = time.Second
 	// demandWeight is the weight of an interval in the moving mean of a zone's demand. The
 	// mean follows a burst of three seconds, but not the noise of one interval.
-	demandWeight = 0.3
+	demandWeight = 0.2
 	// capacityWeight is the weight of a measurement in the moving mean of a zone's capacity,
 	// which varies with the targets that are slow for a moment.
-	capacityWeight = 0.15
+	capacityWeight = 0.06
 	// shortUtilization is the utilization above which a zone counts as short, and
 	// roomUtilization the one below which a short zone has room again.
 	shortUtilization = 0.95
@@ -52,21 +52,12 @@
 	// maxHoldShare is the share of the remaining time that a call waits for a target of its own
 	// zone at most while another zone has a free one.
 	maxHoldShare = 0.25
-	// scarceUtilization is the utilization of all zones together above which no call waits for
-	// its zone, and maxHoldQueue the number of waiting calls above which none does: a free
-	// target that is not used is then missing for others.
-	scarceUtilization = 1.05
-	maxHoldQueue      = 8
 	// spilloverConnectionCost and spilloverConnectionShare replace newConnectionCost and
 	// newConnectionShare. A connection takes about 1 ms; with the higher price calls ran on
 	// targets at twice the usual work time while others were free, because only those had an
 	// idle connection.
 	spilloverConnectionCost  = 3 * time.Millisecond
 	spilloverConnectionShare = 0.05
-	// spilloverProbeRounds is how often a choice probes while its best target has no fresh
-	// report. With a single round, a call whose probed targets turned out to be slow got a
-	// target that nobody had asked.
-	spilloverProbeRounds = 3
 	// spilloverHedgeShare replaces hedgeShare. Second attempts are made only for calls whose
 	// first one is expected to miss the objective, so fewer of them are in vain.
 	spilloverHedgeShare = 0.9
@@ -113,7 +104,6 @@
 	large     map[hemlocktally.ContractName]bool // large holds the contracts with large responses.
 	sizes     map[hemlocktally.ContractName]float64
 	zones     map[hemlocktally.ZoneName]*zoneFlow
-	scarce    bool  // scarce is set while the demand of all zones is near the capacity of all.
 	changes   []any // changes holds the SpilloverCmds that Update has not returned yet.
 }
 
@@ -269,11 +259,6 @@
 		}
 		z.capacity = capacity
 	}
-	demand, capacity := 0.0, 0.0
-	for _, z := range s.spill.zones {
-		demand, capacity = demand+z.demand, capacity+z.capacity
-	}
-	s.spill.scarce = demand > scarceUtilization*capacity
 	wanted, factor := s.wantedShares()
 	for _, z := range s.sortedFlows() {
 		share := factor * wanted[z.name]
@@ -353,6 +338,7 @@
 	var home candidate
 	var margin time.Duration
 	reason := LeaveFull
+	w.holding = false
 	switch {
 	case ok:
 		home = list[0]
@@ -364,15 +350,17 @@
 	case !free.serves(w.msg.Zone):
 		reason = LeaveNoTargets
 	case s.holdsForHome(w, now):
+		w.holding = true
 		return nil, candidate{}, false
 	}
 	list, away, found := s.rankOthers(w, list, free, left, now)
 	switch {
 	case !found || (ok && away.cost+margin >= home.cost):
 		return list, home, ok
-	case ok && !home.fresh && w.probeRounds < spilloverProbeRounds && s.mayProbe(home.t, now):
+	case ok && !home.fresh && w.probeRounds == 0 && s.mayProbe(home.t, now):
 		return list, home, true // Its own speed decides, not that of the others.
 	case ok && s.holdsForHome(w, now):
+		w.holding = true
 		return nil, candidate{}, false // A quick target of the zone may become free soon.
 	}
 	away.left = reason
@@ -428,7 +416,7 @@
 // and the objective is not at risk.
 func (s *State) holdsForHome(w *waiter, now time.Time) bool {
 	r := w.msg.Request
-	if r.Kind == hemlocktally.AttemptHedge || s.spill.scarce || len(s.queue) > maxHoldQueue {
+	if r.Kind == hemlocktally.AttemptHedge {
 		return false
 	}
 	path := s.pathCost(r.Contract)
--- a/placer/state.go
+++ b/placer/state.go
@@ -51,7 +51,10 @@
 	probeDeadline time.Time      // probeDeadline is when the waiter stops waiting for probe answers.
 	probeRounds   int            // probeRounds counts the probe rounds made for the waiter.
 	probedTargets []*targetState // probedTargets holds the targets of the last probe round.
-	heldBy        string         // heldBy describes the limits that held the waiter back; empty if none did.
+	// holding is set while the waiter waits for a target of its own zone although another zone
+	// has a free one.
+	holding bool
+	heldBy  string // heldBy describes the limits that held the waiter back; empty if none did.
 }
 
 const (
