loader: an empty setting means its default

Cause: a template is filled with an empty string where a deployment lacks a field. An empty duration or number was rejected, so that an instance with PricePerMB or Delay left empty in [Zones] did not start; so far all numbers of the template were filled.

Change: an empty value leaves the default.

--- a/dispatcher/stream_test.go
+++ b/dispatcher/stream_test.go
@@ -36,6 +36,33 @@
 	c.Check(bytes.Equal(back, []byte(body)), qt.IsTrue)
 }
 
+// The owner prices traffic between zones by the size of responses, so each result must tell it,
+// whether the response was buffered or streamed, with or without a length.
+func TestResultsTellTheSizeOfTheResponse(t *testing.T) {
+	const streamed = 900_000 // More than the buffer limit.
+	for name, test := range map[string]struct {
+		size    int
+		chunked bool
+	}{
+		"buffered": {100, false}, "streamed": {streamed, false}, "streamed without a length": {streamed, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if test.chunked {
+					w.(http.Flusher).Flush()
+				}
+				_, _ = w.Write(make([]byte, test.size))
+			}))
+			defer target.Close()
+			h := newHarness(t, hemlocktally.Contract{Deadline: 10 * time.Second}, &scriptedTarget{address: strings.TrimPrefix(target.URL, "http://")})
+			c.Assert(h.send("GET", "/x", "").err, qt.IsNil)
+			h.granter.awaitOutcomes(t, hemlocktally.AttemptDone)
+			c.Check(h.granter.results[0].ResponseBytes, qt.Equals, int64(test.size))
+		})
+	}
+}
+
 func TestStreamedBodyIsSentOnce(t *testing.T) {
 	c := qt.New(t)
 	second := startScriptedTarget(t, respondWith(okResponse))
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -106,9 +106,14 @@
 	return strings.Join(names, ", ")
 }
 
-// setValue parses the text into v. The text of its error is the description of
-// the allowed values, for SettingError.Allowed.
+// setValue parses the text into v. An empty text leaves the zero value, which
+// means the default: templates are filled with empty strings where a deployment
+// lacks a field. The text of its error is the description of the allowed values,
+// for SettingError.Allowed.
 func setValue(v reflect.Value, text string) error {
+	if text == "" {
+		return nil
+	}
 	switch v.Interface().(type) {
 	case time.Duration:
 		d, err := time.ParseDuration(text)
--- a/placer/spillover_test.go
+++ b/placer/spillover_test.go
@@ -320,6 +320,19 @@
 	}
 }
 
+// A deployment outside the condition must be served exactly as before, and so must one that has
+// switched the mechanism off.
+func TestWithoutSpilloverNothingChanges(t *testing.T) {
+	c := qt.New(t)
+	load := gateway(waves(300), 8*time.Second)
+	off := load.with(true)
+	off.Off = true
+	c.Check(off.run(1), qt.DeepEquals, load.with(false).run(1))
+	s := newZoneSimulator(load.with(false), 1)
+	s.run()
+	c.Check(s.harness.state.spill.zones, qt.HasLen, 0)
+}
+
 // A second attempt is worth its budget only if the first one will miss the objective: it was
 // refused for want of budget in nine of ten late calls of a simulated load.
 func TestSecondAttemptOnlyForCallsThatWillMiss(t *testing.T) {
--- a/placer/zones_test.go
+++ b/placer/zones_test.go
@@ -26,6 +26,8 @@
 	Events []simulatedEvent
 	// Spillover switches the decision on.
 	Spillover bool
+	// Off lists the mechanism among those that are disabled.
+	Off bool
 	// StrangeZone makes the callers of the first zone call from a zone that no target has.
 	StrangeZone bool
 }
@@ -161,6 +163,7 @@
 		}
 	}
 	s.harness.state.Bounds.RetryRatio, s.harness.state.Bounds.ProbesPerSecond = 0.1, 50
+	s.harness.state.Bounds.Disabled = hemlocktally.Mechanisms{hemlocktally.MechanismSpillover: p.Off}
 	s.harness.state.Bounds.PricePerMB, s.harness.state.Bounds.ZoneDelay = 40*time.Millisecond, 1200*time.Microsecond
 	s.configure()
 	return s
@@ -394,7 +397,7 @@
 // hedgeDelay is the delay of the second attempt as the dispatcher sets it.
 func (s *zoneSimulator) hedgeDelay(call *simulatedCall) time.Duration {
 	waited := s.harness.now.Sub(call.started)
-	if !s.Spillover {
+	if !s.Spillover || s.Off {
 		return max(0, call.contract.Objective/2-waited)
 	}
 	work := float64(call.contract.Work)
