--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -22,6 +22,7 @@
 	Platform  PlatformSettings
 	Bounds    BoundSettings
 	Quotas    QuotaSettings
+	Zones     ZoneSettings
 	Policy    PolicySettings
 	Operators OperatorSettings
 	Log       loader.LogSettings
@@ -70,6 +71,12 @@
 	Slack     float64       // Slack is how many calls may be executed in addition.
 }
 
+// ZoneSettings hold what traffic between zones costs.
+type ZoneSettings struct {
+	PricePerMB time.Duration // PricePerMB is the time that a caller must gain to justify one megabyte between zones.
+	Delay      time.Duration // Delay is how long a message takes from one zone to another.
+}
+
 // PolicySettings switch parts of the decision logic off.
 type PolicySettings struct {
 	Off string // Off lists the mechanisms to switch off, separated by commas, so that their effect can be measured.
@@ -87,6 +94,8 @@
 	defaultRetryRatio      = 0.1
 	defaultRetryWindow     = 10 * time.Second
 	defaultProbesPerSecond = 50
+	defaultPricePerMB      = 40 * time.Millisecond
+	defaultZoneDelay       = 1200 * time.Microsecond
 )
 
 // WithDefaults returns the settings with a default in place of each zero value.
@@ -101,6 +110,8 @@
 	s.Bounds.ProbesPerSecond = cmp.Or(s.Bounds.ProbesPerSecond, defaultProbesPerSecond)
 	s.Quotas.Window = cmp.Or(s.Quotas.Window, limiter.DefaultWindow)
 	s.Quotas.Overshoot = cmp.Or(s.Quotas.Overshoot, limiter.DefaultOvershoot-1)
+	s.Zones.PricePerMB = cmp.Or(s.Zones.PricePerMB, defaultPricePerMB)
+	s.Zones.Delay = cmp.Or(s.Zones.Delay, defaultZoneDelay)
 	s.Log.Format = cmp.Or(s.Log.Format, "Text")
 	s.Log.Level = cmp.Or(s.Log.Level, "info")
 	return s
@@ -127,6 +138,12 @@
 	maxQuotaSlack    = 1e6
 )
 
+// Allowed values of ZoneSettings.
+const (
+	maxPricePerMB = time.Minute
+	maxZoneDelay  = time.Second
+)
+
 func inRange(n, lo, hi int) bool { return n >= lo && n <= hi }
 
 // Check returns a *hemlocktally.SettingError for each key that is missing or has
@@ -153,6 +170,8 @@
 		{"Quotas", "Window", s.Quotas.Window.String(), "a duration from 1s to 1m", s.Quotas.Window >= time.Second && s.Quotas.Window <= time.Minute},
 		{"Quotas", "Overshoot", strconv.FormatFloat(s.Quotas.Overshoot, 'g', -1, 64), "a share from 0 to 1", s.Quotas.Overshoot >= 0 && s.Quotas.Overshoot <= 1},
 		{"Quotas", "Slack", strconv.FormatFloat(s.Quotas.Slack, 'g', -1, 64), "a number from 0 to 1000000", s.Quotas.Slack >= 0 && s.Quotas.Slack <= maxQuotaSlack},
+		{"Zones", "PricePerMB", s.Zones.PricePerMB.String(), "a duration from 0s to 1m", s.Zones.PricePerMB >= 0 && s.Zones.PricePerMB <= maxPricePerMB},
+		{"Zones", "Delay", s.Zones.Delay.String(), "a duration from 0s to 1s", s.Zones.Delay >= 0 && s.Zones.Delay <= maxZoneDelay},
 		{"Policy", "Off", s.Policy.Off, "a comma-separated list of mechanism names, or nothing", policyErr == nil},
 		{"Log", "Format", s.Log.Format, "Text, JSON", s.Log.Format == "Text" || s.Log.Format == "JSON"},
 		{"Log", "Level", s.Log.Level, "debug, info, warning, error", slices.Contains(levels, s.Log.Level)},
--- a/grant.go
+++ b/grant.go
@@ -94,6 +94,8 @@
 	Limit       *RateLimit
 	Unreachable bool // Unreachable is set if no connection to the target was available.
 	Counted     bool // Counted is set if another attempt relies on this one's count against the quota.
+	// ResponseBytes is the size of the response's body; zero if it is not known.
+	ResponseBytes int64
 }
 
 // Granter hands out grants. Acquire returns a *RefusedError if no grant is
--- a/logger/owner_events.go
+++ b/logger/owner_events.go
@@ -95,9 +95,22 @@
 		Meaning: "The hub has not answered for a second about the counts of customers' calls. An equal share of each quota is left to it.",
 		Action:  "Check the named instance if this continues.",
 	}
+	EventSpilloverShare = Event{
+		Number: 3040, Name: "share of calls that may leave their zone changed", Level: logrus.InfoLevel,
+		Fields:  []string{"Service", "Zone", "Share", "Before", "Demand", "Capacity"},
+		Meaning: "The owner of the service lets this share of the calls from the zone go to other zones because its own targets are too few. Demand and Capacity are in slots of targets at their usual speed.",
+		Action:  "If it lasts, add targets in the zone; docs/operators/spillover.md.",
+	}
+	EventCallLeavesZone = Event{
+		Number: 3041, Name: "call leaves its zone", Level: logrus.DebugLevel,
+		Fields:  []string{"Service", "Ticket", "Zone", "Target", "TargetZone", "Reason"},
+		Meaning: "The owner of the service chose a target outside the caller's zone. Reason is NoTargets, Full, Short or Slow.",
+		Action:  "None; docs/operators/spillover.md.",
+	}
 )
 
 var ownerEvents = []Event{
 	EventQuotaRefused, EventQuotaHubSilent,
 	EventOwnerInvariant, EventTargetState, EventOwnerUnresponsive, EventColdTargetsWithheld, EventColdTargetsServed, EventLoadQueryFailed, EventTargetGranted, EventTargetLeaving, EventTargetLimit, EventLimitCounted, EventResponseHeaderUnreadable, EventServiceIsolated, EventServiceReachable,
+	EventSpilloverShare, EventCallLeavesZone,
 }
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -64,7 +64,8 @@
 	cost     time.Duration
 	sameZone bool
 	fresh    bool
-	spared   bool // spared is set for a limited target, which is used only if no other is prompt.
+	spared   bool        // spared is set for a limited target, which is used only if no other is prompt.
+	left     LeaveReason // left is why the call leaves its caller's zone for the target.
 }
 
 // serveQueue grants targets to the waiters in queue order, as far as targets have capacity.
@@ -188,6 +189,9 @@
 	}
 	hedged := s.hedgedTarget(r)
 	lightlyLoaded := hedged != nil && hedged.fresh(now) && hedged.pace < lightLoadPace
+	if s.spills(now) {
+		lightlyLoaded = hedged != nil && hedged.fresh(now) && !s.misses(hedged, r, now)
+	}
 	if lightlyLoaded && !s.retries.allows(now, s.effectiveBounds(), lightLoadHedgeShare) {
 		return notRunError(hemlocktally.ReasonRetryBudget, "the first attempt is still running on a lightly loaded target", 0)
 	}
@@ -291,10 +295,13 @@
 	c.t.recent.add(now)
 	rationale := Rationale{
 		Expected: c.expected, Pace: c.t.pace, Age: c.t.reportAge(now), Busy: c.t.busy(now), Waiting: len(s.queue) - 1,
+		Left: c.left, From: w.msg.Zone,
 	}
+	s.recordLeave(w.msg.Zone, c.left)
 	c.t.grants[grant.ID] = activeGrant{
 		contract: r.Contract, from: w.msg.From, deadline: r.Deadline, pace: c.t.expectedPace(s.meanPace, now),
 		level: c.t.nextLevel(now), counted: c.t.rate.limit.Named,
+		zone: w.msg.Zone, left: c.left, at: now,
 	}
 	c.t.grantedAt = now
 	c.t.takeConnection(w.msg.From)
@@ -316,7 +323,7 @@
 	}
 	ahead := 0
 	for _, w := range s.queue {
-		if w.msg.Request.Priority >= msg.Request.Priority {
+		if w.msg.Request.Priority >= msg.Request.Priority && !w.holding {
 			ahead++
 		}
 	}
--- a/recorder/customer.go
+++ b/recorder/customer.go
@@ -84,7 +84,7 @@
 		for _, reason := range slices.Sorted(maps.Keys(c.Refused)) {
 			list = append(list, Metric{
 				Name: "customer_refused_total", Help: "Calls of a customer without a target's response, by reason.", Type: "counter",
-				Customer: c.Customer, Reason: cmp.Or(reason, UnsetName), Value: float64(c.Refused[reason]),
+				Customer: c.Customer, Reason: string(cmp.Or(reason, UnsetName)), Value: float64(c.Refused[reason]),
 			})
 		}
 	}
--- a/recorder/exposition.go
+++ b/recorder/exposition.go
@@ -28,22 +28,24 @@
 	Service hemlocktally.ServiceName // Service is the service label; empty means no label.
 	// Customer is the customer label; empty means no label.
 	Customer hemlocktally.CustomerName
-	// Reason is the reason label beside that of the customer; empty means no label.
-	Reason hemlocktally.Reason
-	Value  float64
+	Zone     hemlocktally.ZoneName // Zone is the zone label; empty means no label.
+	Reason   string                // Reason is the reason label; empty means no label.
+	Value    float64
 }
 
 func (g Metric) labels() string {
-	switch {
-	case g.Service != "":
-		return "{service=" + quote(string(g.Service)) + "}"
-	case g.Customer != "" && g.Reason != "":
-		return "{customer=" + quote(string(g.Customer)) + ",reason=" + quote(string(g.Reason)) + "}"
-	case g.Customer != "":
-		return "{customer=" + quote(string(g.Customer)) + "}"
-	default:
+	var labels []string
+	for _, label := range []struct{ name, value string }{
+		{"service", string(g.Service)}, {"customer", string(g.Customer)}, {"zone", string(g.Zone)}, {"reason", g.Reason},
+	} {
+		if label.value != "" {
+			labels = append(labels, label.name+"="+quote(label.value))
+		}
+	}
+	if len(labels) == 0 {
 		return ""
 	}
+	return "{" + strings.Join(labels, ",") + "}"
 }
 
 // WriteMetrics writes the histograms, refusals, attempts and gauges in the
