--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -140,7 +140,7 @@
 const (
 	// earlyHedgeReserve is the multiple that must be left before the objective: the second
 	// attempt takes its own work, on a target that may be full, and the choice of the target.
-	earlyHedgeReserve = 1.75
+	earlyHedgeReserve = 2.0
 	// minHedgeWork is the multiple that the first attempt gets at least. A call that has waited
 	// for its target would otherwise get a second attempt while the first one is on time.
 	minHedgeWork = 1.3
--- a/dispatcher/hedge_delay_test.go
+++ b/dispatcher/hedge_delay_test.go
@@ -15,8 +15,8 @@
 	const ms = time.Millisecond
 	for name, test := range map[string]struct{ objective, waited, median, want time.Duration }{
 		"half of the objective is early enough":    {1200 * ms, 0, 200 * ms, 600 * ms},
-		"half of the objective is too late":        {500 * ms, 0, 160 * ms, 220 * ms},
-		"the wait for a target counts":             {500 * ms, 10 * ms, 160 * ms, 210 * ms},
+		"half of the objective is too late":        {600 * ms, 0, 160 * ms, 280 * ms},
+		"the wait for a target counts":             {600 * ms, 10 * ms, 160 * ms, 270 * ms},
 		"the first attempt gets time for its work": {500 * ms, 200 * ms, 160 * ms, 208 * ms},
 		"the objective is hardly more than work":   {200 * ms, 0, 140 * ms, 182 * ms},
 	} {
--- a/placer/spillover_test.go
+++ b/placer/spillover_test.go
@@ -361,6 +361,28 @@
 	}
 }
 
+// In a large service most of whose targets are free, weighing the zones must not make a choice
+// look at more targets than before.
+func TestSpilloverExaminesNoMoreTargets(t *testing.T) {
+	c := qt.New(t)
+	var examined [2]uint64
+	for i, spillover := range []bool{false, true} {
+		h := manyTargets(500)
+		if spillover {
+			h.configureSpillover(h.registrations()...)
+		}
+		for n := range 1500 { // The owner uses the constants for one second.
+			c.Assert(h.runCall(n), qt.IsTrue)
+		}
+		before := h.state.Stats(h.now).Examined
+		for n := range 500 {
+			c.Assert(h.runCall(n), qt.IsTrue)
+		}
+		examined[i] = h.state.Stats(h.now).Examined - before
+	}
+	c.Check(examined[1] <= examined[0], qt.IsTrue, qt.Commentf("%v", examined))
+}
+
 // BenchmarkSpilloverGrant measures a whole call at an owner that weighs the zones, for
 // comparison with BenchmarkGrant.
 func BenchmarkSpilloverGrant(b *testing.B) {
--- a/placer/zones_test.go
+++ b/placer/zones_test.go
@@ -401,7 +401,7 @@
 		return max(0, call.contract.Objective/2-waited)
 	}
 	work := float64(call.contract.Work)
-	return max(min(call.contract.Objective/2, call.contract.Objective-time.Duration(1.75*work))-waited, time.Duration(1.3*work))
+	return max(min(call.contract.Objective/2, call.contract.Objective-time.Duration(2*work))-waited, time.Duration(1.3*work))
 }
 
 func (s *zoneSimulator) hedge(call *simulatedCall) {
