Fair shares between customers while calls of a service wait

Cause: a customer that sends ten times its usual load took capacity from all others: their calls wait behind it in the queue, which orders by priority and objective only.

Change: within a priority, waiting calls are served by start-time fair queueing over customers, weighted by their rates (placer/fairness.go). A new call is admitted if it is prompt after those served before it by these shares; if it makes the last one late, that one is refused, the newest of the customer furthest over its share. Without customers in the configuration nothing changes. Off = FairShares.

Waiting calls that can no longer be prompt used the shares of those behind them; they come last and use none.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -230,11 +230,12 @@
 	}
 	services := make(map[hemlocktally.ServiceName]placer.TargetsMsg, len(p.Targets))
 	for name, targets := range p.Targets {
-		services[name] = placer.TargetsMsg{Targets: targets, Out: out, Revision: p.Configuration.Revision, Instances: instances}
+		services[name] = placer.TargetsMsg{Targets: targets, Out: out, Revision: p.Configuration.Revision, Instances: instances, Customers: p.Configuration.Customers}
 	}
 	for _, service := range p.Configuration.Services {
 		msg := services[service.Name]
 		msg.Service, msg.Out, msg.Revision, msg.Instances = service, out, p.Configuration.Revision, instances
+		msg.Customers = p.Configuration.Customers
 		services[service.Name] = msg
 	}
 	return services
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -106,6 +106,7 @@
 		{"probes_total", "Questions to targets about their load.", typeCounter, func(s placer.Stats) float64 { return float64(s.Probes) }},
 		{"limited_targets", "Targets whose limits are counted.", typeGauge, func(s placer.Stats) float64 { return float64(s.Limited) }},
 		{"limit_refusals_total", "Calls refused because of targets' limits.", typeCounter, func(s placer.Stats) float64 { return float64(s.LimitRefusals) }},
+		{"displaced_total", "Waiting calls refused for calls of customers that use less of their shares.", typeCounter, func(s placer.Stats) float64 { return float64(s.Displaced) }},
 		{"retry_budget_used", "Part of the window's retry budget that is spent.", typeGauge, func(s placer.Stats) float64 { return s.BudgetUsed }},
 	} {
 		for _, stats := range services {
--- a/balancer/metrics_test.go
+++ b/balancer/metrics_test.go
@@ -9,7 +9,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"hemlocktally"
 	"hemlocktally/follower"
+	"hemlocktally/limiter"
 	"hemlocktally/placer"
 	"hemlocktally/recorder"
 )
@@ -45,7 +47,21 @@
 	}
 	b.follower.Prepare()
 	gauges := append(b.gauges(t.Context()), serviceGauges("owner", []placer.Stats{{}})...)
+	gauges = append(gauges, customerGauges([]limiter.Stats{{Customer: "c"}})...)
 	for _, g := range append(gauges, serviceGauges("alone", []placer.Stats{{}})...) {
 		c.Check(strings.Contains(string(page), "`"+g.Name+"`"), qt.IsTrue, qt.Commentf(g.Name))
 	}
 }
+
+// A configuration with very many customers makes no more series than the limit.
+func TestCustomerGaugesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	stats := make([]limiter.Stats, 10000)
+	for i := range stats {
+		stats[i] = limiter.Stats{Customer: "c", Requested: uint64(i)}
+	}
+	gauges := customerGauges(stats)
+	c.Check(gauges, qt.HasLen, 5*(maxCustomerGauges+1))
+	c.Check(gauges[0].Value, qt.Equals, 9999.0)
+	c.Check(gauges[maxCustomerGauges].Customer, qt.Equals, hemlocktally.CustomerName(recorder.OverflowName))
+}
--- a/mechanism.go
+++ b/mechanism.go
@@ -27,6 +27,7 @@
 	MechanismRelayedLists   Mechanism = "RelayedLists"   // MechanismRelayedLists lets hubs relay the list of targets.
 	MechanismHandover       Mechanism = "Handover"       // MechanismHandover lets a hub of low weight hand its role over to an instance of much higher weight.
 	MechanismSpreadReturn   Mechanism = "SpreadReturn"   // MechanismSpreadReturn adds jitter to the retry time advised to refused callers.
+	MechanismFairShares     Mechanism = "FairShares"     // MechanismFairShares serves waiting calls of a priority by the shares of their customers.
 	MechanismQuarantine     Mechanism = "Quarantine"     // MechanismQuarantine holds back requests that crash their targets.
 )
 
@@ -36,7 +37,7 @@
 		MechanismOwners, MechanismLoadQuestions, MechanismZoneFirst, MechanismLinkPrice, MechanismJoinFirst,
 		MechanismFaultRanking, MechanismWidth, MechanismAdmission, MechanismPriorityOrder, MechanismPromptFirst,
 		MechanismSecondAttempts, MechanismReadAhead, MechanismRelayedLists, MechanismHandover, MechanismSpreadReturn,
-		MechanismQuarantine,
+		MechanismFairShares, MechanismQuarantine,
 	}
 }
 
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -79,11 +79,14 @@
 	var commands []any
 	free := &freeTargets{state: s, now: now}
 	ordered := slices.Clone(s.queue)
+	if len(ordered) > 1 && s.sharesFairly() && free.hasAny() {
+		s.inFairOrder(ordered, now)
+	}
 	if len(ordered) > 1 && !s.disabled(hemlocktally.MechanismPromptFirst) && free.hasAny() {
 		slices.SortStableFunc(ordered, func(a, b *waiter) int { return cmp.Compare(s.lateness(a, now), s.lateness(b, now)) })
 	}
 	for _, w := range ordered {
-		if !w.polling() {
+		if !w.polling() || w.refused != nil {
 			continue
 		}
 		answered, replies := s.serveWaiter(w, free, now)
@@ -291,6 +294,9 @@
 		Deadline: r.Deadline, Waited: now.Sub(w.enqueuedAt), Cold: c.t.cold(now), Alone: s.Alone, Limit: c.t.rate.limit, HeldBy: w.heldBy,
 	}
 	s.spendLimit(c.t, now)
+	if s.sharesFairly() {
+		s.fairness.spend(r, w.cost)
+	}
 	if grant.Cold {
 		grant.LeaseEnd = now.Add(coldGrantTTL)
 		c.t.coldGrants = append(c.t.coldGrants, now)
@@ -320,12 +326,7 @@
 	if s.disabled(hemlocktally.MechanismAdmission) && slots > 0 {
 		return nil
 	}
-	ahead := 0
-	for _, w := range s.queue {
-		if w.msg.Request.Priority >= msg.Request.Priority {
-			ahead++
-		}
-	}
+	ahead := s.ahead(msg.Request, now)
 	if available.onlyLimited() {
 		return s.refuseOverLimits(msg.Request, available, ahead, now)
 	}
@@ -339,6 +340,7 @@
 	// A limit is worth as many slots as its calls keep busy on average.
 	capacity := max(1, float64(slots)+available.limitedRate*work)
 	wait := secondsOrForever(float64(ahead) * work / capacity)
+	s.servedPerSecond = capacity / work
 	inTime := msg.Request.Objective.Add(-s.promptTime(msg.Request.Contract))
 	if now.Add(wait+typical).After(msg.Request.Deadline) || (wait > 0 && now.Add(wait).After(inTime)) {
 		detail := fmt.Sprintf("%d calls ahead and %d slots: a wait of %s and work of %s would exceed the objective (%s left) or the deadline",
@@ -346,7 +348,7 @@
 		if s.countsLimits() {
 			detail += "; " + s.limitsDetail(now)
 		}
-		return notRunError(hemlocktally.ReasonShed, detail, s.retryAfter(wait))
+		return notRunError(hemlocktally.ReasonShed, detail, s.spreadRetry(msg.Request, wait))
 	}
 	return nil
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -37,6 +37,9 @@
 		// Instances is the estimated number of instances in the fleet. A state that decides
 		// alone uses only its share of the retry slack.
 		Instances int
+		// Customers share the capacity of the service; without any, the calls are served by
+		// priority and objective.
+		Customers []hemlocktally.Customer
 	}
 	// AcquireMsg requests a grant. The client sends it again with the same ticket until it
 	// gets a grant or a refusal.
--- a/placer/state.go
+++ b/placer/state.go
@@ -40,6 +40,10 @@
 	limitChanges  []any          // limitChanges holds the LimitCmds that Update has not returned yet.
 	limitVersion  uint32         // limitVersion counts the changes of limits.
 	limitRefusals uint64         // limitRefusals counts the calls that limits held back.
+	fairness      fairness
+	// servedPerSecond is how many calls the targets serve, by the last admission.
+	servedPerSecond float64
+	displaced       uint64 // displaced counts the waiting calls that were refused for calls of other customers.
 }
 
 // waiter is a request in the queue.
@@ -50,6 +54,11 @@
 	probeRounds   int            // probeRounds counts the probe rounds made for the waiter.
 	probedTargets []*targetState // probedTargets holds the targets of the last probe round.
 	heldBy        string         // heldBy describes the limits that held the waiter back; empty if none did.
+	flow          *flow
+	cost          time.Duration // cost is the expected work of the call.
+	tag           float64       // tag is the virtual time from which its customer's share serves the call.
+	// refused is the refusal of a waiter that is answered when its client asks again.
+	refused *hemlocktally.RefusedError
 }
 
 const (
@@ -134,6 +143,7 @@
 
 func (s *State) configure(msg TargetsMsg, now time.Time) {
 	s.service, s.revision, s.instances = msg.Service, msg.Revision, msg.Instances
+	s.setCustomers(msg.Customers)
 	present := make(map[hemlocktally.TargetName]bool, len(msg.Targets))
 	for _, registration := range msg.Targets {
 		present[registration.Target.Name] = true
@@ -174,6 +184,10 @@
 	for _, w := range s.queue {
 		if w.msg.Ticket == msg.Ticket {
 			w.msg = msg
+			if w.refused != nil {
+				s.removeWaiter(msg.Ticket)
+				return []any{RefuseCmd{Ticket: msg.Ticket, Error: w.refused}}
+			}
 			return s.reconsider(w, now)
 		}
 	}
@@ -188,14 +202,14 @@
 	if refused := s.admit(msg, now); refused != nil {
 		return []any{RefuseCmd{Ticket: msg.Ticket, Error: refused}}
 	}
-	w := &waiter{msg: msg, enqueuedAt: now}
+	w := &waiter{msg: msg, enqueuedAt: now, cost: s.typicalWork(msg.Request.Contract)}
 	compare := compareWaiters
 	if s.disabled(hemlocktally.MechanismPriorityOrder) {
 		compare = func(a, b *waiter) int { return a.enqueuedAt.Compare(b.enqueuedAt) }
 	}
 	i, _ := slices.BinarySearchFunc(s.queue, w, compare)
 	s.queue = slices.Insert(s.queue, i, w)
-	return nil
+	return s.displace(now)
 }
 
 // reconsider refuses a waiting call that can no longer be served in time because targets have
--- a/placer/stats.go
+++ b/placer/stats.go
@@ -26,6 +26,9 @@
 	// calls that were refused because of them.
 	Limited       int
 	LimitRefusals uint64
+	// Displaced is the number of waiting calls that were refused because calls of customers that
+	// use less of their shares came before them.
+	Displaced uint64
 }
 
 // Stats returns the current statistics of the service.
@@ -34,7 +37,7 @@
 		Service: s.service.Name, Waiting: len(s.queue), Targets: len(s.sorted), Granted: s.granted, Probes: s.probes,
 		Examined:   s.examined,
 		BudgetUsed: s.retries.usedShare(now, s.effectiveBounds()),
-		Limited:    len(s.limited), LimitRefusals: s.limitRefusals,
+		Limited:    len(s.limited), LimitRefusals: s.limitRefusals, Displaced: s.displaced,
 	}
 	for _, t := range s.sorted {
 		out.ActiveGrants += len(t.grants)
