--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -234,12 +234,13 @@
 	services := make(map[hemlocktally.ServiceName]placer.TargetsMsg, len(p.Targets))
 	spillover := p.Configuration.WeighsZones()
 	for name, targets := range p.Targets {
-		services[name] = placer.TargetsMsg{Targets: targets, Out: out, Revision: p.Configuration.Revision, Instances: instances, Spillover: spillover}
+		services[name] = placer.TargetsMsg{Targets: targets, Out: out, Revision: p.Configuration.Revision, Instances: instances, Spillover: spillover, Customers: p.Configuration.Customers}
 	}
 	for _, service := range p.Configuration.Services {
 		msg := services[service.Name]
 		msg.Service, msg.Out, msg.Revision, msg.Instances = service, out, p.Configuration.Revision, instances
 		msg.Spillover, msg.LargeResponses = spillover, largeResponses(p.Configuration.Contracts, service.Name)
+		msg.Customers = p.Configuration.Customers
 		services[service.Name] = msg
 	}
 	return services
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -46,6 +46,9 @@
 		Spillover bool
 		// LargeResponses holds the contracts of the service with large responses.
 		LargeResponses []hemlocktally.ContractName
+		// Customers share the capacity of the service; without any, the calls are served by
+		// priority and objective.
+		Customers []hemlocktally.Customer
 	}
 	// AcquireMsg requests a grant. The client sends it again with the same ticket until it
 	// gets a grant or a refusal.
