Rollout orders, records and target versions are decoded and relayed

Orders, the instances' own record and the version of a target were not read.

Change: platform decodes op/rollout/SERVICE and names the record and the status keys; followers publish and relay orders and records; relayed target lists carry the version (relay.proto field 40). A record with a lower sequence than the known one, as from a backup of the store, does not take effect. All of it is ignored unless the follower's Rollouts is set.

Ruled out: removing a record when the store lacks it, since instances would use the version before it, whose targets are gone.

go test -race of the changed packages and of ./balancer passes.

--- a/directory.go
+++ b/directory.go
@@ -60,12 +60,14 @@
 
 // The kinds of entries that instances follow.
 const (
-	EntryConfiguration EntryKind = "Declaration" // EntryConfiguration is the operators' configuration.
-	EntryZoneStop      EntryKind = "ZoneStop"    // EntryZoneStop takes an availability zone out of service as long as the entry exists.
-	EntryTarget        EntryKind = "Target"      // EntryTarget is a target's own registration.
-	EntryHub           EntryKind = "Hub"         // EntryHub is the registration of an instance that reads the store for others.
-	EntryHeldRequest   EntryKind = "HeldRequest" // EntryHeldRequest is a request that instances hold back because it crashes targets.
-	EntryIgnored       EntryKind = "Foreign"     // EntryIgnored is any other entry; instances ignore it.
+	EntryConfiguration EntryKind = "Declaration"  // EntryConfiguration is the operators' configuration.
+	EntryZoneStop      EntryKind = "ZoneStop"     // EntryZoneStop takes an availability zone out of service as long as the entry exists.
+	EntryTarget        EntryKind = "Target"       // EntryTarget is a target's own registration.
+	EntryHub           EntryKind = "Hub"          // EntryHub is the registration of an instance that reads the store for others.
+	EntryHeldRequest   EntryKind = "HeldRequest"  // EntryHeldRequest is a request that instances hold back because it crashes targets.
+	EntryRollout       EntryKind = "Rollout"      // EntryRollout is the operators' order to move a service to another version.
+	EntryRolloutState  EntryKind = "RolloutState" // EntryRolloutState is the instances' own record of a service's rollout.
+	EntryIgnored       EntryKind = "Foreign"      // EntryIgnored is any other entry; instances ignore it.
 )
 
 // MaxTargetListAge is the age up to which a list of targets is used while a newer one can be
@@ -94,6 +96,18 @@
 	// HeldRequestKey returns the key of a request that is held back. It is below HubPrefix, so
 	// that whoever reads the hubs reads it too.
 	HeldRequestKey(request Fingerprint) string
+	// RolloutKey returns the key of a service's order.
+	RolloutKey(service ServiceName) string
+	// RolloutRecordKey returns the key of the instances' own record of a service's rollout. It is
+	// below HubPrefix, so that whoever reads the hubs reads it too.
+	RolloutRecordKey(service ServiceName) string
+	// RolloutStatus returns the key and the value that tell operators the state of a rollout. It
+	// returns false for a phase that they are not told.
+	RolloutStatus(service ServiceName, phase RolloutPhase, version SoftwareVersion) (key string, value []byte, ok bool)
+	// SameRolloutStatus reports whether two values tell the operators the same.
+	SameRolloutStatus(a, b []byte) bool
+	// DecodeRollout decodes the order for the named service.
+	DecodeRollout(name string, value []byte) (RolloutOrder, error)
 	// Kind returns the kind of the object that the key describes, and its name.
 	Kind(key string) (kind EntryKind, name string)
 	// DecodeConfiguration decodes the operators' configuration. It leaves out what can't be
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -41,6 +41,7 @@
 	Suspects *quarantiner.Quarantiner
 	// Isolated reports whether the instance reaches hardly any target of a service; it may be nil.
 	Isolated func() bool
+	Rollouts bool // Rollouts is set if orders for rollouts are followed.
 	// OnChange is called with each new FleetState, from one goroutine; it may be nil.
 	OnChange func(*FleetState)
 
@@ -223,7 +224,7 @@
 
 // runState owns the state and applies all messages to it.
 func (f *Follower) runState(ctx context.Context, inbox <-chan any) {
-	state := State{Interpreter: f.Interpreter}
+	state := State{Interpreter: f.Interpreter, Rollouts: f.Rollouts}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -286,6 +287,8 @@
 			f.Log.Log(logger.EventZoneStop, logger.Fields{"Zone": n.Zone, "Out": n.Out, "Source": cmp.Or(n.Source, "Store")})
 		case TargetChange:
 			f.Log.Log(logger.EventListedTargetChanged, logger.Fields{"Service": n.Service, "Target": n.Target, "State": n.State})
+		case RolloutOrderChange:
+			f.Log.Log(logger.EventRolloutOrdered, logger.Fields{"Service": n.Service, "Version": n.Order.Version, "Duration": n.Order.Duration, "Removed": n.Removed})
 		case HubChange:
 			f.Log.Log(logger.EventHubChanged, logger.Fields{"Zone": n.Zone, "Hub": n.Hub})
 		}
--- a/follower/message.go
+++ b/follower/message.go
@@ -72,6 +72,12 @@
 		Target  hemlocktally.TargetName
 		State   string
 	}
+	// RolloutOrderChange says that an order for a rollout was written or removed.
+	RolloutOrderChange struct {
+		Service hemlocktally.ServiceName
+		Order   hemlocktally.RolloutOrder
+		Removed bool
+	}
 	// HubChange names the hub of a zone; Hub is empty if the zone has none.
 	HubChange struct {
 		Zone hemlocktally.ZoneName
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -313,9 +313,7 @@
 	byKind := map[hemlocktally.EntryKind][]hemlocktally.DirectoryEntry{hemlocktally.EntryConfiguration: nil, hemlocktally.EntryHub: nil}
 	for _, entry := range entries {
 		kind, _ := r.Interpreter.Kind(entry.Key)
-		if kind == hemlocktally.EntryZoneStop {
-			kind = hemlocktally.EntryConfiguration
-		}
+		kind = feedOf(kind)
 		byKind[kind] = append(byKind[kind], entry)
 	}
 	for _, kind := range []hemlocktally.EntryKind{hemlocktally.EntryConfiguration, hemlocktally.EntryHub} {
--- a/follower/restore.go
+++ b/follower/restore.go
@@ -91,7 +91,8 @@
 		if !s.stoppedZones[hemlocktally.ZoneName(name)] {
 			return
 		}
-	case hemlocktally.EntryConfiguration, hemlocktally.EntryHub, hemlocktally.EntryIgnored:
+	case hemlocktally.EntryRollout:
+	case hemlocktally.EntryConfiguration, hemlocktally.EntryHub, hemlocktally.EntryRolloutState, hemlocktally.EntryIgnored:
 		return
 	}
 	maps.DeleteFunc(r.removals, func(_ string, old removal) bool { return now.Sub(old.removedAt) > removalRetention })
@@ -103,7 +104,7 @@
 func (s *State) contradictsKnown(kind hemlocktally.EntryKind, name string, entry hemlocktally.DirectoryEntry) bool {
 	gone, removed := s.restore.removals[entry.Key]
 	switch kind {
-	case hemlocktally.EntryZoneStop:
+	case hemlocktally.EntryZoneStop, hemlocktally.EntryRollout:
 		return removed && gone.version == entry.Version
 	case hemlocktally.EntryTarget:
 		read, err := s.Interpreter.DecodeRegistration(name, entry.Value)
@@ -122,7 +123,7 @@
 		known, ok := s.hubs[hemlocktally.ZoneName(name)]
 		read, err := decodeHub(entry.Value)
 		return ok && err == nil && read.Incarnation != known.Incarnation
-	case hemlocktally.EntryConfiguration, hemlocktally.EntryIgnored:
+	case hemlocktally.EntryConfiguration, hemlocktally.EntryRolloutState, hemlocktally.EntryIgnored:
 	}
 	return false
 }
@@ -130,11 +131,8 @@
 // dropConflicting forgets conflicting entries that a full read no longer contains.
 func (s *State) dropConflicting(read hemlocktally.EntryKind, present map[string]bool) {
 	maps.DeleteFunc(s.restore.conflicting, func(key string, _ hemlocktally.DirectoryEntry) bool {
-		kind, _ := s.Interpreter.Kind(key)
-		if kind == hemlocktally.EntryZoneStop {
-			kind = hemlocktally.EntryConfiguration
-		}
-		return kind == read && !present[key]
+		kind, _ := s.kind(key)
+		return feedOf(kind) == read && !present[key]
 	})
 }
 
@@ -147,7 +145,7 @@
 	var notes []any
 	for _, key := range slices.Sorted(maps.Keys(s.restore.conflicting)) {
 		entry := s.restore.conflicting[key]
-		kind, _ := s.Interpreter.Kind(key)
+		kind, _ := s.kind(key)
 		notes = append(notes, s.applyEntry(s.feed(kind), entry, now)...)
 	}
 	clear(s.restore.conflicting)
--- a/follower/role.go
+++ b/follower/role.go
@@ -405,5 +405,8 @@
 	published := r.published.wait()
 	send(ctx, r.inbox, ChangesMsg{Kind: hemlocktally.EntryHub, Entries: all.Entries, Generation: all.Generation})
 	sleepUntil(ctx, hubSearchPause, published)
-	r.hubsListed = len(all.Entries) > 0
+	r.hubsListed = slices.ContainsFunc(all.Entries, func(e hemlocktally.DirectoryEntry) bool {
+		kind, _ := r.Interpreter.Kind(e.Key)
+		return kind == hemlocktally.EntryHub
+	})
 }
--- a/follower/state.go
+++ b/follower/state.go
@@ -30,6 +30,8 @@
 	RelayedVersion uint64
 	// Operators is what is known of the operators' entries in the store.
 	Operators OperatorFeed
+	// Rollouts holds the services that have an order or a record of one.
+	Rollouts map[hemlocktally.ServiceName]hemlocktally.Rollout
 }
 
 // OperatorFeed describes how far the instance itself has read the operators' entries.
@@ -44,7 +46,9 @@
 // State applies messages and builds the next FleetState. Its zero value is empty.
 type State struct {
 	Interpreter hemlocktally.EntryDecoder
+	Rollouts    bool // Rollouts is set if orders for rollouts are followed.
 
+	rollouts       map[hemlocktally.ServiceName]hemlocktally.Rollout
 	config         *hemlocktally.Configuration
 	stoppedZones   map[hemlocktally.ZoneName]bool
 	targets        map[hemlocktally.TargetName]hemlocktally.Registration
@@ -149,6 +153,7 @@
 		s.sequences = map[hemlocktally.TargetName]uint64{}
 		s.restore.conflicting = map[string]hemlocktally.DirectoryEntry{}
 		s.hubs = map[hemlocktally.ZoneName]Hub{}
+		s.rollouts = map[hemlocktally.ServiceName]hemlocktally.Rollout{}
 		s.relayedEntries = map[string]hemlocktally.Entry{}
 	}
 	f := s.feeds[kind]
@@ -180,7 +185,7 @@
 	var notes []any
 	for _, entry := range msg.Entries {
 		present[entry.Key] = true
-		kind, name := s.Interpreter.Kind(entry.Key)
+		kind, name := s.kind(entry.Key)
 		if holdsPrevious && s.contradictsKnown(kind, name, entry) {
 			s.restore.conflicting[entry.Key] = entry
 			delete(f.pendingRemovals, entry.Key)
@@ -217,7 +222,7 @@
 	if known, ok := s.relayedEntries[key]; ok && msg.Revision > 0 && known.GenerationVersion().After(s.storePoint(msg.Revision)) {
 		return nil
 	}
-	if kind, _ := s.Interpreter.Kind(key); kind == hemlocktally.EntryZoneStop && holdsPrevious {
+	if kind, _ := s.kind(key); isOperatorPresence(kind) && holdsPrevious {
 		f.pendingRemovals[key] = true
 		return nil
 	}
@@ -236,11 +241,13 @@
 		for zone := range s.hubs {
 			keys = append(keys, s.Interpreter.HubPrefix()+string(zone))
 		}
+		keys = append(keys, s.recordKeys()...)
 	case hemlocktally.EntryConfiguration, hemlocktally.EntryZoneStop:
 		for zone := range s.stoppedZones {
 			keys = append(keys, s.Interpreter.ZoneStopKey(zone))
 		}
-	case hemlocktally.EntryIgnored:
+		keys = append(keys, s.orderKeys()...)
+	case hemlocktally.EntryRollout, hemlocktally.EntryRolloutState, hemlocktally.EntryIgnored:
 	}
 	slices.Sort(keys)
 	return keys
@@ -249,7 +256,7 @@
 // applyEntry applies one entry. A removal soon after the store's return is delayed, so
 // that the entry has time to reappear.
 func (s *State) applyEntry(f *feedState, entry hemlocktally.DirectoryEntry, now time.Time) []any {
-	kind, name := s.Interpreter.Kind(entry.Key)
+	kind, name := s.kind(entry.Key)
 	if entry.Generation == 0 {
 		entry.Generation = s.restore.generation // The store reports no generation.
 	}
@@ -263,7 +270,7 @@
 		s.removeRelayed(entry.Key)
 		return s.remove(kind, name)
 	}
-	if known, ok := s.relayedEntries[entry.Key]; ok && kind == hemlocktally.EntryHub && known.GenerationVersion().After(entry.GenerationVersion()) {
+	if known, ok := s.relayedEntries[entry.Key]; ok && isOrdered(kind) && known.GenerationVersion().After(entry.GenerationVersion()) {
 		return nil // A stale read of the hubs may be seconds old.
 	}
 	delete(f.pendingRemovals, entry.Key)
@@ -271,6 +278,11 @@
 	if kind != hemlocktally.EntryConfiguration {
 		s.addRelayed(kind, entry.Entry)
 	}
+	return s.applyKind(kind, name, entry)
+}
+
+// applyKind applies an entry by what it describes.
+func (s *State) applyKind(kind hemlocktally.EntryKind, name string, entry hemlocktally.DirectoryEntry) []any {
 	switch kind {
 	case hemlocktally.EntryConfiguration:
 		return s.applyDeclaration(entry)
@@ -280,6 +292,10 @@
 		return s.applyTarget(entry, hemlocktally.TargetName(name))
 	case hemlocktally.EntryHub:
 		return s.applyHub(entry, hemlocktally.ZoneName(name))
+	case hemlocktally.EntryRollout:
+		return s.applyOrder(entry, hemlocktally.ServiceName(name))
+	case hemlocktally.EntryRolloutState:
+		return s.applyRolloutRecord(entry, hemlocktally.ServiceName(name))
 	case hemlocktally.EntryIgnored:
 	}
 	return nil
@@ -292,8 +308,8 @@
 	}
 	var notes []any
 	for _, key := range slices.Sorted(maps.Keys(f.pendingRemovals)) {
-		kind, name := s.Interpreter.Kind(key)
-		if kind == hemlocktally.EntryZoneStop && s.restore.holdsPrevious(now) {
+		kind, name := s.kind(key)
+		if isOperatorPresence(kind) && s.restore.holdsPrevious(now) {
 			continue
 		}
 		delete(f.pendingRemovals, key)
@@ -322,6 +338,10 @@
 		}
 		delete(s.hubs, hemlocktally.ZoneName(name))
 		return []any{HubChange{Zone: hemlocktally.ZoneName(name)}}
+	case hemlocktally.EntryRollout:
+		return s.removeOrder(hemlocktally.ServiceName(name))
+	case hemlocktally.EntryRolloutState:
+		s.removeRecord(hemlocktally.ServiceName(name))
 	case hemlocktally.EntryConfiguration, hemlocktally.EntryIgnored:
 	}
 	return nil
@@ -409,7 +429,8 @@
 	}
 	p := &FleetState{
 		Configuration: &config, Hubs: maps.Clone(s.hubs), TargetsReadAt: s.targetsReadAt, RelayedVersion: s.relayedVersion, Operators: s.operators,
-		Targets: s.targetsByService, TargetsVersion: s.targetsVersion, TargetsDigest: s.targetsDigest,
+		Rollouts: maps.Clone(s.rollouts),
+		Targets:  s.targetsByService, TargetsVersion: s.targetsVersion, TargetsDigest: s.targetsDigest,
 	}
 	for _, key := range slices.Sorted(maps.Keys(s.relayedEntries)) {
 		p.Relayed = append(p.Relayed, s.relayedEntries[key])
--- a/follower/targetlist.go
+++ b/follower/targetlist.go
@@ -40,7 +40,7 @@
 
 // writeTarget hashes all fields of a target that are sent.
 func writeTarget(hash *xxhash.Digest, r hemlocktally.Registration) {
-	for _, field := range []string{string(r.Target.Name), string(r.Service), r.Target.Address, string(r.Target.Zone)} {
+	for _, field := range []string{string(r.Target.Name), string(r.Service), r.Target.Address, string(r.Target.Zone), string(r.Target.Version)} {
 		writeField(hash, []byte(field))
 	}
 	draining := uint64(0)
@@ -56,6 +56,7 @@
 	return &messenger.RelayedTarget{
 		Name: string(r.Target.Name), Service: string(r.Service), Address: r.Target.Address, Zone: string(r.Target.Zone),
 		Slots: int32(r.Target.Slots), Draining: r.Draining, ColdMicroseconds: r.ColdFor.Microseconds(), Started: r.Target.Started,
+		SoftwareVersion: string(r.Target.Version),
 	}
 }
 
@@ -67,6 +68,7 @@
 			Target: hemlocktally.Target{
 				Name: hemlocktally.TargetName(t.GetName()), Address: t.GetAddress(), Zone: hemlocktally.ZoneName(t.GetZone()),
 				Slots: min(hemlocktally.MaxSlots, int(t.GetSlots())), Started: t.GetStarted(),
+				Version: hemlocktally.BoundedVersion(t.GetSoftwareVersion()),
 			},
 		})
 	}
--- a/imitator/upstream.go
+++ b/imitator/upstream.go
@@ -1,6 +1,7 @@
 package imitator
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -62,6 +63,8 @@
 	Slots   int
 	Queue   int           // Queue is how many requests wait; one more is never answered.
 	Work    time.Duration // Work is how long a request takes.
+	// Version is the version in its entry; "" means v1.
+	Version string
 	// Registered is the address in its entry, where that is not its own.
 	Registered string
 
@@ -112,7 +115,7 @@
 		state = "draining"
 	}
 	entry, err := json.Marshal(map[string]any{
-		"service": u.Service, "address": u.address, "zone": u.Zone, "version": "v1", "slots": u.Slots, "state": state,
+		"service": u.Service, "address": u.address, "zone": u.Zone, "version": cmp.Or(u.Version, "v1"), "slots": u.Slots, "state": state,
 		"coldRemaining": "0ms", "seq": u.sequence, "born": u.started,
 	})
 	u.mu.Unlock()
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -86,6 +86,9 @@
 		b.addError(section, key.Name(), key.Name(), "a key of "+fieldNames(field))
 		return
 	}
+	if key.Value() == "" && value.Kind() != reflect.String {
+		return // A template's place that the platform has no value for; the default applies.
+	}
 	if err := setValue(value, key.Value()); err != nil {
 		b.addError(section, key.Name(), key.Value(), err.Error())
 	}
--- a/target.go
+++ b/target.go
@@ -30,6 +30,7 @@
 	// Started distinguishes its incarnations: the Unix time of its start in
 	// milliseconds, or 0 if unknown.
 	Started int64
+	Version SoftwareVersion // Version is the version of its software; it may be empty.
 }
 
 // Defaults for targets that leave the field zero.
