The placer uses the versions that the promoter allows

Calls went to targets of any version.

Change: the owner of a service runs the service's promoter.State, assigns calls to the ordered version and tells it the results; all other targets than those of the version in use are barred. Instances that decide alone follow the record.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -26,6 +26,7 @@
 	"hemlocktally/monitor"
 	"hemlocktally/placer"
 	"hemlocktally/prober"
+	"hemlocktally/promoter"
 	"hemlocktally/quarantiner"
 	"hemlocktally/recorder"
 )
@@ -158,8 +159,11 @@
 	bounds := placer.Bounds{
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: s.Bounds.RetryWindow, RetrySlack: s.Bounds.RetrySlack,
 		ColdShare: coldShare, ProbesPerSecond: s.Bounds.ProbesPerSecond, Disabled: off,
+		Rollouts: promoter.Bounds{Share: s.Rollouts.ExposureShare, Slack: s.Rollouts.ExposureSlack, RollbackDelay: s.Rollouts.RollbackDelay},
 	}
-	b.owner = &placer.Server{Self: self, Epoch: epoch, Bounds: bounds, Prober: loadProber, Log: b.Log, RequestTargets: b.follower.NeedTargets, TargetsRead: b.follower.TargetsFreshness, View: b.follower, Superseded: b.follower.Superseded, Suspects: b.suspects, Monitor: b.monitor}
+	b.follower.Rollouts = bounds.Rollouts.Enabled()
+	writer := &promoter.Writer{Directory: b.Directory, Names: b.Platform, Log: b.Log}
+	b.owner = &placer.Server{Self: self, Epoch: epoch, Bounds: bounds, Prober: loadProber, Log: b.Log, RequestTargets: b.follower.NeedTargets, TargetsRead: b.follower.TargetsFreshness, Rollouts: writer.Execute, View: b.follower, Superseded: b.follower.Superseded, Suspects: b.suspects, Monitor: b.monitor}
 	// Many instances may decide without the owner at the same time, so each uses
 	// only a small part of the fleet's budget and leaves cold targets to the owner.
 	bounds.ColdShare, bounds.RetryRatio = 0, bounds.RetryRatio/2
@@ -231,6 +235,11 @@
 		msg.Service, msg.Out, msg.Revision, msg.Instances = service, out, p.Configuration.Revision, instances
 		services[service.Name] = msg
 	}
+	for name, rollout := range p.Rollouts {
+		msg := services[name]
+		msg.Rollout, msg.Out, msg.Revision, msg.Instances = rollout, out, p.Configuration.Revision, instances
+		services[name] = msg
+	}
 	return services
 }
 
--- a/balancer/fleet_test.go
+++ b/balancer/fleet_test.go
@@ -32,6 +32,8 @@
 	store     string
 	// callDeadline is the deadline of all calls.
 	callDeadline time.Duration
+	// spawn runs a task until the test ends.
+	spawn func(task func(context.Context) error)
 }
 
 // operatorKey is the operators' key of all instances.
@@ -76,25 +78,29 @@
 }
 
 func startFleet(t *testing.T, zones ...string) *fleet {
+	t.Helper()
+	return startFleetWith(t, func(*balancer.Settings) {}, zones...)
+}
+
+// startFleetWith starts a fleet whose instances have changed settings.
+func startFleetWith(t *testing.T, change func(*balancer.Settings), zones ...string) *fleet {
 	t.Helper()
 	f := &fleet{t: t, callDeadline: 2 * time.Second, directory: &imitator.Directory{}, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	run := func(task func(context.Context) error) { group.Go(func() { _ = task(ctx) }) }
+	f.spawn = run
 	store := listen(t)
 	f.store = store.Addr().String()
 	run(func(ctx context.Context) error { return f.directory.Serve(ctx, store) })
 	for i := range 6 {
-		u := &imitator.Upstream{
+		f.addUpstream(&imitator.Upstream{
 			ID: fmt.Sprintf("i-%d", i), Service: "s", Zone: zones[i%len(zones)], Slots: 2, Queue: 4, Work: 15 * time.Millisecond,
-		}
-		l := listen(t)
-		f.upstreams = append(f.upstreams, u)
-		run(func(ctx context.Context) error { return runUpstream(ctx, u, l, f.directory) })
+		})
 	}
 	f.directory.Declare(document(4))
 	for i, zone := range zones {
-		f.instances = append(f.instances, f.startInstance(fmt.Sprintf("e-%d", i), zone))
+		f.instances = append(f.instances, f.startInstance(fmt.Sprintf("e-%d", i), zone, change))
 	}
 	t.Cleanup(func() {
 		for _, i := range f.instances {
@@ -113,6 +119,14 @@
 	return f
 }
 
+// addUpstream starts a target and adds it to the fleet.
+func (f *fleet) addUpstream(u *imitator.Upstream) {
+	f.t.Helper()
+	l := listen(f.t)
+	f.upstreams = append(f.upstreams, u)
+	f.spawn(func(ctx context.Context) error { return runUpstream(ctx, u, l, f.directory) })
+}
+
 // upstreamRestart is how long a crashed upstream is away.
 const upstreamRestart = 800 * time.Millisecond
 
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"hemlocktally"
 	"hemlocktally/logger"
 	"hemlocktally/placer"
 	"hemlocktally/recorder"
@@ -113,5 +114,41 @@
 			})
 		}
 	}
+	return append(gauges, rolloutGauges(role, services)...)
+}
+
+// rolloutGauges returns the metrics of rollouts; none if rollouts are off.
+func rolloutGauges(role string, services []placer.Stats) []recorder.Metric {
+	var gauges []recorder.Metric
+	for _, metric := range []struct {
+		name, help, kind string
+		value            func(placer.Stats) float64
+	}{
+		{"barred_targets", "Targets that get no calls because of their version.", typeGauge, func(s placer.Stats) float64 { return float64(s.Barred) }},
+		{"rollout_deciding", "1 where this instance decides on a rollout.", typeGauge, func(s placer.Stats) float64 { return indicator(s.Rollout.Deciding) }},
+		{"rollout_running", "1 while a rollout is running.", typeGauge, func(s placer.Stats) float64 {
+			return indicator(s.Rollout.Phase == hemlocktally.RolloutRunning || s.Rollout.Phase == hemlocktally.RolloutSwitching)
+		}},
+		{"rollout_rolled_back", "1 if the last rollout was rolled back.", typeGauge, func(s placer.Stats) float64 { return indicator(s.Rollout.Phase == hemlocktally.RolloutRolledBack) }},
+		{"rollout_share", "Share of the calls that are to go to the ordered version.", typeGauge, func(s placer.Stats) float64 { return s.Rollout.Share }},
+		{"rollout_calls", "Calls since the order.", typeGauge, func(s placer.Stats) float64 { return s.Rollout.Calls }},
+		{"rollout_exposed", "Calls that the ordered version may have got.", typeGauge, func(s placer.Stats) float64 { return s.Rollout.Exposed }},
+		{"rollout_bad", "Results of the ordered version that were bad.", typeGauge, func(s placer.Stats) float64 { return s.Rollout.Bad }},
+	} {
+		for _, stats := range services {
+			if stats.Versions {
+				gauges = append(gauges, recorder.Metric{
+					Name: role + "_" + metric.name, Help: metric.help, Type: metric.kind, Service: stats.Service, Value: metric.value(stats),
+				})
+			}
+		}
+	}
 	return gauges
 }
+
+func indicator(holds bool) float64 {
+	if holds {
+		return 1
+	}
+	return 0
+}
--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -21,6 +21,7 @@
 	Platform  PlatformSettings
 	Bounds    BoundSettings
 	Policy    PolicySettings
+	Rollouts  RolloutSettings
 	Operators OperatorSettings
 	Log       loader.LogSettings
 }
@@ -65,6 +66,13 @@
 	Off string // Off lists the mechanisms to switch off, separated by commas, so that their effect can be measured.
 }
 
+// RolloutSettings limit what a new version of targets may get before it is known to be good.
+type RolloutSettings struct {
+	ExposureShare float64       // ExposureShare is its share of the service's calls since the order; without it, rollouts are off and versions are ignored.
+	ExposureSlack float64       // ExposureSlack is the number of calls in addition to the share.
+	RollbackDelay time.Duration // RollbackDelay is how long after its 50th bad response a bad version may get calls.
+}
+
 // OperatorSettings hold what operators need to change an instance's state.
 type OperatorSettings struct {
 	Key string // Key allows them to release requests that are held back; if it is empty, nobody may.
@@ -76,6 +84,8 @@
 	defaultRetryRatio      = 0.1
 	defaultRetryWindow     = 10 * time.Second
 	defaultProbesPerSecond = 50
+	defaultExposureSlack   = 50
+	defaultRollbackDelay   = 5 * time.Second
 )
 
 // WithDefaults returns the settings with a default in place of each zero value.
@@ -87,6 +97,8 @@
 	s.Bounds.RetryRatio = cmp.Or(s.Bounds.RetryRatio, defaultRetryRatio)
 	s.Bounds.RetryWindow = cmp.Or(s.Bounds.RetryWindow, defaultRetryWindow)
 	s.Bounds.ProbesPerSecond = cmp.Or(s.Bounds.ProbesPerSecond, defaultProbesPerSecond)
+	s.Rollouts.ExposureSlack = cmp.Or(s.Rollouts.ExposureSlack, defaultExposureSlack)
+	s.Rollouts.RollbackDelay = cmp.Or(s.Rollouts.RollbackDelay, defaultRollbackDelay)
 	s.Log.Format = cmp.Or(s.Log.Format, "Text")
 	s.Log.Level = cmp.Or(s.Log.Level, "info")
 	return s
@@ -110,6 +122,8 @@
 	maxPipelineDepth = 64
 	minPipelineBytes = 4 << 10
 	maxPipelineBytes = 1 << 20
+	maxExposureSlack = 1e6
+	minRollbackDelay = time.Second
 )
 
 func inRange(n, lo, hi int) bool { return n >= lo && n <= hi }
@@ -135,6 +149,9 @@
 		{"Callers", "PipelineBytes", strconv.Itoa(s.Callers.PipelineBytes), "a number of bytes from 4096 to 1048576", inRange(s.Callers.PipelineBytes, minPipelineBytes, maxPipelineBytes)},
 		{"Platform", "Store", s.Platform.Store, address, loader.IsAddress(s.Platform.Store)},
 		{"Bounds", "RetryRatio", strconv.FormatFloat(s.Bounds.RetryRatio, 'g', -1, 64), "a share from 0 to 1", s.Bounds.RetryRatio <= 1},
+		{"Rollouts", "ExposureShare", strconv.FormatFloat(s.Rollouts.ExposureShare, 'g', -1, 64), "a share from 0 to 1, or nothing", s.Rollouts.ExposureShare >= 0 && s.Rollouts.ExposureShare <= 1},
+		{"Rollouts", "ExposureSlack", strconv.FormatFloat(s.Rollouts.ExposureSlack, 'g', -1, 64), "a number of calls up to 1000000", s.Rollouts.ExposureSlack >= 0 && s.Rollouts.ExposureSlack <= maxExposureSlack},
+		{"Rollouts", "RollbackDelay", s.Rollouts.RollbackDelay.String(), "a time of at least 1s", s.Rollouts.RollbackDelay >= minRollbackDelay},
 		{"Policy", "Off", s.Policy.Off, "a comma-separated list of mechanism names, or nothing", policyErr == nil},
 		{"Log", "Format", s.Log.Format, "Text, JSON", s.Log.Format == "Text" || s.Log.Format == "JSON"},
 		{"Log", "Level", s.Log.Level, "debug, info, warning, error", slices.Contains(levels, s.Log.Level)},
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -123,7 +123,7 @@
 	if now.Before(w.probeDeadline) && w.awaitingProbes(now) {
 		return false, nil
 	}
-	candidates, best, ok := s.choose(w, free, now)
+	candidates, best, ok := s.chooseByVersion(w, free, now)
 	switch {
 	case !ok && r.Kind == hemlocktally.AttemptHedge:
 		return w.refuse(notRunError(hemlocktally.ReasonShed, "no target is free for a second attempt", 0))
@@ -301,7 +301,9 @@
 	c.t.grants[grant.ID] = activeGrant{
 		contract: r.Contract, from: w.msg.From, deadline: r.Deadline, pace: c.t.expectedPace(s.meanPace, now),
 		level: c.t.nextLevel(now), counted: c.t.rate.limit.Named,
+		trial: w.candidate, cold: grant.Cold, issued: now,
 	}
+	w.candidate = false
 	c.t.grantedAt = now
 	c.t.takeConnection(w.msg.From)
 	if r.Kind != hemlocktally.AttemptFirst {
@@ -398,7 +400,7 @@
 func (s *State) availabilityFor(from hemlocktally.InstanceID, now time.Time) availability {
 	var available availability
 	for _, t := range s.sorted {
-		if !t.inService() {
+		if !t.inService() || t.candidate {
 			continue
 		}
 		backoff, avoided := max(0, t.backoffUntil.Sub(now)), t.avoidedFor(from, now)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hemlocktally"
+	"hemlocktally/promoter"
 )
 
 // Bounds limit the retries and probes of one State.
@@ -22,6 +23,9 @@
 	// ProbesPerSecond limits the probes of one target. Only the built-in minimum interval
 	// applies if it is not positive.
 	ProbesPerSecond float64
+	// Rollouts limit what a new version of the targets' software may get; if they are off, versions
+	// are ignored.
+	Rollouts promoter.Bounds
 	// Disabled holds the mechanisms that are disabled, for measuring what they contribute.
 	Disabled hemlocktally.Mechanisms
 }
@@ -37,6 +41,8 @@
 		// Instances is the estimated number of instances in the fleet. A state that decides
 		// alone uses only its share of the retry slack.
 		Instances int
+		// Rollout is what the store says of the rollout of the service.
+		Rollout hemlocktally.Rollout
 	}
 	// AcquireMsg requests a grant. The client sends it again with the same ticket until it
 	// gets a grant or a refusal.
@@ -63,7 +69,10 @@
 		Failed bool
 	}
 	// RankMsg tells an owner its place among the owners of the service.
-	RankMsg struct{ Rank Rank }
+	RankMsg struct {
+		Rank    Rank
+		Rollout promoter.RankMsg
+	}
 	// TickMsg makes the state act on the time that has passed.
 	TickMsg struct{}
 )
--- a/placer/ranking.go
+++ b/placer/ranking.go
@@ -90,7 +90,7 @@
 		if hedge && t.rate.limit.Named {
 			continue // What the limit allows is left to calls that have no other target.
 		}
-		if !s.hasCapacity(t, now) || t.avoidedFor(w.msg.From, now) > 0 || slices.Contains(w.msg.Request.Exclude, t.target.Name) {
+		if !s.eligible(t, w) || !s.hasCapacity(t, now) || t.avoidedFor(w.msg.From, now) > 0 || slices.Contains(w.msg.Request.Exclude, t.target.Name) {
 			continue
 		}
 		c := s.newCandidate(t, w, left, now)
@@ -141,7 +141,12 @@
 	if !t.hasIdleConnection(w.msg.From, now) && !s.disabled(hemlocktally.MechanismLinkPrice) {
 		c.cost += max(newConnectionCost, time.Duration(newConnectionShare*float64(left)))
 	}
-	if c.fastLocal(left) && s.joinsFirst(t, c.fresh, now) {
+	switch {
+	case s.inCanary(t):
+		if len(t.grants) > 0 {
+			c.cost = time.Duration(busyPreference * float64(c.cost))
+		}
+	case c.fastLocal(left) && s.joinsFirst(t, c.fresh, now):
 		c.cost = 0
 	}
 	return c
--- a/placer/server.go
+++ b/placer/server.go
@@ -45,6 +45,10 @@
 	// them with the clients. It may be nil.
 	Suspects *quarantiner.Quarantiner
 
+	// Rollouts executes a command of a rollout and returns the message with its result. It may be
+	// nil.
+	Rollouts func(service hemlocktally.ServiceName, command any) any
+
 	mu            sync.Mutex
 	ctx           context.Context //nolint:containedctx // The tasks end with Run, not with a single request.
 	services      map[hemlocktally.ServiceName]*serviceTask
@@ -82,6 +86,7 @@
 // serviceTask is the goroutine that owns the state of one service.
 type serviceTask struct {
 	server  *Server
+	name    hemlocktally.ServiceName
 	state   State
 	inbox   chan any
 	done    chan struct{}           // done is closed when the inbox is no longer read.
@@ -174,6 +179,7 @@
 	for name, task := range tasks {
 		task.send(services[name])
 	}
+	s.startRollouts(services)
 }
 
 // task returns the task of the service and starts it if necessary. It returns nil before Run.
@@ -187,7 +193,7 @@
 		return t
 	}
 	t := &serviceTask{
-		server: s, inbox: make(chan any, inboxSize), done: make(chan struct{}), replies: map[string]pendingReply{},
+		server: s, name: service, inbox: make(chan any, inboxSize), done: make(chan struct{}), replies: map[string]pendingReply{},
 		state: State{Owner: s.Self, Epoch: s.Epoch, Alone: s.Alone, Bounds: s.Bounds},
 	}
 	if s.services == nil {
@@ -320,12 +326,22 @@
 		case <-timer.C:
 		}
 		t.step(ctx, msg)
-		if t.state.Waiting() > 0 {
-			timer.Reset(queueTick)
-		} else {
-			timer.Reset(idleTick)
+		timer.Reset(t.tick())
+	}
+}
+
+// tick returns the time until the state is told the time if no message comes before.
+func (t *serviceTask) tick() time.Duration {
+	switch {
+	case t.state.Waiting() > 0:
+		return queueTick
+	case t.state.rolloutActive():
+		if t.server.RequestTargets != nil && t.state.rollout.decision.Decides() {
+			t.server.RequestTargets() // A rollout goes on without calls.
 		}
+		return rolloutTick
 	}
+	return idleTick
 }
 
 func (t *serviceTask) step(ctx context.Context, msg any) {
@@ -353,6 +369,10 @@
 			go t.probe(ctx, t.state.service.Name, command)
 		case LimitCmd:
 			t.logLimit(command)
+		case RolloutCmd:
+			t.executeRollout(func(task func() any) { go func() { t.send(task()) }() }, command)
+		case VersionsCmd:
+			t.logVersions(command)
 		}
 	}
 	if withdrawn, ok := msg.(WithdrawMsg); ok {
@@ -366,10 +386,14 @@
 		return nil
 	}
 	t.rankedAt = now
-	owners := Ranked(t.state.service.Name, t.server.View.View().Serving())
+	service := t.state.service.Name
+	if t.server.Bounds.Rollouts.Enabled() {
+		service = t.name // A service with an order need not be in the configuration.
+	}
+	owners := Ranked(service, t.server.View.View().Serving())
 	return t.state.Update(RankMsg{Rank: Rank{
 		Further: len(owners) > 0 && owners[0].ID != t.server.Self, Others: len(owners) - 1,
-	}}, now)
+	}, Rollout: t.server.rolloutRank(t.name, owners)}, now)
 }
 
 // limitNews returns what the client of the ticket does not know of limits.
--- a/placer/state.go
+++ b/placer/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hemlocktally"
+	"hemlocktally/promoter"
 )
 
 // State makes the placement decisions for one service. The zero value has no targets. Only
@@ -40,6 +41,7 @@
 	limitChanges  []any          // limitChanges holds the LimitCmds that Update has not returned yet.
 	limitVersion  uint32         // limitVersion counts the changes of limits.
 	limitRefusals uint64         // limitRefusals counts the calls that limits held back.
+	rollout       rolloutState
 }
 
 // waiter is a request in the queue.
@@ -50,6 +52,7 @@
 	probeRounds   int            // probeRounds counts the probe rounds made for the waiter.
 	probedTargets []*targetState // probedTargets holds the targets of the last probe round.
 	heldBy        string         // heldBy describes the limits that held the waiter back; empty if none did.
+	candidate     bool           // candidate is set if the call goes to the version that a rollout tests.
 }
 
 const (
@@ -120,11 +123,16 @@
 		s.updateLoad(msg, now)
 	case RankMsg:
 		s.ownerRank = msg.Rank
+		s.updateRollout(msg.Rollout, now)
+	case RolloutMsg:
+		s.updateRollout(msg.Msg, now)
 	case TickMsg:
 	}
 	s.expire(now)
+	s.tickRollout(now)
 	commands = append(commands, s.serveQueue(now)...)
 	commands = append(append(commands, s.limitChanges...), s.replyPending(now)...)
+	commands = append(commands, s.takeRolloutCommands()...)
 	s.limitChanges = nil
 	return commands
 }
@@ -159,6 +167,8 @@
 		s.byZone[t.target.Zone] = append(s.byZone[t.target.Zone], t)
 	}
 	s.countLimited()
+	s.updateRollout(promoter.FleetMsg{Rollout: msg.Rollout, Targets: msg.Targets}, now)
+	s.applyRoles(true)
 }
 
 func laterOf(a, b time.Time) time.Time {
@@ -189,6 +199,7 @@
 		return []any{RefuseCmd{Ticket: msg.Ticket, Error: refused}}
 	}
 	w := &waiter{msg: msg, enqueuedAt: now}
+	s.assign(w, now)
 	compare := compareWaiters
 	if s.disabled(hemlocktally.MechanismPriorityOrder) {
 		compare = func(a, b *waiter) int { return a.enqueuedAt.Compare(b.enqueuedAt) }
@@ -248,7 +259,13 @@
 }
 
 func (s *State) removeWaiter(ticket string) {
-	s.queue = slices.DeleteFunc(s.queue, func(w *waiter) bool { return w.msg.Ticket == ticket })
+	s.queue = slices.DeleteFunc(s.queue, func(w *waiter) bool {
+		if w.msg.Ticket != ticket {
+			return false
+		}
+		s.unassign(w)
+		return true
+	})
 }
 
 // release ends a grant and updates the estimates with its result.
@@ -273,12 +290,20 @@
 		t.coldUntil = now.Add(result.ColdFor)
 	}
 	t.recordResult(result, now)
-	if ok && result.Outcome == hemlocktally.AttemptDone {
+	if ok {
+		s.learn(t, active, result, now)
+	}
+}
+
+// learn updates the estimates with the result of a grant.
+func (s *State) learn(t *targetState, active activeGrant, result hemlocktally.GrantResult, now time.Time) {
+	if result.Outcome == hemlocktally.AttemptDone {
 		t.addIdleConnection(active.from, now)
-		if active.pace > 0 && !t.cold(now) {
+		if active.pace > 0 && !t.cold(now) && !active.trial {
 			s.recordWork(active, result.Latency.Seconds()/active.pace, now)
 		}
 	}
+	s.recordRollout(t, active, result, now)
 }
 
 // recordWork updates the estimates with a call's work time, which is its latency divided by
@@ -302,7 +327,7 @@
 // concurrencyLimit returns how many concurrent calls the target gets. It is below the slot
 // count where fewer calls give nearly the same throughput.
 func (s *State) concurrencyLimit(t *targetState, now time.Time) int {
-	if s.disabled(hemlocktally.MechanismWidth) {
+	if s.disabled(hemlocktally.MechanismWidth) || t.candidate {
 		return t.target.SlotCount()
 	}
 	if now.Sub(t.limitAt) >= limitTTL {
@@ -370,7 +395,13 @@
 			})
 		}
 	}
-	s.queue = slices.DeleteFunc(s.queue, func(w *waiter) bool { return now.After(w.msg.ReplyBy.Add(waiterGrace)) })
+	s.queue = slices.DeleteFunc(s.queue, func(w *waiter) bool {
+		if !now.After(w.msg.ReplyBy.Add(waiterGrace)) {
+			return false
+		}
+		s.unassign(w)
+		return true
+	})
 }
 
 // replyPending tells the clients of waiters whose reply time has come to ask again.
--- a/placer/stats.go
+++ b/placer/stats.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hemlocktally"
+	"hemlocktally/promoter"
 )
 
 // Stats are the counters of one service since the server started, and its current state.
@@ -26,6 +27,10 @@
 	// calls that were refused because of them.
 	Limited       int
 	LimitRefusals uint64
+	// Rollout is what is known of the service's rollout; Versions is set if rollouts are on.
+	Rollout  promoter.Report
+	Versions bool
+	Barred   int // Barred is the number of targets whose version gets no calls.
 }
 
 // Stats returns the current statistics of the service.
@@ -39,6 +44,9 @@
 	for _, t := range s.sorted {
 		out.ActiveGrants += len(t.grants)
 	}
+	if s.rollout.decision != nil {
+		out.Rollout, out.Versions, out.Barred = s.rollout.decision.Report(now), true, s.rollout.barred
+	}
 	return out
 }
 
--- a/placer/target.go
+++ b/placer/target.go
@@ -17,6 +17,10 @@
 	pace     float64   // pace is the expected pace of the target when the grant was issued.
 	level    loadLevel // level is the load level of the target including this grant.
 	counted  bool      // counted is set if the grant was counted against the target's limit.
+	trial    bool      // trial is set if the call was assigned to the version that a rollout tests.
+	cold     bool      // cold is set if the target was cold when the grant was issued.
+	issued   time.Time
+	overdue  bool // overdue is set if the rollout was told that the call takes too long.
 }
 
 // targetState is what the owner knows about one target.
@@ -27,6 +31,8 @@
 	limit        int // limit is the concurrency limit computed at limitAt.
 	limitAt      time.Time
 	zoneOut      bool
+	barred       bool // barred is set if the target's version gets no calls.
+	candidate    bool // candidate is set if the target gets only calls that a rollout assigns to its version.
 	grants       map[hemlocktally.GrantID]activeGrant
 
 	pace         float64 // pace is the last reported pace.
@@ -96,7 +102,9 @@
 }
 
 // inService reports whether the target may get calls now or after a backoff.
-func (t *targetState) inService() bool { return !t.zoneOut && !t.registration.Draining && !t.leaving }
+func (t *targetState) inService() bool {
+	return !t.barred && !t.zoneOut && !t.registration.Draining && !t.leaving
+}
 
 // avoid keeps the target from getting calls of an instance. The end is randomized so that
 // waiting clients don't all come back at once.
