Rollouts: less relayed, more evidence before the switch

The record's writes would have made hubs send all entries to all followers twice a second.

Change: load reports of targets on trial don't count for the mean pace; canary calls go to them whatever they report; a rollout with calls needs results; the share is held, and a switch not completed early, while the results are not clear; repeated records are not relayed.

go test -race of the changed packages and of ./balancer passes.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -198,14 +198,14 @@
 
 // pictureVersion identifies the parts of a picture that the placer servers use.
 type pictureVersion struct {
-	version, targets uint64
-	instances        int
+	version, targets, rollouts uint64
+	instances                  int
 }
 
 // applyPicture configures the placer servers with a new picture of the follower.
 func (b *Balancer) applyPicture(p *follower.FleetState) {
 	instances := b.follower.View().Instances
-	current := pictureVersion{version: p.RelayedVersion, targets: p.TargetsVersion, instances: instances}
+	current := pictureVersion{version: p.RelayedVersion, targets: p.TargetsVersion, rollouts: p.RolloutsVersion, instances: instances}
 	if current == b.configured {
 		return // Only the age of the data has changed.
 	}
--- a/follower/rollout.go
+++ b/follower/rollout.go
@@ -68,7 +68,27 @@
 	}
 	rollout.At = hemlocktally.GenerationVersion{Generation: s.restore.generation}
 	rollout.Unreadable = false
+	s.setRollout(service, rollout)
+}
+
+// setRollout replaces what is known of a service's rollout.
+func (s *State) setRollout(service hemlocktally.ServiceName, rollout hemlocktally.Rollout) {
 	s.rollouts[service] = rollout
+	s.rolloutsVersion++
+}
+
+// repeatsRecord reports whether the entry is a record that tells followers nothing new. The decider
+// writes its record twice a second while a rollout runs, and followers would get all entries each
+// time; they only need to know which version gets calls. Owners read the store themselves.
+func (s *State) repeatsRecord(kind hemlocktally.EntryKind, entry hemlocktally.DirectoryEntry) bool {
+	known, ok := s.relayedEntries[entry.Key]
+	if kind != hemlocktally.EntryRolloutState || !ok {
+		return false
+	}
+	before, errBefore := hemlocktally.DecodeRolloutRecord(known.Value)
+	now, errNow := hemlocktally.DecodeRolloutRecord(entry.Value)
+	return errBefore == nil && errNow == nil && before.InUse == now.InUse && before.Phase == now.Phase && before.Target == now.Target &&
+		before.Order == now.Order && before.Sequence <= now.Sequence
 }
 
 // applyOrder applies an operator's order. One that can't be decoded leaves the order before it in
@@ -85,7 +105,7 @@
 		return nil
 	}
 	rollout.Order = &order
-	s.rollouts[service] = rollout
+	s.setRollout(service, rollout)
 	return []any{RolloutOrderChange{Service: service, Order: order}}
 }
 
@@ -96,7 +116,7 @@
 	}
 	change := RolloutOrderChange{Service: service, Order: *rollout.Order, Removed: true}
 	rollout.Order = nil
-	s.rollouts[service] = rollout
+	s.setRollout(service, rollout)
 	return []any{change}
 }
 
@@ -105,8 +125,11 @@
 // same holds for a record that is missing.
 func (s *State) applyRolloutRecord(entry hemlocktally.DirectoryEntry, service hemlocktally.ServiceName) []any {
 	rollout := s.rollouts[service]
+	if rollout.At.After(entry.GenerationVersion()) {
+		return nil // A stale read.
+	}
 	rollout.At = entry.GenerationVersion()
-	defer func() { s.rollouts[service] = rollout }()
+	defer func() { s.setRollout(service, rollout) }()
 	record, err := hemlocktally.DecodeRolloutRecord(entry.Value)
 	if err != nil {
 		rollout.Unreadable = rollout.Record == nil
--- a/follower/rollout_test.go
+++ b/follower/rollout_test.go
@@ -83,6 +83,24 @@
 	c.Check(s.FleetState().Rollouts["s"].At.Version, qt.Equals, hemlocktally.StoreVersion(0))
 }
 
+// Guards against sending all entries to all followers whenever the decider writes its record.
+func TestRepeatedRecordsAreNotRelayed(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1e9, 0)
+	const key = "hemlocktally/hubs/rollouts/s"
+	s := rolloutState(nil, []hemlocktally.DirectoryEntry{entryAt(key, recordText(c, 2, "v1"), 5)}, now)
+	before := s.FleetState()
+	for n := range uint64(5) {
+		s.Update(ChangesMsg{Kind: hemlocktally.EntryHub, Entries: []hemlocktally.DirectoryEntry{entryAt(key, recordText(c, 3+n, "v1"), hemlocktally.StoreVersion(6+n))}, Generation: 1}, now)
+	}
+	after := s.FleetState()
+	c.Check(after.RelayedVersion, qt.Equals, before.RelayedVersion)
+	c.Check(after.RolloutsVersion > before.RolloutsVersion, qt.IsTrue)
+	c.Check(after.Rollouts["s"].Record.Sequence, qt.Equals, uint64(7))
+	s.Update(ChangesMsg{Kind: hemlocktally.EntryHub, Entries: []hemlocktally.DirectoryEntry{entryAt(key, recordText(c, 8, "v2"), 20)}, Generation: 1}, now)
+	c.Check(s.FleetState().RelayedVersion > before.RelayedVersion, qt.IsTrue)
+}
+
 // Guards against a record that can't be read being taken for none.
 func TestUnreadableRecord(t *testing.T) {
 	c := qt.New(t)
--- a/follower/state.go
+++ b/follower/state.go
@@ -32,6 +32,8 @@
 	Operators OperatorFeed
 	// Rollouts holds the services that have an order or a record of one.
 	Rollouts map[hemlocktally.ServiceName]hemlocktally.Rollout
+	// RolloutsVersion changes whenever Rollouts does.
+	RolloutsVersion uint64
 }
 
 // OperatorFeed describes how far the instance itself has read the operators' entries.
@@ -48,17 +50,19 @@
 	Interpreter hemlocktally.EntryDecoder
 	Rollouts    bool // Rollouts is set if orders for rollouts are followed.
 
-	rollouts       map[hemlocktally.ServiceName]hemlocktally.Rollout
-	config         *hemlocktally.Configuration
-	stoppedZones   map[hemlocktally.ZoneName]bool
-	targets        map[hemlocktally.TargetName]hemlocktally.Registration
-	sequences      map[hemlocktally.TargetName]uint64 // sequences holds the highest write sequence read of each target.
-	restore        restoreState
-	hubs           map[hemlocktally.ZoneName]Hub
-	relayedEntries map[string]hemlocktally.Entry
-	relayedVersion uint64
-	operators      OperatorFeed
-	targetsReadAt  time.Time
+	rollouts map[hemlocktally.ServiceName]hemlocktally.Rollout
+	// rolloutsVersion changes whenever rollouts does.
+	rolloutsVersion uint64
+	config          *hemlocktally.Configuration
+	stoppedZones    map[hemlocktally.ZoneName]bool
+	targets         map[hemlocktally.TargetName]hemlocktally.Registration
+	sequences       map[hemlocktally.TargetName]uint64 // sequences holds the highest write sequence read of each target.
+	restore         restoreState
+	hubs            map[hemlocktally.ZoneName]Hub
+	relayedEntries  map[string]hemlocktally.Entry
+	relayedVersion  uint64
+	operators       OperatorFeed
+	targetsReadAt   time.Time
 	// targetsByService caches Targets of the last FleetState until a target changes.
 	targetsByService map[hemlocktally.ServiceName][]hemlocktally.Registration
 	targetsVersion   uint64
@@ -275,7 +279,7 @@
 	}
 	delete(f.pendingRemovals, entry.Key)
 	delete(s.restore.conflicting, entry.Key)
-	if kind != hemlocktally.EntryConfiguration {
+	if kind != hemlocktally.EntryConfiguration && !s.repeatsRecord(kind, entry) {
 		s.addRelayed(kind, entry.Entry)
 	}
 	return s.applyKind(kind, name, entry)
@@ -429,8 +433,8 @@
 	}
 	p := &FleetState{
 		Configuration: &config, Hubs: maps.Clone(s.hubs), TargetsReadAt: s.targetsReadAt, RelayedVersion: s.relayedVersion, Operators: s.operators,
-		Rollouts: maps.Clone(s.rollouts),
-		Targets:  s.targetsByService, TargetsVersion: s.targetsVersion, TargetsDigest: s.targetsDigest,
+		Rollouts: maps.Clone(s.rollouts), RolloutsVersion: s.rolloutsVersion,
+		Targets: s.targetsByService, TargetsVersion: s.targetsVersion, TargetsDigest: s.targetsDigest,
 	}
 	for _, key := range slices.Sorted(maps.Keys(s.relayedEntries)) {
 		p.Relayed = append(p.Relayed, s.relayedEntries[key])
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -163,7 +163,7 @@
 	}
 	left := r.Objective.Sub(now)
 	reachable := left > time.Duration(reachableFactor*float64(s.typicalWork(r.Contract)))
-	if best.expected <= left || !reachable || r.Kind == hemlocktally.AttemptHedge {
+	if w.candidate || best.expected <= left || !reachable || r.Kind == hemlocktally.AttemptHedge {
 		return false, nil
 	}
 	if now.Sub(w.probeDeadline) < probeRoundInterval {
--- a/placer/rollout.go
+++ b/placer/rollout.go
@@ -195,7 +195,9 @@
 func (s *State) chooseByVersion(w *waiter, free *freeTargets, now time.Time) (list []candidate, best candidate, ok bool) {
 	if w.candidate {
 		s.refreshFocus(now)
-		if list, best, ok = s.choose(w, free, now); ok {
+		// In the canary phase, also a target that seems too slow is used: otherwise a version that is
+		// slow, and says so, would never show it.
+		if list, best, ok = s.choose(w, free, now); ok && (s.rollout.decision.Canary() || best.expected <= w.msg.Request.Objective.Sub(now)) {
 			return list, best, true
 		}
 		s.unassign(w)
--- a/placer/state.go
+++ b/placer/state.go
@@ -381,7 +381,10 @@
 	}
 	if load := msg.Answer.Load; load != nil {
 		t.otherCalls, t.otherCallsAt = max(0, load.Running+load.Waiting-len(t.grants)), now
-		s.meanPace += paceWeight * (load.Pace - s.meanPace)
+		if !t.candidate && !t.barred {
+			// A slow version on trial must not make calls on the version in use look slow.
+			s.meanPace += paceWeight * (load.Pace - s.meanPace)
+		}
 	}
 }
 
--- a/promoter/evidence.go
+++ b/promoter/evidence.go
@@ -17,6 +17,10 @@
 	rollbackProbability = 5e-5
 	// suspectProbability is the probability below which the share is not raised.
 	suspectProbability = 0.02
+	// earlyProbability replaces it as long as there is time for more results.
+	earlyProbability = 0.05
+	// unclearProbability is the probability below which a switch is not completed earlier than needed.
+	unclearProbability = 0.2
 	// lateProbability replaces rollbackProbability where the time for more results is over.
 	lateProbability = 1e-3
 	// failureFloor and slowFloor are the least rates that the old version is assumed to have.
@@ -44,6 +48,8 @@
 	expectedFactor = 2
 	// fewResults is the same shortly before the deadline, if no result was bad.
 	fewResults = 8
+	// fewCalls is the number of calls up to which no results are needed: there are too few calls.
+	fewCalls = 100
 	// minBad is the least number of bad results of a rollback.
 	minBad = 3
 	// manyBad is the number of bad results from which it no longer matters whether they come from a
@@ -448,9 +454,6 @@
 	return "", false
 }
 
-// suspect reports whether the results give reason not to raise the share.
-func (e *evidence) suspect() bool { return e.worst().probability < suspectProbability }
-
 // mayTakeCanary reports whether a call of the contract may go to the new version in the canary
 // phase: so many that results of the old version remain to compare with.
 func (t *tally) mayTakeCanary() bool { return t.assigned+1 <= maxContractShare*t.calls+1 }
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -127,6 +127,11 @@
 	maxRampShare = 0.6
 	// lateTime is the time before the deadline from which steps no longer wait for evidence.
 	lateTime = 2600 * time.Millisecond
+	// earlyTime is the time before the deadline until which earlyProbability counts.
+	earlyTime = 3300 * time.Millisecond
+	// unclearTime is the time before the deadline at which a switch is completed although the results
+	// are not clear.
+	unclearTime = 1500 * time.Millisecond
 	// switchBy is the time before the deadline at which steps of the ramp are skipped.
 	switchBy = 2 * time.Second
 	// giveUpTime is the time before the deadline at which a version that can't take the calls is
--- a/promoter/ramp.go
+++ b/promoter/ramp.go
@@ -46,7 +46,11 @@
 	if phase > 0 {
 		passed = min(1, float64(now.Sub(s.startedAt))/float64(phase))
 	}
-	return canaryShare * (s.Bounds.Share*s.calls + s.Bounds.Slack*passed)
+	share := canaryShare
+	if s.remaining(now) < s.rampFrom() {
+		share = 1 // More results have to show whether the share may be raised.
+	}
+	return share * (s.Bounds.Share*s.calls + s.Bounds.Slack*passed)
 }
 
 // maySend reports whether the new version may get calls from this instance now.
@@ -150,18 +154,29 @@
 		expected = expectedFactor * after.Results * (before.Failed + before.Slow) / before.Results
 	}
 	unexplained := max(0, after.Failed+after.Slow-expected)
-	return after.Results >= provenResults*(1+unexplained) && !s.evidence.suspect()
+	return after.Results >= provenResults*(1+unexplained) && s.evidence.worst().probability >= suspectProbability
 }
 
 // coversRest reports whether the budget covers all calls until the deadline, as with little traffic.
 func (s *State) coversRest(now time.Time) bool {
 	rest := max(0, s.remaining(now)).Seconds() * s.rate.perSec
-	return s.budget()-s.used >= rest
+	_, after := s.evidence.totals()
+	return s.budget()-s.used >= rest && (after.Results >= fewResults || s.calls < fewCalls)
+}
+
+// suspect reports whether the results give reason not to raise the share. While there is time for
+// more results, little reason is enough.
+func (s *State) suspect(now time.Time) bool {
+	probability := suspectProbability
+	if s.remaining(now) > earlyTime {
+		probability = earlyProbability
+	}
+	return s.evidence.worst().probability < probability
 }
 
 // mayRaise reports whether the evidence allows to send more calls to the new version.
 func (s *State) mayRaise(now time.Time) bool {
-	if s.evidence.suspect() {
+	if s.suspect(now) {
 		return s.remaining(now) <= switchBy-minStepTime // By then the version would have been rolled back if it were bad.
 	}
 	_, after := s.evidence.totals()
@@ -306,6 +321,9 @@
 	if age < switchTime || (s.capacity.OldBusy > 0 && age < maxSwitchTime && s.remaining(now) > giveUpTime/2) {
 		return
 	}
+	if s.remaining(now) > unclearTime && s.evidence.worst().probability < unclearProbability {
+		return // There is time for more results, and still a way back.
+	}
 	s.record.Phase, s.dirty = hemlocktally.RolloutCompleted, true
 	s.report(now, "")
 }
