--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -28,6 +28,7 @@
 	"hemlocktally/monitor"
 	"hemlocktally/placer"
 	"hemlocktally/prober"
+	"hemlocktally/promoter"
 	"hemlocktally/quarantiner"
 	"hemlocktally/recorder"
 )
@@ -164,8 +165,11 @@
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: s.Bounds.RetryWindow, RetrySlack: s.Bounds.RetrySlack,
 		ColdShare: coldShare, ProbesPerSecond: s.Bounds.ProbesPerSecond, Disabled: off,
 		PricePerMB: s.Zones.PricePerMB, ZoneDelay: s.Zones.Delay,
+		Rollouts: promoter.Bounds{Share: s.Rollouts.ExposureShare, Slack: s.Rollouts.ExposureSlack, RollbackDelay: s.Rollouts.RollbackDelay},
 	}
-	b.owner = &placer.Server{Self: self, Epoch: epoch, Bounds: bounds, Prober: loadProber, Log: b.Log, RequestTargets: b.follower.NeedTargets, TargetsRead: b.follower.TargetsFreshness, View: b.follower, Superseded: b.follower.Superseded, Suspects: b.suspects, Monitor: b.monitor, Quotas: b.quotas}
+	b.follower.Rollouts = bounds.Rollouts.Enabled()
+	writer := &promoter.Writer{Directory: b.Directory, Names: b.Platform, Log: b.Log}
+	b.owner = &placer.Server{Self: self, Epoch: epoch, Bounds: bounds, Prober: loadProber, Log: b.Log, RequestTargets: b.follower.NeedTargets, TargetsRead: b.follower.TargetsFreshness, Rollouts: writer.Execute, View: b.follower, Superseded: b.follower.Superseded, Suspects: b.suspects, Monitor: b.monitor, Quotas: b.quotas}
 	// Many instances may decide without the owner at the same time, so each uses
 	// only a small part of the fleet's budget and leaves cold targets to the owner.
 	bounds.ColdShare, bounds.RetryRatio = 0, bounds.RetryRatio/2
@@ -201,14 +205,14 @@
 
 // pictureVersion identifies the parts of a picture that the placer servers use.
 type pictureVersion struct {
-	version, targets uint64
-	instances        int
+	version, targets, rollouts uint64
+	instances                  int
 }
 
 // applyPicture configures the placer servers with a new picture of the follower.
 func (b *Balancer) applyPicture(p *follower.FleetState) {
 	instances := b.follower.View().Instances
-	current := pictureVersion{version: p.RelayedVersion, targets: p.TargetsVersion, instances: instances}
+	current := pictureVersion{version: p.RelayedVersion, targets: p.TargetsVersion, rollouts: p.RolloutsVersion, instances: instances}
 	if current == b.configured {
 		return // Only the age of the data has changed.
 	}
@@ -243,6 +247,11 @@
 		msg.Customers = p.Configuration.Customers
 		services[service.Name] = msg
 	}
+	for name, rollout := range p.Rollouts {
+		msg := services[name]
+		msg.Rollout, msg.Out, msg.Revision, msg.Instances = rollout, out, p.Configuration.Revision, instances
+		services[name] = msg
+	}
 	return services
 }
 
--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -24,6 +24,7 @@
 	Quotas    QuotaSettings
 	Zones     ZoneSettings
 	Policy    PolicySettings
+	Rollouts  RolloutSettings
 	Operators OperatorSettings
 	Log       loader.LogSettings
 }
@@ -82,6 +83,13 @@
 	Off string // Off lists the mechanisms to switch off, separated by commas, so that their effect can be measured.
 }
 
+// RolloutSettings limit what a new version of targets may get before it is known to be good.
+type RolloutSettings struct {
+	ExposureShare float64       // ExposureShare is its share of the service's calls since the order; without it, rollouts are off and versions are ignored.
+	ExposureSlack float64       // ExposureSlack is the number of calls in addition to the share.
+	RollbackDelay time.Duration // RollbackDelay is how long after its 50th bad response a bad version may get calls.
+}
+
 // OperatorSettings hold what operators need to change an instance's state.
 type OperatorSettings struct {
 	Key string // Key allows them to release requests that are held back; if it is empty, nobody may.
@@ -96,6 +104,8 @@
 	defaultProbesPerSecond = 50
 	defaultPricePerMB      = 40 * time.Millisecond
 	defaultZoneDelay       = 1200 * time.Microsecond
+	defaultExposureSlack   = 50
+	defaultRollbackDelay   = 5 * time.Second
 )
 
 // WithDefaults returns the settings with a default in place of each zero value.
@@ -112,6 +122,8 @@
 	s.Quotas.Overshoot = cmp.Or(s.Quotas.Overshoot, limiter.DefaultOvershoot-1)
 	s.Zones.PricePerMB = cmp.Or(s.Zones.PricePerMB, defaultPricePerMB)
 	s.Zones.Delay = cmp.Or(s.Zones.Delay, defaultZoneDelay)
+	s.Rollouts.ExposureSlack = cmp.Or(s.Rollouts.ExposureSlack, defaultExposureSlack)
+	s.Rollouts.RollbackDelay = cmp.Or(s.Rollouts.RollbackDelay, defaultRollbackDelay)
 	s.Log.Format = cmp.Or(s.Log.Format, "Text")
 	s.Log.Level = cmp.Or(s.Log.Level, "info")
 	return s
@@ -140,8 +152,10 @@
 
 // Allowed values of ZoneSettings.
 const (
-	maxPricePerMB = time.Minute
-	maxZoneDelay  = time.Second
+	maxPricePerMB    = time.Minute
+	maxZoneDelay     = time.Second
+	maxExposureSlack = 1e6
+	minRollbackDelay = time.Second
 )
 
 func inRange(n, lo, hi int) bool { return n >= lo && n <= hi }
@@ -172,6 +186,9 @@
 		{"Quotas", "Slack", strconv.FormatFloat(s.Quotas.Slack, 'g', -1, 64), "a number from 0 to 1000000", s.Quotas.Slack >= 0 && s.Quotas.Slack <= maxQuotaSlack},
 		{"Zones", "PricePerMB", s.Zones.PricePerMB.String(), "a duration from 0s to 1m", s.Zones.PricePerMB >= 0 && s.Zones.PricePerMB <= maxPricePerMB},
 		{"Zones", "Delay", s.Zones.Delay.String(), "a duration from 0s to 1s", s.Zones.Delay >= 0 && s.Zones.Delay <= maxZoneDelay},
+		{"Rollouts", "ExposureShare", strconv.FormatFloat(s.Rollouts.ExposureShare, 'g', -1, 64), "a share from 0 to 1, or nothing", s.Rollouts.ExposureShare >= 0 && s.Rollouts.ExposureShare <= 1},
+		{"Rollouts", "ExposureSlack", strconv.FormatFloat(s.Rollouts.ExposureSlack, 'g', -1, 64), "a number of calls up to 1000000", s.Rollouts.ExposureSlack >= 0 && s.Rollouts.ExposureSlack <= maxExposureSlack},
+		{"Rollouts", "RollbackDelay", s.Rollouts.RollbackDelay.String(), "a time of at least 1s", s.Rollouts.RollbackDelay >= minRollbackDelay},
 		{"Policy", "Off", s.Policy.Off, "a comma-separated list of mechanism names, or nothing", policyErr == nil},
 		{"Log", "Format", s.Log.Format, "Text, JSON", s.Log.Format == "Text" || s.Log.Format == "JSON"},
 		{"Log", "Level", s.Log.Level, "debug, info, warning, error", slices.Contains(levels, s.Log.Level)},
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -127,7 +127,7 @@
 	if now.Before(w.probeDeadline) && w.awaitingProbes(now) {
 		return false, nil
 	}
-	candidates, best, ok := s.choose(w, free, now)
+	candidates, best, ok := s.chooseByVersion(w, free, now)
 	switch {
 	case !ok && r.Kind == hemlocktally.AttemptHedge:
 		return w.refuse(notRunError(hemlocktally.ReasonShed, "no target is free for a second attempt", 0))
@@ -168,7 +168,7 @@
 	}
 	left := r.Objective.Sub(now)
 	reachable := left > time.Duration(reachableFactor*float64(s.typicalWork(r.Contract)))
-	if best.expected <= left || !reachable || r.Kind == hemlocktally.AttemptHedge {
+	if w.candidate || best.expected <= left || !reachable || r.Kind == hemlocktally.AttemptHedge {
 		return false, nil
 	}
 	if now.Sub(w.probeDeadline) < probeRoundInterval {
@@ -308,7 +308,9 @@
 		contract: r.Contract, from: w.msg.From, deadline: r.Deadline, pace: c.t.expectedPace(s.meanPace, now),
 		level: c.t.nextLevel(now), counted: c.t.rate.limit.Named,
 		zone: w.msg.Zone, left: c.left, at: now,
+		trial: w.candidate, cold: grant.Cold,
 	}
+	w.candidate = false
 	c.t.grantedAt = now
 	c.t.takeConnection(w.msg.From)
 	if r.Kind != hemlocktally.AttemptFirst {
@@ -401,7 +403,7 @@
 func (s *State) availabilityFor(from hemlocktally.InstanceID, now time.Time) availability {
 	var available availability
 	for _, t := range s.sorted {
-		if !t.inService() {
+		if !t.inService() || t.candidate {
 			continue
 		}
 		backoff, avoided := max(0, t.backoffUntil.Sub(now)), t.avoidedFor(from, now)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hemlocktally"
+	"hemlocktally/promoter"
 )
 
 // Bounds limit the retries and probes of one State.
@@ -26,6 +27,9 @@
 	// ZoneDelay the time that a message takes from one zone to another.
 	PricePerMB time.Duration
 	ZoneDelay  time.Duration
+	// Rollouts limit what a new version of the targets' software may get; if they are off, versions
+	// are ignored.
+	Rollouts promoter.Bounds
 	// Disabled holds the mechanisms that are disabled, for measuring what they contribute.
 	Disabled hemlocktally.Mechanisms
 }
@@ -49,6 +53,8 @@
 		// Customers share the capacity of the service; without any, the calls are served by
 		// priority and objective.
 		Customers []hemlocktally.Customer
+		// Rollout is what the store says of the rollout of the service.
+		Rollout hemlocktally.Rollout
 	}
 	// AcquireMsg requests a grant. The client sends it again with the same ticket until it
 	// gets a grant or a refusal.
@@ -78,7 +84,10 @@
 		Failed bool
 	}
 	// RankMsg tells an owner its place among the owners of the service.
-	RankMsg struct{ Rank Rank }
+	RankMsg struct {
+		Rank    Rank
+		Rollout promoter.RankMsg
+	}
 	// TickMsg makes the state act on the time that has passed.
 	TickMsg struct{}
 )
--- a/placer/state.go
+++ b/placer/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hemlocktally"
+	"hemlocktally/promoter"
 )
 
 // State makes the placement decisions for one service. The zero value has no targets. Only
@@ -48,6 +49,7 @@
 	// servedPerSecond is how many calls the targets serve, by the last admission.
 	servedPerSecond float64
 	displaced       uint64 // displaced counts the waiting calls that were refused for calls of other customers.
+	rollout         rolloutState
 }
 
 // waiter is a request in the queue.
@@ -60,12 +62,13 @@
 	// holding is set while the waiter waits for a target of its own zone although another zone
 	// has a free one.
 	holding bool
-	heldBy  string // heldBy describes the limits that held the waiter back; empty if none did.
 	flow    *flow
 	cost    time.Duration // cost is the expected work of the call.
 	tag     float64       // tag is the virtual time from which its customer's share serves the call.
 	// refused is the refusal of a waiter that is answered when its client asks again.
-	refused *hemlocktally.RefusedError
+	refused   *hemlocktally.RefusedError
+	heldBy    string // heldBy describes the limits that held the waiter back; empty if none did.
+	candidate bool   // candidate is set if the call goes to the version that a rollout tests.
 }
 
 const (
@@ -137,12 +140,17 @@
 		s.updateLoad(msg, now)
 	case RankMsg:
 		s.ownerRank = msg.Rank
+		s.updateRollout(msg.Rollout, now)
+	case RolloutMsg:
+		s.updateRollout(msg.Msg, now)
 	case TickMsg:
 	}
 	s.expire(now)
 	s.updateSpillover(now)
+	s.tickRollout(now)
 	commands = append(commands, s.serveQueue(now)...)
 	commands = append(append(append(commands, s.limitChanges...), s.spill.changes...), s.replyPending(now)...)
+	commands = append(commands, s.takeRolloutCommands()...)
 	s.limitChanges, s.spill.changes = nil, nil
 	return commands
 }
@@ -180,6 +188,8 @@
 	s.zoneNames = slices.Sorted(maps.Keys(s.byZone))
 	s.countLimited()
 	s.configureSpillover(msg, now)
+	s.updateRollout(promoter.FleetMsg{Rollout: msg.Rollout, Targets: msg.Targets}, now)
+	s.applyRoles(true)
 }
 
 func laterOf(a, b time.Time) time.Time {
@@ -215,6 +225,7 @@
 		return []any{RefuseCmd{Ticket: msg.Ticket, Error: refused}}
 	}
 	w := &waiter{msg: msg, enqueuedAt: now, cost: s.typicalWork(msg.Request.Contract)}
+	s.assign(w, now)
 	compare := compareWaiters
 	if s.disabled(hemlocktally.MechanismPriorityOrder) {
 		compare = func(a, b *waiter) int { return a.enqueuedAt.Compare(b.enqueuedAt) }
@@ -282,7 +293,13 @@
 }
 
 func (s *State) removeWaiter(ticket string) {
-	s.queue = slices.DeleteFunc(s.queue, func(w *waiter) bool { return w.msg.Ticket == ticket })
+	s.queue = slices.DeleteFunc(s.queue, func(w *waiter) bool {
+		if w.msg.Ticket != ticket {
+			return false
+		}
+		s.unassign(w)
+		return true
+	})
 }
 
 // release ends a grant and updates the estimates with its result.
@@ -308,12 +325,20 @@
 	}
 	t.recordResult(result, now)
 	s.recordBytes(active, result.ResponseBytes)
-	if ok && result.Outcome == hemlocktally.AttemptDone {
+	if ok {
+		s.learn(t, active, result, now)
+	}
+}
+
+// learn updates the estimates with the result of a grant.
+func (s *State) learn(t *targetState, active activeGrant, result hemlocktally.GrantResult, now time.Time) {
+	if result.Outcome == hemlocktally.AttemptDone {
 		t.addIdleConnection(active.from, now)
-		if active.pace > 0 && !t.cold(now) {
+		if active.pace > 0 && !t.cold(now) && !active.trial {
 			s.recordWork(active, result.Latency.Seconds()/active.pace, now)
 		}
 	}
+	s.recordRollout(t, active, result, now)
 }
 
 // recordWork updates the estimates with a call's work time, which is its latency divided by
@@ -337,7 +362,7 @@
 // concurrencyLimit returns how many concurrent calls the target gets. It is below the slot
 // count where fewer calls give nearly the same throughput.
 func (s *State) concurrencyLimit(t *targetState, now time.Time) int {
-	if s.disabled(hemlocktally.MechanismWidth) {
+	if s.disabled(hemlocktally.MechanismWidth) || t.candidate {
 		return t.target.SlotCount()
 	}
 	if now.Sub(t.limitAt) >= limitTTL {
@@ -391,7 +416,10 @@
 	}
 	if load := msg.Answer.Load; load != nil {
 		t.otherCalls, t.otherCallsAt = max(0, load.Running+load.Waiting-len(t.grants)), now
-		s.meanPace += paceWeight * (load.Pace - s.meanPace)
+		if !t.candidate && !t.barred {
+			// A slow version on trial must not make calls on the version in use look slow.
+			s.meanPace += paceWeight * (load.Pace - s.meanPace)
+		}
 	}
 }
 
@@ -405,7 +433,13 @@
 			})
 		}
 	}
-	s.queue = slices.DeleteFunc(s.queue, func(w *waiter) bool { return now.After(w.msg.ReplyBy.Add(waiterGrace)) })
+	s.queue = slices.DeleteFunc(s.queue, func(w *waiter) bool {
+		if !now.After(w.msg.ReplyBy.Add(waiterGrace)) {
+			return false
+		}
+		s.unassign(w)
+		return true
+	})
 }
 
 // replyPending tells the clients of waiters whose reply time has come to ask again.
--- a/placer/stats.go
+++ b/placer/stats.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hemlocktally"
+	"hemlocktally/promoter"
 )
 
 // Stats are the counters of one service since the server started, and its current state.
@@ -31,6 +32,10 @@
 	// Displaced is the number of waiting calls that were refused because calls of customers that
 	// use less of their shares came before them.
 	Displaced uint64
+	// Rollout is what is known of the service's rollout; Versions is set if rollouts are on.
+	Rollout  promoter.Report
+	Versions bool
+	Barred   int // Barred is the number of targets whose version gets no calls.
 }
 
 // Stats returns the current statistics of the service.
@@ -45,6 +50,9 @@
 	for _, t := range s.sorted {
 		out.ActiveGrants += len(t.grants)
 	}
+	if s.rollout.decision != nil {
+		out.Rollout, out.Versions, out.Barred = s.rollout.decision.Report(now), true, s.rollout.barred
+	}
 	return out
 }
 
