Quotas: an instance that becomes a hub begins without a share

Cause: an instance that is no hub notes hubs and asks none. When it became one after more than 6.5 s it took them all for silent and used an equal share at once, beside the shares of the others (TestNewHubHasNoShareBeforeTheOthersAnswer).

Change: it forgets the hubs and begins like one that starts. A hub without contact to the others gives its equal share up after 25 s only if the store does not answer it either. The time for an answer of a hub is 250 ms.

--- a/balancer/quota.go
+++ b/balancer/quota.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/http"
 	"slices"
+	"time"
 
 	"hemlocktally"
 	"hemlocktally/limiter"
@@ -16,7 +17,7 @@
 	bounds := limiter.Bounds{Window: s.Quotas.Window, Overshoot: s.Quotas.Overshoot, Slack: s.Quotas.Slack}
 	b.quotas = &limiter.Limiter{
 		Self: hemlocktally.InstanceID(s.Instance.ID), Incarnation: incarnation, Address: s.Listen.Peers, Bounds: bounds,
-		View: b.follower, HTTP: peers, Log: b.Log,
+		View: b.follower, HTTP: peers, Log: b.Log, StoreAge: func() time.Duration { return b.follower.InformationAges().Store },
 	}
 	b.quotas.Prepare()
 	b.alone = &limiter.Alone{Bounds: bounds}
--- a/limiter/account.go
+++ b/limiter/account.go
@@ -161,7 +161,7 @@
 		}
 	}
 	part := evenPart/float64(hubs) + (1-evenPart)*demand/(demand+all)
-	return min(1, (own+part*room)/total)
+	return inUnits(min(1, (own+part*room)/total))
 }
 
 // idle reports whether nobody has granted a call of the customer within the window.
--- a/limiter/exchange.go
+++ b/limiter/exchange.go
@@ -22,8 +22,10 @@
 	Address     string // Address is where other hubs reach this instance.
 	Bounds      Bounds
 	View        hemlocktally.ViewSource // View lists the hubs.
-	HTTP        *http.Client
-	Log         logger.Logger
+	// StoreAge returns how long ago the store last answered the instance; it may be nil.
+	StoreAge func() time.Duration
+	HTTP     *http.Client
+	Log      logger.Logger
 
 	mu    sync.Mutex
 	state State
@@ -40,7 +42,10 @@
 	// one before.
 	earlyInterval = 20 * time.Millisecond
 	// exchangeTimeout limits the wait for the response of one hub.
-	exchangeTimeout = 150 * time.Millisecond
+	exchangeTimeout = 250 * time.Millisecond
+	// storeLostAfter is the time without an answer of the store after which a hub's lease may have
+	// ended.
+	storeLostAfter = 2 * time.Second
 	// holdTime is how long a call waits for a larger share of this hub before it is refused. It is
 	// less than the time for which other instances wait for an owner's answer.
 	holdTime = 50 * time.Millisecond
@@ -195,6 +200,7 @@
 	}
 	now := time.Now()
 	l.state.SetHubs(l.View.View().Serving(), now)
+	l.state.SetStoreLost(l.StoreAge != nil && l.StoreAge() > storeLostAfter)
 	if !l.state.TakesPart(now) {
 		return message, nil, nil
 	}
--- a/limiter/exchange_test.go
+++ b/limiter/exchange_test.go
@@ -8,6 +8,7 @@
 	"math"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -302,3 +303,31 @@
 	}
 	return s, now
 }
+
+// An instance that becomes a hub long after its start must not take the other hubs, which never
+// answered it because it never asked, for silent ones, and use an equal share at once.
+func TestNewHubHasNoShareBeforeTheOthersAnswer(t *testing.T) {
+	c := qt.New(t)
+	s := &limiter.State{Self: "a", Incarnation: "1"}
+	now := testStart
+	s.SetCustomers([]hemlocktally.Customer{{Name: "c", RatePerSecond: 100}}, now)
+	others := []hemlocktally.Instance{{ID: "b", Incarnation: "1", PeerAddress: "b"}, {ID: "c", Incarnation: "1", PeerAddress: "c"}}
+	s.SetHubs(append(slices.Clone(others), hemlocktally.Instance{ID: "gone", Incarnation: "1", PeerAddress: "gone"}), now)
+	now = now.Add(time.Minute)
+	s.SetHubs(others, now)
+	s.SetHubs(append(slices.Clone(others), hemlocktally.Instance{ID: "a", Incarnation: "1"}), now)
+	granted := 0
+	for ; ; granted++ {
+		if _, refused, _ := s.Take("c", true, now); refused != nil {
+			break
+		}
+	}
+	_, needed := s.Begin(true, now)
+	c.Check(needed, qt.IsTrue)
+	s.Finish(false, now)
+	c.Check(s.Stats(now)[0].Share, qt.Equals, 0.0)
+	c.Check(granted <= 10, qt.IsTrue, qt.Commentf("%d granted", granted))
+	waitFor, silent := s.Others()
+	c.Check(waitFor, qt.HasLen, 2)
+	c.Check(silent, qt.HasLen, 0)
+}
--- a/limiter/hub.go
+++ b/limiter/hub.go
@@ -31,8 +31,9 @@
 	// raises its share to an equal one. The others have lowered theirs by then, and what they
 	// granted before is too old to count.
 	equalShareDelay = 1500 * time.Millisecond
-	// loneTime is how long a hub without contact uses an equal share. It is less than lostTime
-	// because the others use that share again then.
+	// loneTime is how long a hub without contact to other hubs and to the store uses an equal
+	// share. It is less than lostTime because the others use that share again then: the hub is
+	// no longer listed once its lease in the store has ended.
 	loneTime = 25 * time.Second
 	// lostTime is how long the share of a hub without contact is left unused.
 	lostTime = 30 * time.Second
@@ -44,14 +45,16 @@
 // SetHubs sets the hubs that the instance knows.
 func (s *State) SetHubs(hubs []hemlocktally.Instance, now time.Time) {
 	s.start(now)
+	wasMember, shared := s.member, s.Shares(now)
+	s.member = slices.ContainsFunc(hubs, func(i hemlocktally.Instance) bool { return i.ID == s.Self })
+	if s.member && !shared {
+		s.join(now)
+	}
 	for _, h := range s.hubs {
 		h.inView = false
 	}
-	wasMember := s.member
-	s.member = false
 	for _, instance := range hubs {
 		if instance.ID == s.Self {
-			s.member = true
 			continue
 		}
 		if s.gone[instance.ID] < instance.Incarnation {
@@ -66,6 +69,17 @@
 	}
 }
 
+// join begins the instance's time as a hub. What it knows of others is of the time when it did not
+// exchange messages with them.
+func (s *State) join(now time.Time) {
+	s.joinedAt, s.knownSince, s.told = now, now, nil
+	clear(s.hubs)
+	clear(s.gone)
+	for _, a := range s.accounts {
+		s.forget(a)
+	}
+}
+
 // Shares reports whether the instance holds shares: it is a hub, or was one a moment ago.
 func (s *State) Shares(now time.Time) bool {
 	return !s.leaving && (s.member || now.Before(s.memberTill))
@@ -116,8 +130,8 @@
 // hasHubs reports whether any other hub may use a share.
 func (s *State) hasHubs() bool { return len(s.hubs) > 0 }
 
-// hubCount returns the number of hubs that may use a share, this one included.
-func (s *State) hubCount() float64 { return float64(len(s.hubs) + 1) }
+// equalShare returns the share of each hub if all have the same.
+func (s *State) equalShare() float64 { return inUnits(1 / float64(len(s.hubs)+1)) }
 
 // checkSilence lowers and raises shares because of hubs without contact.
 func (s *State) checkSilence(now time.Time) {
@@ -151,7 +165,7 @@
 // makeRoom lowers the shares so that a hub without contact can use an equal one. All hubs that
 // still reach each other lower theirs by the same factor.
 func (s *State) makeRoom(id hemlocktally.InstanceID) {
-	equal := 1 / s.hubCount()
+	equal := s.equalShare()
 	for _, a := range s.accounts {
 		h := a.hub(id)
 		rest := 1.0
@@ -161,7 +175,7 @@
 			}
 		}
 		if h.share < equal && rest > h.share {
-			a.share *= max(0, rest-equal) / (rest - h.share)
+			a.share = inUnits(a.share * max(0, rest-equal) / (rest - h.share))
 		}
 		h.share = max(h.share, equal)
 		a.changed = true
@@ -182,17 +196,17 @@
 // limitShare notes that a hub uses at most an equal share.
 func (s *State) limitShare(id hemlocktally.InstanceID) {
 	for _, a := range s.accounts {
-		a.hub(id).share = 1 / s.hubCount()
+		a.hub(id).share = s.equalShare()
 	}
 }
 
 // setLoneShare sets the shares of a hub that has had no contact for the given time.
 func (s *State) setLoneShare(silence time.Duration) {
-	equal := 1 / s.hubCount()
+	equal := s.equalShare()
 	for _, a := range s.accounts {
 		before := a.share
 		switch {
-		case silence > loneTime:
+		case silence > loneTime && s.storeLost:
 			a.share = 0
 		case silence > equalShareDelay+s.Bounds.Window:
 			a.share = equal
@@ -203,6 +217,9 @@
 	}
 }
 
+// SetStoreLost tells whether the instance has no contact to the store.
+func (s *State) SetStoreLost(lost bool) { s.storeLost = lost }
+
 // sortedAccounts returns the accounts by name.
 func (s *State) sortedAccounts() []*account {
 	return slices.SortedFunc(maps.Values(s.accounts), func(a, b *account) int { return strings.Compare(string(a.name), string(b.name)) })
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -8,6 +8,7 @@
 package limiter
 
 import (
+	"math"
 	"time"
 
 	"hemlocktally"
@@ -99,6 +100,12 @@
 	return min(b.quota, burst+b.rate*max(0, known).Seconds())
 }
 
+// shareUnits is the number of units of a whole share. Sums of shares in whole units are exact.
+const shareUnits = 1 << 20
+
+// inUnits rounds a share down to whole units.
+func inUnits(share float64) float64 { return math.Floor(share*shareUnits) / shareUnits }
+
 // refusal returns the error for a call beyond the quota.
 func refusal(detail string, retryAfter time.Duration) *hemlocktally.RefusedError {
 	return &hemlocktally.RefusedError{
--- a/limiter/share.go
+++ b/limiter/share.go
@@ -154,7 +154,7 @@
 		return
 	}
 	_, shared := s.allowed(a, now)
-	lowered := min(a.share, max(a.wanted(s.bucket(now), shared), 1-others))
+	lowered := min(a.share, max(a.wanted(s.bucket(now), shared), inUnits(1-others)))
 	a.changed = a.changed || lowered < a.share
 	a.share = lowered
 }
@@ -168,7 +168,7 @@
 	}
 	for id, h := range s.hubs {
 		if h.silent && a.hubs[id] == nil {
-			sum += 1 / s.hubCount()
+			sum += s.equalShare()
 		}
 	}
 	_, shared := s.allowed(a, now)
@@ -219,7 +219,7 @@
 		if a == nil {
 			continue
 		}
-		if now.Sub(s.startedAt) < s.Bounds.Window+adoptionTime {
+		if now.Sub(s.joinedAt) < s.Bounds.Window+adoptionTime {
 			a.adopt(count.Departed, bucket, now)
 		}
 		h := a.hub(from)
@@ -246,7 +246,7 @@
 		}
 		asked := a.proposed
 		if complete {
-			a.share = max(a.share, min(asked, 1-s.othersShare(a, now)))
+			a.share = max(a.share, inUnits(min(asked, 1-s.othersShare(a, now))))
 		}
 		a.proposed = 0
 		a.changed = a.changed || !complete || a.share < asked
--- a/limiter/state.go
+++ b/limiter/state.go
@@ -17,6 +17,7 @@
 	Bounds      Bounds
 
 	startedAt  time.Time
+	joinedAt   time.Time // joinedAt is when the instance became a hub.
 	knownSince time.Time // knownSince is since when all counts are known.
 	quotas     map[hemlocktally.CustomerName]budget
 	accounts   map[hemlocktally.CustomerName]*account
@@ -30,8 +31,10 @@
 	left       bool // left is set once the others were told that the instance grants no more calls.
 	// gone holds the runs of hubs that have ended, which may still be listed.
 	gone map[hemlocktally.InstanceID]string
-	lone bool            // lone is set while no other hub answers.
-	told map[teller]bool // told holds the instances that told what they sent before the start.
+	lone bool // lone is set while no other hub answers.
+	// storeLost is set while the instance has no contact to the store.
+	storeLost bool
+	told      map[teller]bool // told holds the instances that told what they sent before the start.
 }
 
 // Charge is one counted call. The zero value counts nothing.
@@ -47,7 +50,7 @@
 	if s.startedAt.IsZero() {
 		s.left = true
 		s.Bounds = s.Bounds.withDefaults()
-		s.startedAt, s.knownSince = now, now
+		s.startedAt, s.joinedAt, s.knownSince = now, now, now
 		s.accounts, s.hubs = map[hemlocktally.CustomerName]*account{}, map[hemlocktally.InstanceID]*hub{}
 		s.gone = map[hemlocktally.InstanceID]string{}
 	}
--- a/limiter/wire.go
+++ b/limiter/wire.go
@@ -9,7 +9,6 @@
 )
 
 const (
-	millionths = 1e6
 	// maxSlotCount bounds the count of one slot in a message of another instance.
 	maxSlotCount = 1e8
 	// maxDeparted bounds the departed hubs in a message about one customer.
@@ -26,7 +25,7 @@
 	}
 	for _, c := range m.Counts {
 		count := &messenger.QuotaCount{
-			Customer: string(c.Customer), Recent: c.Recent, Share: uint32(math.Ceil(c.Share * millionths)), Raise: c.Raise,
+			Customer: string(c.Customer), Recent: c.Recent, Share: uint32(c.Share * shareUnits), Raise: c.Raise,
 			Before: uint32(math.Ceil(c.Before)),
 		}
 		for _, d := range c.Departed {
@@ -50,7 +49,7 @@
 	for _, c := range counts[:min(len(counts), maxPeerCounts)] {
 		count := Count{
 			Customer: hemlocktally.CustomerName(c.GetCustomer()), Recent: boundedSlots(c.GetRecent(), reportSlots),
-			Share: min(1, float64(c.GetShare())/millionths), Raise: c.GetRaise(), Before: min(float64(c.GetBefore()), maxSlotCount),
+			Share: min(1, float64(c.GetShare())/shareUnits), Raise: c.GetRaise(), Before: min(float64(c.GetBefore()), maxSlotCount),
 		}
 		departed := c.GetDeparted()
 		for _, d := range departed[:min(len(departed), maxDeparted)] {
