--- a/placer/spillover_test.go
+++ b/placer/spillover_test.go
@@ -158,6 +158,46 @@
 	c.Check(float64(after.total()-back.total()) <= 0.05*float64(after.Calls-back.Calls), qt.IsTrue, qt.Commentf("%v, then %v", back, after))
 }
 
+// The share of a zone whose targets leave the list must change at once, not by the steps that
+// keep it from swinging, and so must that of a zone that gets its first targets.
+func TestShareFollowsTheListOfTargetsAtOnce(t *testing.T) {
+	c := qt.New(t)
+	h := spilloverHarness(target("x", "a"), target("y", "b"))
+	h.update(h.request())
+	share := func() float64 { return h.state.Stats(h.now).Zones[0].Share }
+	c.Check(share(), qt.Equals, 0.0)
+	h.configureSpillover(target("y", "b"))
+	c.Check(share(), qt.Equals, 1.0)
+	h.configureSpillover(target("x", "a"), target("y", "b"))
+	c.Check(share(), qt.Equals, 0.0)
+}
+
+// The log tells when the share of a zone begins and ends, and not each small change of it.
+func TestShareIsReported(t *testing.T) {
+	c := qt.New(t)
+	h := spilloverHarness(target("x", "a"), target("y", "b"))
+	h.update(h.request())
+	changes := func(commands []any) []SpilloverCmd {
+		var list []SpilloverCmd
+		for _, command := range commands {
+			if change, ok := command.(SpilloverCmd); ok {
+				list = append(list, change)
+			}
+		}
+		return list
+	}
+	msg := TargetsMsg{Service: hemlocktally.Service{Name: "s"}, Targets: []hemlocktally.Registration{target("y", "b")}, Spillover: true}
+	got := changes(h.update(msg))
+	c.Assert(got, qt.HasLen, 1)
+	c.Check(got[0].Zone, qt.Equals, hemlocktally.ZoneName("a"))
+	c.Check(got[0].Share, qt.Equals, 1.0)
+	c.Check(changes(h.update(msg)), qt.HasLen, 0)
+	msg.Targets = []hemlocktally.Registration{target("x", "a"), target("y", "b")}
+	got = changes(h.update(msg))
+	c.Assert(got, qt.HasLen, 1)
+	c.Check(got[0].Share, qt.Equals, 0.0)
+}
+
 // Callers in a zone that no target has must be served like all others, without a wait.
 func TestUnknownZoneIsServed(t *testing.T) {
 	c := qt.New(t)
