--- a/promoter/record.go
+++ b/promoter/record.go
@@ -35,7 +35,7 @@
 		return false
 	}
 	age := now.Sub(s.wroteAt)
-	short := s.ceiling-s.used < burst && s.budget() > s.ceiling
+	short := s.record.Phase == hemlocktally.RolloutRunning && s.ceiling-s.used < burst && s.budget() > s.ceiling && !s.proven()
 	return age >= writeInterval || (short && age >= urgentWriteInterval)
 }
 
