--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -131,7 +131,7 @@
 	self := hemlocktally.InstanceID(s.Instance.ID)
 	off, _ := hemlocktally.ParseMechanisms(s.Policy.Off) // Settings.Check has validated it.
 	b.recorder = &recorder.Recorder{}
-	peers := &http.Client{Transport: messenger.LimitResponses(peerTransport())}
+	peers := &http.Client{Transport: messenger.LimitResponses(peerRoundTripper())}
 	b.follower = &follower.Follower{
 		Directory: b.Directory, Interpreter: b.Platform, Log: b.Log, OnChange: b.applyPicture, HTTP: peers, Disabled: off,
 		Self: follower.Hub{
@@ -151,10 +151,8 @@
 	}
 	b.monitor = &monitor.Monitor{Reach: b.dialer.Reach, Listed: b.listedTargets, Log: b.Log}
 	b.follower.Isolated = func() bool { return b.monitor.IsolatedServices() > 0 }
-	b.forwarder = &forwarder.Forwarder{Self: self, Zone: hemlocktally.ZoneName(s.Instance.Zone), View: b.follower, Helpers: b.follower.Helpers, HTTP: peerTransport(), Log: b.Log}
-	probeTransport := transport(1, probeIdleTimeout, defaultDialTimeout)
-	probeTransport.DialContext = b.DialTarget
-	loadProber := &prober.LoadProber{Dialect: b.Platform, HTTP: &http.Client{Transport: probeTransport}}
+	b.forwarder = &forwarder.Forwarder{Self: self, Zone: hemlocktally.ZoneName(s.Instance.Zone), View: b.follower, Helpers: b.follower.Helpers, HTTP: peerRoundTripper(), Log: b.Log}
+	loadProber := &prober.LoadProber{Dialect: b.Platform, HTTP: &http.Client{Transport: probeTransport(b.DialTarget)}}
 	bounds := placer.Bounds{
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: s.Bounds.RetryWindow, RetrySlack: s.Bounds.RetrySlack,
 		ColdShare: coldShare, ProbesPerSecond: s.Bounds.ProbesPerSecond, Disabled: off,
--- a/balancer/peer.go
+++ b/balancer/peer.go
@@ -9,13 +9,16 @@
 	"hemlocktally/messenger"
 )
 
-// peerTransport returns the HTTP transport for calls to other instances.
+// peerTransport returns the HTTP/2 transport below peerRoundTripper.
 func peerTransport() *http.Transport {
 	t := transport(1, peerIdleTimeout, peerDialTimeout)
 	messenger.ConfigureTransport(t)
 	return t
 }
 
+// peerRoundTripper returns the transport for calls to other instances.
+func peerRoundTripper() http.RoundTripper { return peerTransport() }
+
 // peerServer returns the HTTP server for calls from other instances.
 func peerServer(handler http.Handler) *http.Server {
 	server := plainServer(handler)
--- a/balancer/socket.go
+++ b/balancer/socket.go
@@ -39,6 +39,13 @@
 	return transport(maxIdleStoreConns, callerIdleTimeout, defaultDialTimeout)
 }
 
+// probeTransport returns an HTTP transport for load probes, over connections to targets.
+func probeTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
+	t := transport(1, probeIdleTimeout, defaultDialTimeout)
+	t.DialContext = dial
+	return t
+}
+
 func transport(maxIdleConns int, idleTimeout, dialTimeout time.Duration) *http.Transport {
 	const (
 		bufferBytes            = 4 << 10
