validator: responses are judged before any of them is passed on; panics are contained

A status under 100 panicked in WriteHeader, and a handler's panic ended the caller's connection.

Change: validator.Conn lies below net/http on connections to targets, of load probes and to the store. It scans heads, chunks and trailers and withholds everything from the first invalid byte on; a body that ends with its connection is complete only if no write failed and the request was sent. validator.Transport checks peers' responses (HTTP/2). A fault is a *ResponseError: AnswerBroken, second attempt where allowed, else 502; event 2030, malformed_responses_total. Panics are contained in attempt, call and pipeline; event 2031, handler_panics_total. http.ErrAbortHandler still cuts a truncated response.

Found by TestResetsDuringUploads with the race detector: a broken response that never ended, because an attempt read the caller's body beyond the end of its handler, and net/http then waits for ever in abortPendingRead. A call now ends the reads of its body first.

--- a/acceptor/ahead.go
+++ b/acceptor/ahead.go
@@ -37,7 +37,7 @@
 		defer close(call.done)
 		defer cancel()
 		defer func() {
-			call.panicValue = recover()
+			call.panicValue = caughtAhead(recover())
 			if ctx.Err() != nil && !call.started.Load() {
 				// The handler has given up; without this, net/http would send an empty
 				// response.
@@ -57,8 +57,8 @@
 }
 
 // writeTo allows the handler to write its response to w, and waits until it has
-// returned. A panic of the handler is repeated here, so that net/http closes the
-// connection. It also closes it if the handler gave up before its turn.
+// returned. A panic of the handler is repeated here, where it is contained or closes the
+// connection. That is also closed if the handler gave up before its turn.
 func (a *aheadCall) writeTo(w http.ResponseWriter) {
 	a.writer = w
 	close(a.turn)
--- a/acceptor/pipeline.go
+++ b/acceptor/pipeline.go
@@ -42,6 +42,7 @@
 	leaving   atomic.Bool
 	open      atomic.Int64  // open counts the requests that were read ahead and whose handlers still run.
 	readAhead atomic.Uint64 // readAhead counts all requests that were read ahead.
+	panics    atomic.Uint64 // panics counts the panics of handlers that were contained.
 }
 
 type connKey struct{}
@@ -117,9 +118,10 @@
 	}
 	ahead := c.begin(r)
 	defer c.end()
-	w = &closingWriter{ResponseWriter: w, conn: c}
+	closing := &closingWriter{ResponseWriter: w, conn: c}
+	defer func() { p.contain(closing, recover()) }()
 	if ahead == nil {
-		p.Handler.ServeHTTP(w, r)
+		p.Handler.ServeHTTP(closing, r)
 		return
 	}
 	if !ahead.matches(r) {
@@ -129,7 +131,7 @@
 	// The body was already read ahead. Once it is read here too, net/http starts to
 	// watch for the close of the connection.
 	_, _ = io.Copy(io.Discard, r.Body)
-	ahead.writeTo(w)
+	ahead.writeTo(closing)
 }
 
 // closingWriter sets "Connection: close" on the last response of a connection.
@@ -144,13 +146,12 @@
 
 // WriteHeader writes status and headers of the response.
 func (w *closingWriter) WriteHeader(status int) {
-	if !w.headerWritten && status >= http.StatusOK {
-		w.headerWritten = true
-		if w.conn.closes() {
-			w.Header().Set("Connection", "close")
-		}
+	final := status >= http.StatusOK
+	if final && !w.headerWritten && w.conn.closes() {
+		w.Header().Set("Connection", "close")
 	}
 	w.ResponseWriter.WriteHeader(status)
+	w.headerWritten = w.headerWritten || final // An invalid status has panicked before this line.
 }
 
 // BeginStream prepares for a response that is written before it is complete; see
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -49,6 +49,11 @@
 	gauges = append(gauges, recorder.Metric{
 		Name: "target_crashes_total", Help: "Attempts that ended with a crash of their target.", Type: typeCounter, Value: float64(b.dispatcher.Crashes()),
 	})
+	gauges = append(gauges, recorder.Metric{
+		Name: "malformed_responses_total", Help: "Responses of targets and instances that were malformed or incomplete.", Type: typeCounter, Value: float64(b.dispatcher.MalformedResponses()),
+	}, recorder.Metric{
+		Name: "handler_panics_total", Help: "Panics while a call was served.", Type: typeCounter, Value: float64(b.dispatcher.Panics() + b.pipeline.Panics()),
+	})
 	gauges = append(gauges, recorder.Metric{
 		Name: "isolated_services", Help: "Services of which this instance reaches hardly any target.", Type: typeGauge, Value: float64(b.monitor.IsolatedServices()),
 	})
--- a/balancer/peer.go
+++ b/balancer/peer.go
@@ -7,6 +7,7 @@
 
 	"hemlocktally"
 	"hemlocktally/messenger"
+	"hemlocktally/validator"
 )
 
 // peerTransport returns the HTTP/2 transport below peerRoundTripper.
@@ -17,7 +18,9 @@
 }
 
 // peerRoundTripper returns the transport for calls to other instances.
-func peerRoundTripper() http.RoundTripper { return peerTransport() }
+func peerRoundTripper() http.RoundTripper {
+	return validator.Transport{RoundTripper: peerTransport()}
+}
 
 // peerServer returns the HTTP server for calls from other instances.
 func peerServer(handler http.Handler) *http.Server {
--- a/balancer/socket.go
+++ b/balancer/socket.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"hemlocktally/validator"
 )
 
 // Limits that detect a connection whose peer has disappeared without closing it.
@@ -36,13 +38,15 @@
 // connections detect within seconds that the store has become unresponsive.
 func StoreTransport() *http.Transport {
 	const maxIdleStoreConns = 4
-	return transport(maxIdleStoreConns, callerIdleTimeout, defaultDialTimeout)
+	t := transport(maxIdleStoreConns, callerIdleTimeout, defaultDialTimeout)
+	t.DialContext = validator.Dial(t.DialContext)
+	return t
 }
 
 // probeTransport returns an HTTP transport for load probes, over connections to targets.
 func probeTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
 	t := transport(1, probeIdleTimeout, defaultDialTimeout)
-	t.DialContext = dial
+	t.DialContext = validator.Dial(dial)
 	return t
 }
 
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"hemlocktally"
+	"hemlocktally/validator"
 )
 
 const (
@@ -160,7 +161,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tracked := &trackedConn{Conn: tcpConn}
+	tracked := &trackedConn{Conn: validator.NewConn(tcpConn)}
 	now := time.Now()
 	tracked.lastRead.Store(&now) // The handshake proves the connection as a response does.
 	client, err := d.transport.NewClientConn(context.WithValue(ctx, preparedConnKey{}, tracked), "http", target.Address)
--- a/dialer/link.go
+++ b/dialer/link.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hemlocktally"
+	"hemlocktally/validator"
 )
 
 // link is one connection to a target. It implements hemlocktally.TargetConn.
@@ -48,7 +49,7 @@
 // the request's time limits, net/http may report only that the connection ended;
 // RoundTrip returns the *hemlocktally.FenceError then.
 func (l *link) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := l.client.RoundTrip(request)
+	response, err := l.client.RoundTrip(l.conn.Begin(request))
 	if fenceErr := l.conn.fenceErr.Load(); err != nil && fenceErr != nil {
 		return nil, fenceErr
 	}
@@ -120,7 +121,7 @@
 // trackedConn is a connection that records whether anything was written for the
 // current request and refuses writes after the request's time limits.
 type trackedConn struct {
-	net.Conn
+	*validator.Conn
 	sent     atomic.Bool
 	fenceErr atomic.Pointer[hemlocktally.FenceError] // fenceErr is set once a write was refused.
 	limits   atomic.Pointer[writeLimits]
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -43,6 +43,10 @@
 
 	peer hemlocktally.InstanceID // peer is the instance that the attempt was handed over to.
 
+	begun    bool // begun is set once the attempt has a grant or is handed over.
+	ended    bool // ended is set once the call has been told how the attempt ended.
+	released bool // released is set once link and grant have been released.
+
 	response *targetResponse // response is set by the call's goroutine, from the message.
 }
 
@@ -104,7 +108,7 @@
 // run acquires a grant, makes the attempt and releases the grant.
 func (a *attempt) run(ctx context.Context) {
 	if _, refused := a.checkQuarantine(); refused != nil {
-		a.call.messages <- GrantRefusedMsg{Attempt: a.number, Error: refused}
+		a.end(GrantRefusedMsg{Attempt: a.number, Error: refused})
 		return
 	}
 	if a.handOver(ctx) || !a.acquireGrant(ctx) {
@@ -128,7 +132,7 @@
 		if brokenOff(failed) {
 			failed.Crashed = a.checkCrash(ctx, failed.Error.Detail)
 		}
-		a.call.messages <- failedMsg{FailedMsg: *failed, summary: summary}
+		a.end(failedMsg{FailedMsg: *failed, summary: summary})
 	}
 }
 
@@ -143,16 +147,16 @@
 		Trial: a.trial(verdict), Customer: c.customer.Name,
 	})
 	if err != nil {
-		c.messages <- GrantRefusedMsg{Attempt: a.number, Error: grantError(ctx, err)}
+		a.end(GrantRefusedMsg{Attempt: a.number, Error: grantError(ctx, err)})
 		return false
 	}
 	// The owner's answer may have told this instance of crashes elsewhere.
 	if again, refused := a.checkQuarantine(); refused != nil || again > verdict {
 		c.dispatcher.Granter.Release(hemlocktally.GrantResult{Grant: grant, Contract: c.contract.Name, Outcome: hemlocktally.AttemptUnused})
-		c.messages <- GrantRefusedMsg{Attempt: a.number, Error: cmp.Or(refused, quarantinedError())}
+		a.end(GrantRefusedMsg{Attempt: a.number, Error: cmp.Or(refused, quarantinedError())})
 		return false
 	}
-	a.grant = grant
+	a.grant, a.begun = grant, true
 	c.messages <- grantedMsg{
 		GrantedMsg: GrantedMsg{Attempt: a.number, Target: grant.Target.Name}, grant: grant, granting: time.Since(requested),
 	}
@@ -301,7 +305,7 @@
 	if int64(len(buffered)) <= a.call.dispatcher.BufferLimit {
 		msg.Buffered = true
 		msg.summary = a.release(result, false)
-		a.call.messages <- msg
+		a.end(msg)
 		return nil
 	}
 	rest, releaseRest, err := a.remainingBody(response, len(buffered))
@@ -313,7 +317,7 @@
 	delivered.streamed = make(chan hemlocktally.AttemptOutcome, 1)
 	result.Latency = time.Since(a.linkAcquired)
 	msg.summary = a.summarize(*result)
-	a.call.messages <- msg
+	a.end(msg)
 	a.awaitStreamed(ctx, delivered, result)
 	return nil
 }
@@ -362,6 +366,7 @@
 	if a.peer != "" {
 		return summary // The other instance had the grant.
 	}
+	a.released = true
 	if a.link != nil {
 		a.link.Release(silent)
 	}
--- a/dispatcher/body.go
+++ b/dispatcher/body.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,12 +17,54 @@
 // requestBody is the body of a caller's request. A small body is buffered, so
 // that it can be sent again; a large one is streamed and can be sent only once.
 type requestBody struct {
-	buffered  []byte
-	length    int64       // length is the declared length, or -1.
-	remaining io.Reader   // remaining follows the buffered part of a large body.
-	consumed  atomic.Bool // consumed is set once a streamed body was read from.
-	complete  atomic.Bool // complete is set once the body was read to its end.
-	readError atomic.Pointer[hemlocktally.RefusedError]
+	buffered    []byte
+	length      int64       // length is the declared length, or -1.
+	remaining   io.Reader   // remaining follows the buffered part of a large body.
+	consumed    atomic.Bool // consumed is set once a streamed body was read from.
+	complete    atomic.Bool // complete is set once the body was read to its end.
+	interrupted atomic.Bool // interrupted is set once a read was interrupted because its attempt ended.
+	readError   atomic.Pointer[hemlocktally.RefusedError]
+
+	reading    sync.Mutex // reading is held during a read from the caller.
+	deadlines  sync.Mutex
+	handlerEnd bool // handlerEnd is set when the handler ends; deadlines guards it.
+}
+
+// errHandlerEnded ends reads of the body of a call that has ended.
+var errHandlerEnded = errors.New("the call has ended")
+
+// setReadDeadline sets the deadline of reads from the caller while the handler runs.
+func (c *call) setReadDeadline(at time.Time) {
+	c.body.deadlines.Lock()
+	defer c.body.deadlines.Unlock()
+	if !c.body.handlerEnd {
+		_ = c.controller.SetReadDeadline(at)
+	}
+}
+
+// endBodyReads ends the reads of a streamed body when the handler ends, and waits for a read that
+// an attempt is making. net/http does not expect reads after that: it interrupts a pending one by
+// a deadline, and a body that reaches its end at that moment removes the deadline, so that the
+// server would wait for ever and a broken response would never end for its caller.
+func (c *call) endBodyReads() {
+	if c.body == nil || !c.body.streamed() {
+		return
+	}
+	c.body.deadlines.Lock()
+	c.body.handlerEnd = true
+	if !c.body.complete.Load() || c.truncated {
+		_ = c.controller.SetReadDeadline(time.Now()) // It interrupts a read in progress.
+	}
+	c.body.deadlines.Unlock()
+	c.body.reading.Lock()
+	defer c.body.reading.Unlock()
+	switch {
+	case c.truncated || c.body.interrupted.Load(): // The server closes the connection without waiting for the rest of the body.
+	case c.body.complete.Load():
+		_ = c.controller.SetReadDeadline(time.Time{})
+	default:
+		_ = c.controller.SetReadDeadline(time.Now().Add(c.dispatcher.readTimeout()))
+	}
 }
 
 // readBody buffers the body up to Dispatcher.BufferLimit bytes. It refuses a body
@@ -109,18 +152,30 @@
 // end, so that it doesn't limit the wait for the response.
 func (b *callerBody) Read(p []byte) (int, error) {
 	const rearmEvery = time.Second
-	if now := time.Now(); now.Sub(b.deadlineSet) > rearmEvery {
+	b.call.body.reading.Lock()
+	defer b.call.body.reading.Unlock()
+	now := time.Now()
+	if now.Sub(b.deadlineSet) > rearmEvery {
 		b.deadlineSet = now
-		_ = b.call.controller.SetReadDeadline(now.Add(b.call.dispatcher.readTimeout()))
+		b.call.setReadDeadline(now.Add(b.call.dispatcher.readTimeout()))
+	}
+	if b.call.handlerEnded() {
+		return 0, errHandlerEnded
 	}
 	n, err := b.reader.Read(p)
 	if errors.Is(err, io.EOF) {
 		b.call.body.complete.Store(true)
-		_ = b.call.controller.SetReadDeadline(time.Time{})
+		b.call.setReadDeadline(time.Time{})
 	}
 	return n, err
 }
 
+func (c *call) handlerEnded() bool {
+	c.body.deadlines.Lock()
+	defer c.body.deadlines.Unlock()
+	return c.body.handlerEnd
+}
+
 // unblockBodyRead interrupts a read from the caller when ctx ends, because
 // net/http returns from a round trip only once the body is no longer read. The
 // returned function stops this.
@@ -131,7 +186,8 @@
 	}
 	stop := context.AfterFunc(ctx, func() {
 		if !body.complete.Load() {
-			_ = a.call.controller.SetReadDeadline(time.Now())
+			body.interrupted.Store(true)
+			a.call.setReadDeadline(time.Now())
 		}
 	})
 	return func() { stop() }
--- a/dispatcher/broken_response_test.go
+++ b/dispatcher/broken_response_test.go
@@ -170,14 +170,14 @@
 	for worker := range workers {
 		group.Go(func() {
 			random := rand.New(rand.NewPCG(seed, uint64(worker)))
-			plans := make(chan uploadReset, 1)
-			address := startResettingTarget(t, func(conn net.Conn, reader *bufio.Reader) { (<-plans).play(conn, reader) })
+			var current atomic.Pointer[uploadReset]
+			address := startResettingTarget(t, func(conn net.Conn, reader *bufio.Reader) { current.Load().play(conn, reader) })
 			h := newUploadHarness(t, address)
 			body := bytes.Repeat([]byte("x"), 8<<20)
 			for n := worker; n < total && !t.Failed(); n += workers {
 				plan := newUploadReset(random)
-				plans <- plan
-				checkNoSuccess(t, h, body[:plan.size], fmt.Sprintf("%d: %+v", n, plan))
+				current.Store(&plan)
+				checkNoSuccess(t, h, body[:plan.size], fmt.Sprintf("%d: %s", n, plan))
 			}
 		})
 	}
@@ -268,10 +268,15 @@
 	t.Helper()
 	response, err := postOnce(h.url+"/pay", body)
 	if err != nil {
+		checkNoTimeout(t, err, what)
 		return // The caller's connection ended.
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
+	checkNoTimeout(t, err, what)
+	if err == nil && response.StatusCode == http.StatusServiceUnavailable && bytes.Contains(text, []byte("dial tcp")) {
+		return // The target could not be reached in time, so the request was not sent.
+	}
 	if err == nil && response.StatusCode != http.StatusBadGateway {
 		t.Errorf("%s: status %d with a complete body of %d bytes", what, response.StatusCode, len(text))
 	}
@@ -283,5 +288,13 @@
 		return nil, err
 	}
 	request.Close = true
-	return http.DefaultClient.Do(request)
+	return (&http.Client{Timeout: time.Minute}).Do(request)
+}
+
+// checkNoTimeout guards against a response that is neither completed nor broken off.
+func checkNoTimeout(t *testing.T, err error, what string) {
+	t.Helper()
+	if os.IsTimeout(err) {
+		t.Errorf("%s: %v", what, err)
+	}
 }
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -31,7 +31,7 @@
 	fingerprintOnce sync.Once
 	identity        hemlocktally.Fingerprint     // identity is set by fingerprint.
 	keptResponse    *hemlocktally.StoredResponse // keptResponse is the complete response, for the claim.
-	responseStarted bool                         // responseStarted is set before the first byte of the response is written.
+	responseStarted bool                         // responseStarted is set once a response or refusal may have been written.
 	truncated       bool                         // truncated is set if the response could not be forwarded completely.
 
 	plan       Plan
@@ -139,7 +139,7 @@
 	c.record.Attempts = append(c.record.Attempts, hemlocktally.AttemptRecord{
 		Kind: command.Kind, Started: a.started.Sub(c.started), Outcome: hemlocktally.AttemptCancelled,
 	})
-	go a.run(ctx)
+	go a.runContained(ctx)
 }
 
 // stopAttempts cancels all attempts, which then release their grants.
--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -142,7 +142,6 @@
 		c.refuse(unknownOutcomeError(hemlocktally.ReasonClaimUnknown, "an earlier call with this key is done, but its response is no longer stored"))
 		return
 	}
-	c.responseStarted = true
 	c.record.Outcome = hemlocktally.OutcomeDone
 	c.record.Status = claim.Response.Status
 	c.extendWriteDeadline()
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -46,6 +46,8 @@
 	violations atomic.Uint64
 	forwarded  atomic.Int64  // forwarded counts the open calls of other instances.
 	crashes    atomic.Uint64 // crashes counts the attempts that ended with a crash of their target.
+	malformed  atomic.Uint64 // malformed counts the malformed and incomplete responses.
+	panics     atomic.Uint64 // panics counts the panics that were contained.
 }
 
 const defaultCallerTimeout = 10 * time.Second
@@ -71,9 +73,7 @@
 // served, and panics with http.ErrAbortHandler to cut the connection if a response
 // could not be forwarded completely.
 func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := d.newCall(w, r)
-	defer func() { d.finish(c) }()
-	c.admitAndServe()
+	d.serveContained(w, r, (*call).admitAndServe)
 }
 
 func (c *call) admitAndServe() {
@@ -112,6 +112,7 @@
 func newCallID() hemlocktally.CallID { return hemlocktally.CallID(ulid.Make().String()) }
 
 func (d *Dispatcher) finish(c *call) {
+	c.endBodyReads()
 	c.record.Total = time.Since(c.started)
 	if d.Recorder != nil {
 		d.Recorder.Record(c.record)
--- a/dispatcher/failure.go
+++ b/dispatcher/failure.go
@@ -9,12 +9,16 @@
 	"time"
 
 	"hemlocktally"
+	"hemlocktally/logger"
 )
 
 // roundTripFailure converts a failed round trip into a message and sets the
 // outcome in the grant's result.
 func (a *attempt) roundTripFailure(ctx context.Context, err error, result *hemlocktally.GrantResult) *FailedMsg {
 	failed := a.failure(ctx, err, a.peer != "" || a.link.Sent())
+	if failed.Error.Reason == hemlocktally.ReasonTargetFailed && a.call.reportMalformed(a.destination(), err) {
+		failed.Error.Reason = hemlocktally.ReasonAnswerBroken
+	}
 	switch {
 	case failed.Error.Reason == hemlocktally.ReasonCallerCancelled:
 		result.Outcome = hemlocktally.AttemptCancelled
@@ -28,6 +32,23 @@
 	return failed
 }
 
+// reportMalformed counts and logs a response that is malformed or incomplete. It reports whether
+// the error is about one.
+func (c *call) reportMalformed(from string, err error) bool {
+	var malformed *hemlocktally.ResponseError
+	if !errors.As(err, &malformed) {
+		return false
+	}
+	c.dispatcher.malformed.Add(1)
+	c.dispatcher.Log.Log(logger.EventResponseMalformed, logger.Fields{
+		"Call": c.record.Call, "Service": c.contract.Service, "From": from, "Cause": malformed.Detail,
+	})
+	return true
+}
+
+// MalformedResponses returns how many malformed and incomplete responses were received.
+func (d *Dispatcher) MalformedResponses() uint64 { return d.malformed.Load() }
+
 // failure returns the message for an attempt that ended without a response.
 func (a *attempt) failure(ctx context.Context, err error, sent bool) *FailedMsg {
 	c := a.call
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -40,20 +40,20 @@
 	open := d.forwarded.Add(1)
 	from, err := parseForwarded(r.Header.Get(hemlocktally.HeaderForwarded))
 	r.Header.Del(hemlocktally.HeaderForwarded)
-	c := d.newCall(w, r)
-	c.forwarded = &from
-	c.started = c.started.Add(-from.elapsed)
-	defer func() { d.finish(c) }()
-	switch {
-	case err != nil:
-		c.refuse(notRunError(hemlocktally.ReasonBadRequest, err.Error()))
-	case open > maxForwarded:
-		c.refuse(notRunError(hemlocktally.ReasonShed, "too many calls of other instances are open"))
-	case d.stopping():
-		c.refuse(notRunError(hemlocktally.ReasonLeaving, "the instance is leaving"))
-	default:
-		c.admitAndServe()
-	}
+	d.serveContained(w, r, func(c *call) {
+		c.forwarded = &from
+		c.started = c.started.Add(-from.elapsed)
+		switch {
+		case err != nil:
+			c.refuse(notRunError(hemlocktally.ReasonBadRequest, err.Error()))
+		case open > maxForwarded:
+			c.refuse(notRunError(hemlocktally.ReasonShed, "too many calls of other instances are open"))
+		case d.stopping():
+			c.refuse(notRunError(hemlocktally.ReasonLeaving, "the instance is leaving"))
+		default:
+			c.admitAndServe()
+		}
+	})
 }
 
 // Forwarded returns how many calls of other instances are being served.
@@ -103,13 +103,14 @@
 		return false
 	}
 	if c.forwarded != nil {
-		c.messages <- GrantRefusedMsg{Attempt: a.number, Error: isolatedError()}
+		a.end(GrantRefusedMsg{Attempt: a.number, Error: isolatedError()})
 		return true
 	}
 	if d.Forwarder == nil || c.body.consumed.Load() {
 		return false
 	}
 	a.linkAcquired = time.Now()
+	a.begun = true
 	c.messages <- HandedOverMsg{Attempt: a.number}
 	response, peer, err := d.Forwarder.Forward(ctx, func(address string) *http.Request { return a.peerRequest(ctx, address) })
 	a.peer = peer
@@ -165,7 +166,7 @@
 
 func (a *attempt) endForwarded(failed *FailedMsg, outcome hemlocktally.AttemptOutcome) {
 	summary := attemptSummary{outcome: outcome, took: time.Since(a.linkAcquired), sent: failed.Sent, peer: a.peer}
-	a.call.messages <- failedMsg{FailedMsg: *failed, summary: summary}
+	a.end(failedMsg{FailedMsg: *failed, summary: summary})
 }
 
 func isolatedError() *hemlocktally.RefusedError {
--- a/dispatcher/response.go
+++ b/dispatcher/response.go
@@ -36,7 +36,6 @@
 	response := a.response
 	c.record.Status = response.status
 	c.record.Outcome = hemlocktally.OutcomeDone
-	c.responseStarted = true
 	c.extendWriteDeadline()
 	c.writeHeader(response.status, response.header, response.length)
 	if response.remaining == nil {
@@ -44,7 +43,7 @@
 		return
 	}
 	streamStarted := time.Now()
-	outcome := c.stream(response)
+	outcome := c.stream(response, a.destination())
 	response.streamed <- outcome
 	a.cancel(errAttemptCancelled)
 	c.record.Serving += time.Since(streamStarted)
@@ -75,12 +74,13 @@
 		header["Content-Length"] = []string{strconv.FormatInt(length, 10)}
 	}
 	c.writer.WriteHeader(status)
+	c.responseStarted = true
 }
 
 const streamBufferBytes = 32 << 10
 
-// stream forwards a large response as it arrives.
-func (c *call) stream(response *targetResponse) hemlocktally.AttemptOutcome {
+// stream forwards a large response as it arrives from a target or another instance.
+func (c *call) stream(response *targetResponse, from string) hemlocktally.AttemptOutcome {
 	if _, err := c.writer.Write(response.buffered); err != nil {
 		return c.callerWriteFailed(err)
 	}
@@ -96,6 +96,7 @@
 			return outcomeForStatus(response.status)
 		}
 		if err != nil {
+			c.reportMalformed(from, err)
 			c.truncate(unknownOutcomeError(hemlocktally.ReasonAnswerBroken, err.Error()))
 			return hemlocktally.AttemptFailed
 		}
--- a/errors.go
+++ b/errors.go
@@ -18,6 +18,14 @@
 	return fmt.Sprintf("refused (%s, %s): %s", e.Outcome, e.Reason, e.Detail)
 }
 
+// ResponseError reports that a response is malformed or incomplete.
+type ResponseError struct {
+	Detail string // Detail says what is wrong with the response.
+}
+
+// Error returns a message with the detail.
+func (e *ResponseError) Error() string { return "malformed response: " + e.Detail }
+
 // ChangeError reports which command of a change can't be applied.
 type ChangeError struct {
 	ChangeID string
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -61,7 +61,7 @@
 // Catalogue returns all events, grouped by area.
 func Catalogue() []Event {
 	var all []Event
-	for _, area := range [][]Event{daemonEvents, entryEvents, ownerEvents, membershipEvents, claimEvents, operatorEvents} {
+	for _, area := range [][]Event{daemonEvents, entryEvents, responseEvents, ownerEvents, membershipEvents, claimEvents, operatorEvents} {
 		all = append(all, area...)
 	}
 	return all
