dialer: a connection with an unanswered request is reset, not closed

Cause: an ordinary close leaves the send buffer to be delivered. Ruled out: writes after the deadline (the fence refuses them), and retries of net/http (a ClientConn sends once).

Change: connections to targets and to other instances are opened with SO_LINGER 0, so that every close, also by the end of the process, is a reset. trackedConn.Close takes that back if no request is unanswered. Metric connections_abandoned_total.

Seen before the change: TestAbandonedRequestIsNotDelivered, the target got all 131,072 bytes after the close (cancelled, deadline); TestAbandonedCallIsNotDelivered, whole requests after deadline, interrupt and a caller that left; TestAbandonedHandoverIsNotDelivered, 49,346 bytes. TestIdleLinkIsClosedWithoutReset holds the other side.

--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -51,6 +51,8 @@
 	})
 	gauges = append(gauges, recorder.Metric{
 		Name: "malformed_responses_total", Help: "Responses of targets and instances that were malformed or incomplete.", Type: typeCounter, Value: float64(b.dispatcher.MalformedResponses()),
+	}, recorder.Metric{
+		Name: "connections_abandoned_total", Help: "Connections to targets that were closed with a request that had no response.", Type: typeCounter, Value: float64(b.dialer.Abandoned()),
 	}, recorder.Metric{
 		Name: "handler_panics_total", Help: "Panics while a call was served.", Type: typeCounter, Value: float64(b.dispatcher.Panics() + b.pipeline.Panics()),
 	})
--- a/balancer/peer.go
+++ b/balancer/peer.go
@@ -13,6 +13,16 @@
 // peerTransport returns the HTTP/2 transport below peerRoundTripper.
 func peerTransport() *http.Transport {
 	t := transport(1, peerIdleTimeout, peerDialTimeout)
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if tcp, ok := conn.(*net.TCPConn); ok && err == nil {
+			// A connection without a response to its pings is closed. What is in its send
+			// buffer, calls that were handed over too, must not be delivered after that.
+			err = tcp.SetLinger(0)
+		}
+		return conn, err
+	}
 	messenger.ConfigureTransport(t)
 	return t
 }
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hemlocktally"
@@ -55,6 +56,15 @@
 	mu        sync.Mutex
 	pools     map[string]*pool // pools is keyed by target address.
 	closed    bool
+	abandoned atomic.Uint64 // abandoned counts the links that were closed with a request that had no response.
+}
+
+// Abandoned returns how many links were closed with a request that had no response.
+func (d *Dialer) Abandoned() uint64 {
+	if d == nil {
+		return 0
+	}
+	return d.abandoned.Load()
 }
 
 func (d *Dialer) init() {
@@ -161,7 +171,8 @@
 	if err != nil {
 		return nil, err
 	}
-	tracked := &trackedConn{Conn: validator.NewConn(tcpConn)}
+	resetOnClose(tcpConn)
+	tracked := &trackedConn{dialer: d, Conn: validator.NewConn(tcpConn)}
 	now := time.Now()
 	tracked.lastRead.Store(&now) // The handshake proves the connection as a response does.
 	client, err := d.transport.NewClientConn(context.WithValue(ctx, preparedConnKey{}, tracked), "http", target.Address)
--- a/dialer/link.go
+++ b/dialer/link.go
@@ -122,6 +122,8 @@
 // current request and refuses writes after the request's time limits.
 type trackedConn struct {
 	*validator.Conn
+	dialer   *Dialer
+	closed   atomic.Bool
 	sent     atomic.Bool
 	fenceErr atomic.Pointer[hemlocktally.FenceError] // fenceErr is set once a write was refused.
 	limits   atomic.Pointer[writeLimits]
@@ -159,6 +161,34 @@
 	return c.Conn.Write(p)
 }
 
+// lingerer is a connection whose close can be a reset, as that of *net.TCPConn.
+type lingerer interface {
+	SetLinger(seconds int) error
+}
+
+// resetOnClose makes the close of the connection a reset, also if the process ends. An ordinary
+// close leaves what is in the send buffer to be delivered: after a network cut, a request would
+// be executed seconds after it was given up.
+func resetOnClose(conn net.Conn) {
+	if l, ok := conn.(lingerer); ok {
+		_ = l.SetLinger(0)
+	}
+}
+
+// Close closes the connection. It is a reset if a request was sent and has no response.
+func (c *trackedConn) Close() error {
+	const background = -1 // Data that is still in the send buffer is sent after an ordinary close.
+	if c.closed.Swap(true) {
+		return c.Conn.Close()
+	}
+	if c.sent.Load() && !c.Answered() {
+		c.dialer.abandoned.Add(1)
+	} else if l, ok := c.Conn.Conn.(lingerer); ok {
+		_ = l.SetLinger(background)
+	}
+	return c.Conn.Close()
+}
+
 // Read records when data was last received.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/validator/conn.go
+++ b/validator/conn.go
@@ -29,6 +29,7 @@
 	scanner  Scanner // scanner is used by Read only.
 	failure  error   // failure is what Read returns after the first invalid byte.
 	head     atomic.Bool
+	answered atomic.Bool // answered is set once the final response to the current request has ended.
 	unsent   atomic.Bool // unsent is set while a part of the request has not been passed to Write.
 	writing  sync.Mutex
 	writeErr error // writeErr is the first error of a write; writing guards it.
@@ -53,6 +54,7 @@
 // and returns the request to send.
 func (c *Conn) Begin(request *http.Request) *http.Request {
 	c.head.Store(request.Method == http.MethodHead)
+	c.answered.Store(false)
 	c.unsent.Store(false)
 	if request.Body == nil || request.Body == http.NoBody {
 		return request
@@ -109,6 +111,9 @@
 			}
 			return 0, c.failure
 		}
+		if c.scanner.Final() {
+			c.answered.Store(true)
+		}
 	}
 	if errors.Is(err, io.EOF) {
 		err = c.endError()
@@ -136,6 +141,10 @@
 	case c.unsent.Load():
 		return &hemlocktally.ResponseError{Detail: "the connection ended before the request was sent"}
 	default:
+		c.answered.Store(true)
 		return io.EOF
 	}
 }
+
+// Answered reports whether the final response to the current request has been read completely.
+func (c *Conn) Answered() bool { return c.answered.Load() }
--- a/validator/scanner.go
+++ b/validator/scanner.go
@@ -98,6 +98,9 @@
 // Idle reports whether no response has begun or the last one has ended.
 func (s *Scanner) Idle() bool { return s.state == stateIdle }
 
+// Final reports whether a final response, in place of an interim one, has ended.
+func (s *Scanner) Final() bool { return s.state == stateIdle && s.status >= minStatus*2 }
+
 // UntilEnd reports whether the response ends with its connection.
 func (s *Scanner) UntilEnd() bool { return s.state == stateUntilEnd }
 
