--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -22,6 +22,7 @@
 	Bounds    BoundSettings
 	Policy    PolicySettings
 	Operators OperatorSettings
+	Machine   MachineSettings
 	Log       loader.LogSettings
 }
 
@@ -70,6 +71,12 @@
 	Key string // Key allows them to release requests that are held back; if it is empty, nobody may.
 }
 
+// MachineSettings say what the machine leaves to the instance.
+type MachineSettings struct {
+	MemoryMB    float64 // MemoryMB is the memory that the instance may use, in MiB; zero means the limit of its cgroup, if there is one.
+	Descriptors int     // Descriptors is how many files and connections the instance may have open, ReservedDescriptors included; zero means no limit.
+}
+
 // Defaults of the settings.
 const (
 	defaultStopTimeout     = 6 * time.Second
@@ -112,6 +119,14 @@
 	maxPipelineBytes = 1 << 20
 )
 
+// Allowed values of MachineSettings.
+const (
+	minMemoryMB    = 32
+	maxMemoryMB    = 1 << 30
+	minDescriptors = 256
+	maxDescriptors = 1 << 30
+)
+
 func inRange(n, lo, hi int) bool { return n >= lo && n <= hi }
 
 // Check returns a *hemlocktally.SettingError for each key that is missing or has
@@ -135,6 +150,8 @@
 		{"Callers", "PipelineBytes", strconv.Itoa(s.Callers.PipelineBytes), "a number of bytes from 4096 to 1048576", inRange(s.Callers.PipelineBytes, minPipelineBytes, maxPipelineBytes)},
 		{"Platform", "Store", s.Platform.Store, address, loader.IsAddress(s.Platform.Store)},
 		{"Bounds", "RetryRatio", strconv.FormatFloat(s.Bounds.RetryRatio, 'g', -1, 64), "a share from 0 to 1", s.Bounds.RetryRatio <= 1},
+		{"Machine", "MemoryMB", strconv.FormatFloat(s.Machine.MemoryMB, 'g', -1, 64), "a number of MiB from 32 to 1073741824, or nothing", s.Machine.MemoryMB == 0 || (s.Machine.MemoryMB >= minMemoryMB && s.Machine.MemoryMB <= maxMemoryMB)},
+		{"Machine", "Descriptors", strconv.Itoa(s.Machine.Descriptors), "a number from 256 to 1073741824, or nothing", s.Machine.Descriptors == 0 || inRange(s.Machine.Descriptors, minDescriptors, maxDescriptors)},
 		{"Policy", "Off", s.Policy.Off, "a comma-separated list of mechanism names, or nothing", policyErr == nil},
 		{"Log", "Format", s.Log.Format, "Text, JSON", s.Log.Format == "Text" || s.Log.Format == "JSON"},
 		{"Log", "Level", s.Log.Level, "debug, info, warning, error", slices.Contains(levels, s.Log.Level)},
--- a/cmd/hemlocktally/settings_test.go
+++ b/cmd/hemlocktally/settings_test.go
@@ -36,6 +36,7 @@
 		"nodeName": "edge-1", "zone": "z", "limits.cpuShare": "0.32", "listen.front": "10.1.0.1:80", "listen.ready": "10.1.0.1:81",
 		"ip": "10.1.0.1", "internalPorts.0": "7540", "platform.address": "10.2.0.1:8541", "bounds.grace": "6s",
 		"bounds.retryBudgetRatio": "0.2", "bounds.budgetWindow": "10s", "bounds.budgetSlack": "56", "bounds.probesPerS": "60",
+		"limits.memoryMb": "136", "limits.maxFds": "2870",
 	}
 	filled := regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(string(template), func(place string) string {
 		value, ok := values[place[2:len(place)-2]]
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -86,6 +86,9 @@
 		b.addError(section, key.Name(), key.Name(), "a key of "+fieldNames(field))
 		return
 	}
+	if key.Value() == "" {
+		return // A template's field that the deployment lacks is empty; the key keeps its default.
+	}
 	if err := setValue(value, key.Value()); err != nil {
 		b.addError(section, key.Name(), key.Value(), err.Error())
 	}
