Bound what callers make an instance hold

Cause: nothing bounded the heads, bodies, responses and connections that callers make an instance hold. A head of 16 KB with short lines costs up to 228 bytes a line in net/http's map and our copy (TestCosts), 450 KB in all; after 431 net/http keeps a connection for half a second, so that clients that connect again at once add up; connections to targets were bounded per target only.

Change: package reserver is one budget for heads, bodies, buffered and held responses, pipelined requests, calls of other instances and connections, by client address. Beyond it new work is refused as not run, the slowest connections are closed first, the last eighth is for addresses that hold little. Heads are judged below net/http while they arrive: size by the configuration's maxHeaderBytes, lines, empty lines. Bodies have a least speed of 256 bytes a second after ten seconds of waiting. Connections of callers, to targets, for readiness and metrics are divided by [Machine] Descriptors; the budget and the runtime's soft limit follow from [Machine] MemoryMB or the cgroup. Heads of targets are limited to 64 KiB (256 before), messages of peers to 8 MiB. Event 2050, metrics caller_*, reason Overloaded, a design note and an operators' page.

Requests that were read ahead were read byte by byte, as net/http reads while a request is served; behind the first byte they are now read in up to 4 KiB.

--- a/acceptor/ahead.go
+++ b/acceptor/ahead.go
@@ -25,7 +25,8 @@
 }
 
 // serveAhead starts the handler of a request that was read ahead.
-func (c *aheadConn) serveAhead(request *http.Request) *aheadCall {
+// What was reserved for it is released when its handler has returned.
+func (c *aheadConn) serveAhead(request *http.Request, reserved int64) *aheadCall {
 	ctx, cancel := context.WithCancel(c.ctx)
 	request = request.WithContext(ctx)
 	request.RemoteAddr = c.RemoteAddr().String()
@@ -34,6 +35,7 @@
 	c.pipeline.open.Add(1)
 	go func() {
 		defer c.pipeline.open.Add(-1)
+		defer c.holder.Release(reserved)
 		defer close(call.done)
 		defer cancel()
 		defer func() {
--- a/acceptor/aheadconn.go
+++ b/acceptor/aheadconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"os"
 	"slices"
@@ -9,6 +10,7 @@
 	"time"
 
 	"hemlocktally/logger"
+	"hemlocktally/reserver"
 )
 
 // phase tells to which part of a request the bytes belong that the server reads
@@ -28,7 +30,8 @@
 type aheadConn struct {
 	*conn
 	pipeline *Pipeline
-	ctx      context.Context //nolint:containedctx // Requests that were read ahead are cancelled with the connection.
+	holder   *reserver.Holder // holder reserves what the caller makes the instance hold.
+	ctx      context.Context  //nolint:containedctx // Requests that were read ahead are cancelled with the connection.
 	cancel   context.CancelFunc
 
 	mu            sync.Mutex
@@ -45,6 +48,9 @@
 	stopped       bool          // stopped is set while the next request after the queue must not be served ahead.
 	queue         []*aheadCall  // queue holds the requests that were read ahead, in order.
 	err           error         // err is the error that ended reading.
+	refused       headRefusal   // refused is why the current head is refused; its zero value lets it pass.
+	headHeld      int64         // headHeld is what is reserved for the current request and its head.
+	unreadHeld    int64         // unreadHeld is what is reserved for unread.
 }
 
 // open sets the context of the connection. It is called once, before the server
@@ -80,6 +86,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.current = nil
+	c.releaseHead()
 	c.updatePhase()
 	c.signal()
 }
@@ -147,19 +154,36 @@
 		if p.leaving.Load() && c.parsed+size > c.beforeStop {
 			return
 		}
-		c.parsed += size
-		c.queue = append(c.queue, c.serveAhead(request))
+		c.appendAhead(request, size)
 	}
 }
 
+// appendAhead starts a request of the given size that was read ahead, if the budget allows it.
+// Otherwise it is served when its turn comes.
+func (c *aheadConn) appendAhead(request *http.Request, size int) {
+	cost := aheadCost(c.unread[c.parsed : c.parsed+size])
+	if !c.holder.TryReserve(cost) {
+		c.stopped = true
+		return
+	}
+	c.parsed += size
+	c.queue = append(c.queue, c.serveAhead(request, cost))
+}
+
 // Read delivers the bytes of the current request, and reads ahead while it is
 // being served.
 func (c *aheadConn) Read(p []byte) (int, error) {
 	for {
 		c.mu.Lock()
 		n := c.deliverUnread(p)
-		err, limit := c.err, c.readLimit(len(p))
+		burst := c.phase == phaseServing && len(c.unread) > 0
+		err, limit := c.err, c.readLimit(askedBytes(p, burst))
 		switch {
+		case err == nil && c.refused != headRefusal{}:
+			c.err = readError(errors.New("the head was refused"))
+			c.mu.Unlock()
+			c.refuseHead()
+			continue
 		case n > 0:
 			c.mu.Unlock()
 			return n, nil
@@ -172,15 +196,43 @@
 			}
 			continue
 		}
+		waiting := c.waitsForCaller()
 		c.mu.Unlock()
-		n, err = c.conn.Read(p[:limit])
-		delivered := c.received(p[:n], err)
+		delivered := 0
+		if burst {
+			n, err = c.readBurst(limit)
+		} else {
+			n, err = c.readSocket(p[:limit], waiting)
+			delivered = c.received(p[:n], err)
+		}
 		if delivered > 0 || (n == 0 && err != nil) {
 			return delivered, err
 		}
 	}
 }
 
+// burstBytes is how much is read at once behind the first byte of what is read ahead. net/http
+// reads single bytes while a request is served; a request of 150 bytes would take 150 reads.
+const burstBytes = 4 << 10
+
+var burstBuffers = sync.Pool{New: func() any { return new([burstBytes]byte) }}
+
+func askedBytes(p []byte, burst bool) int {
+	if burst {
+		return burstBytes
+	}
+	return len(p)
+}
+
+// readBurst reads up to limit bytes that are read ahead, and appends them to unread.
+func (c *aheadConn) readBurst(limit int) (int, error) {
+	buffer, _ := burstBuffers.Get().(*[burstBytes]byte)
+	defer burstBuffers.Put(buffer)
+	n, err := c.readSocket(buffer[:limit], reserver.Serving)
+	c.received(buffer[:n], err)
+	return n, err
+}
+
 // deliverUnread delivers bytes from unread.
 func (c *aheadConn) deliverUnread(p []byte) int {
 	n := c.consume(p[:copy(p, c.unread)])
@@ -189,6 +241,7 @@
 	if len(c.unread) == 0 {
 		c.unread = nil
 	}
+	c.reserveUnread(0)
 	c.checkBodyEnd()
 	return n
 }
@@ -203,6 +256,9 @@
 		if n, complete = c.head.feed(part); complete {
 			c.phase = phaseHeadDelivered
 		}
+		if n > 0 && !c.admitHead() {
+			return 0
+		}
 	case phaseBody:
 		n = int(min(int64(len(part)), c.bodyRemaining))
 		c.bodyRemaining -= int64(n)
@@ -227,7 +283,11 @@
 	case phaseHeadDelivered:
 		return 0
 	case phaseServing:
-		return max(0, min(asked, c.pipeline.bytes()-len(c.unread)))
+		limit := max(0, min(asked, c.pipeline.bytes()-len(c.unread)))
+		if limit > 0 && !c.reserveUnread(limit) {
+			return 0
+		}
+		return limit
 	case phaseHead, phaseBody, phasePassthrough:
 	}
 	return asked
@@ -243,7 +303,7 @@
 	if len(c.unread) == 0 {
 		n = c.consume(part)
 	}
-	if n < len(part) {
+	if n < len(part) && c.refused == (headRefusal{}) {
 		c.unread = append(c.unread, part[n:]...)
 	}
 	if !c.pipeline.leaving.Load() {
@@ -324,9 +384,14 @@
 		c.err = os.ErrClosed
 	}
 	c.signal()
+	c.releaseHead()
+	c.holder.Release(c.unreadHeld)
+	c.unreadHeld = 0
 	c.mu.Unlock()
 	if c.cancel != nil {
 		c.cancel()
 	}
-	return c.conn.Close()
+	err := c.conn.Close()
+	c.holder.Close()
+	return err
 }
--- a/acceptor/head.go
+++ b/acceptor/head.go
@@ -16,6 +16,9 @@
 	started  bool // started is set once a line was not empty; empty lines before it are skipped.
 	nonEmpty bool // nonEmpty is set if the current line holds more than a carriage return.
 	cr       bool // cr is set if the current line is a single carriage return so far.
+	bytes    int  // bytes is the number of bytes so far.
+	lines    int  // lines is the number of lines that have ended and were not empty.
+	empty    int  // empty is the number of empty lines before the first other one.
 }
 
 // feed scans bytes. It returns how many of them belong to the headers, and whether
@@ -24,8 +27,14 @@
 	for i, b := range p {
 		switch {
 		case b == '\n' && !h.nonEmpty && h.started:
+			h.bytes += i + 1
 			return i + 1, true
 		case b == '\n':
+			if h.started {
+				h.lines++
+			} else {
+				h.empty++
+			}
 			h.nonEmpty, h.cr = false, false
 		case b == '\r' && !h.nonEmpty && !h.cr:
 			h.cr = true
@@ -33,6 +42,7 @@
 			h.nonEmpty, h.started = true, true
 		}
 	}
+	h.bytes += len(p)
 	return len(p), false
 }
 
--- a/acceptor/pipeline.go
+++ b/acceptor/pipeline.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hemlocktally/logger"
+	"hemlocktally/reserver"
 )
 
 // Default limits of one connection.
@@ -38,6 +39,11 @@
 	MaxConcurrent     int // MaxConcurrent is how many requests of one connection are served at once; zero means DefaultMaxConcurrent.
 	MaxReadAheadBytes int // MaxReadAheadBytes is the maximum number of bytes read ahead on one connection; zero means DefaultReadAheadBytes.
 	Log               logger.Logger
+	// Reserver bounds what callers make the instance hold; nil means no bound.
+	Reserver *reserver.Reserver
+	// HeadLimit returns the maximum size of a head in bytes. If it is nil or returns zero, the
+	// server's own limit applies.
+	HeadLimit func() int
 
 	leaving   atomic.Bool
 	open      atomic.Int64  // open counts the requests that were read ahead and whose handlers still run.
@@ -54,6 +60,7 @@
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if ahead, ok := c.(*aheadConn); ok {
 			ctx = context.WithValue(ctx, connKey{}, ahead)
+			ctx = reserver.WithHolder(ctx, ahead.holder)
 			ahead.open(ctx)
 		}
 		return ctx
@@ -71,16 +78,23 @@
 	pipeline *Pipeline
 }
 
-// Accept returns the next connection.
+// Accept returns the next connection. It closes connections that have no place in the budget.
 func (l aheadListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	if c, ok := accepted.(*conn); ok {
-		return &aheadConn{conn: c, pipeline: l.pipeline}, nil
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c, ok := accepted.(*conn)
+		if !ok {
+			return accepted, nil
+		}
+		ahead := &aheadConn{conn: c, pipeline: l.pipeline}
+		if ahead.reserve() {
+			return ahead, nil
+		}
+		_ = c.Close()
 	}
-	return accepted, nil
 }
 
 // StopReadAhead stops reading ahead of requests that arrive from now on, and closes each
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -28,6 +28,7 @@
 	"hemlocktally/prober"
 	"hemlocktally/quarantiner"
 	"hemlocktally/recorder"
+	"hemlocktally/reserver"
 )
 
 // Error is the class of this package's errors.
@@ -67,6 +68,7 @@
 	recorder   *recorder.Recorder
 	dispatcher dispatcher.Dispatcher
 	pipeline   acceptor.Pipeline // pipeline serves the callers' connections.
+	reserver   reserver.Reserver // reserver bounds what callers make the instance hold.
 	leaving    atomic.Bool
 	closesAt   atomic.Pointer[time.Time] // closesAt is when a stopping instance closes its callers' connections.
 	configured pictureVersion            // configured is what owner and fallback were last configured with.
@@ -84,7 +86,10 @@
 	probeIdleTimeout  = connIdleLimit           // probeIdleTimeout is how long an idle connection for load probes is kept.
 	headerTimeout     = 3 * time.Second         // headerTimeout limits the time for reading a caller's header.
 	callerIdleTimeout = time.Minute             // callerIdleTimeout is how long a caller's idle connection is kept.
-	maxHeaderBytes    = 32 << 10                // maxHeaderBytes limits a caller's header.
+	maxHeaderBytes    = 32 << 10                // maxHeaderBytes limits a caller's header if the configuration has no limit.
+	maxAnyHeaderBytes = 1 << 20                 // maxAnyHeaderBytes is the most that a configuration may allow.
+	maxPeerHeadBytes  = 256 << 10               // maxPeerHeadBytes limits the header of a call from another instance; HTTP/2 counts 32 bytes more for each line.
+	maxPeerBodyBytes  = 8 << 20                 // maxPeerBodyBytes limits a message from another instance.
 	maxBodyBytes      = 64 << 20                // maxBodyBytes limits a caller's body if the configuration has no limit.
 	holdBackBytes     = 256 << 10               // holdBackBytes is how much of a response is buffered until it is complete.
 	drainDelay        = 2200 * time.Millisecond // drainDelay is how long new calls still arrive after an instance has stopped being ready.
@@ -112,10 +117,12 @@
 	group.Add(func() error { return b.serveCallers(ctx, listeners.callers) }, func(error) {})
 	for _, task := range []func(context.Context) error{
 		b.follower.Run, b.owner.Run, b.fallback.Run, b.dialer.Run, b.monitor.Run, b.keeper.Run,
-		func(ctx context.Context) error { return serve(ctx, listeners.ready, plainServer(b.readyHandler())) },
+		func(ctx context.Context) error {
+			return serve(ctx, b.limitConnections(listeners.ready), plainServer(b.readyHandler()))
+		},
 		func(ctx context.Context) error { return b.servePeers(ctx, listeners.peers) },
 		func(ctx context.Context) error {
-			return serve(ctx, listeners.metrics, plainServer(b.operatorHandler()))
+			return serve(ctx, b.limitConnections(listeners.metrics), plainServer(b.operatorHandler()))
 		},
 	} {
 		group.Add(func() error { return task(taskCtx) }, func(error) { cancel() })
@@ -147,7 +154,7 @@
 		b.DialTarget = dial
 	}
 	b.dialer = &dialer.Dialer{
-		Viewer: b.follower, ProvenFor: connProvenFor, IdleLimit: connIdleLimit, DialTimeout: connDialTimeout, Dial: b.DialTarget,
+		Viewer: b.follower, ProvenFor: connProvenFor, IdleLimit: connIdleLimit, DialTimeout: connDialTimeout, Dial: b.DialTarget, MaxLinks: b.Settings.targetConnections(),
 	}
 	b.monitor = &monitor.Monitor{Reach: b.dialer.Reach, Listed: b.listedTargets, Log: b.Log}
 	b.follower.Isolated = func() bool { return b.monitor.IsolatedServices() > 0 }
@@ -264,7 +271,7 @@
 }
 
 func plainServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
 // serve runs the server on a listener until the context ends. Without a listener
@@ -303,5 +310,6 @@
 		Links: b.dialer, CrashDetector: b.dialer, Reachability: b.monitor, Forwarder: b.forwarder, StopsAt: b.stopsAt, Quarantine: b.suspects, Log: b.Log, Dialect: b.Platform, BodyLimit: maxBodyBytes, BufferLimit: holdBackBytes,
 	}
 	b.pipeline.Handler, b.pipeline.Idempotent, b.pipeline.Log = &b.dispatcher, b.dispatcher.Idempotent, b.Log
+	b.setUpReserver()
 	b.pipeline.MaxConcurrent, b.pipeline.MaxReadAheadBytes = b.Settings.Callers.PipelineDepth, b.Settings.Callers.PipelineBytes
 }
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -10,6 +10,7 @@
 	"hemlocktally/logger"
 	"hemlocktally/placer"
 	"hemlocktally/recorder"
+	"hemlocktally/reserver"
 )
 
 // statsTimeout limits the wait for the statistics of all services.
@@ -71,6 +72,7 @@
 	}, recorder.Metric{
 		Name: "limited_grants_total", Help: "Grants that were counted against a limit of their target.", Type: typeCounter, Value: float64(granted),
 	})
+	gauges = append(gauges, b.reserverGauges()...)
 	gauges = append(gauges, serviceGauges("owner", b.owner.Stats(ctx))...)
 	gauges = append(gauges, serviceGauges("alone", b.fallback.Stats(ctx))...)
 	if b.LinesDropped != nil {
@@ -90,6 +92,24 @@
 	return gauges
 }
 
+// reserverGauges returns the metrics of what callers make the instance hold.
+func (b *Balancer) reserverGauges() []recorder.Metric {
+	stats := b.reserver.Stats()
+	gauges := []recorder.Metric{
+		{Name: "caller_memory_bytes", Help: "Memory reserved for what callers make the instance hold.", Type: typeGauge, Value: float64(stats.Used)},
+		{Name: "caller_memory_limit_bytes", Help: "Budget for that memory; 0 for none.", Type: typeGauge, Value: float64(b.reserver.Bytes)},
+		{Name: "caller_connections", Help: "Open connections of callers.", Type: typeGauge, Value: float64(stats.Connections)},
+		{Name: "caller_connections_limit", Help: "How many connections callers may have open; 0 for no limit.", Type: typeGauge, Value: float64(b.reserver.Connections)},
+		{Name: "caller_addresses", Help: "Addresses that callers have connections from.", Type: typeGauge, Value: float64(stats.Addresses)},
+	}
+	for _, kind := range reserver.Kinds() {
+		gauges = append(gauges, recorder.Metric{
+			Name: "caller_refusals_" + kind.String() + "_total", Help: "Callers refused or closed: " + kind.String() + ".", Type: typeCounter, Value: float64(stats.Refusals[kind]),
+		})
+	}
+	return gauges
+}
+
 // serviceGauges returns the metrics of the services that this instance places
 // calls for in a role: as their owner, or alone, without the owner.
 func serviceGauges(role string, services []placer.Stats) []recorder.Metric {
--- a/balancer/peer.go
+++ b/balancer/peer.go
@@ -19,6 +19,7 @@
 // peerServer returns the HTTP server for calls from other instances.
 func peerServer(handler http.Handler) *http.Server {
 	server := plainServer(handler)
+	server.MaxHeaderBytes = maxPeerHeadBytes
 	messenger.ConfigureServer(server)
 	return server
 }
@@ -28,11 +29,12 @@
 	mux.Handle(messenger.PlacementPathPrefix, messenger.NewPlacementServer(b.owner))
 	mux.Handle(messenger.QuarantinePathPrefix, messenger.NewQuarantineServer(b.suspects))
 	mux.Handle(messenger.RelayPathPrefix, messenger.NewRelayServer(b.follower))
+	messages := http.MaxBytesHandler(mux, maxPeerBodyBytes)
 	return serve(ctx, listener, peerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(hemlocktally.HeaderForwarded) != "" {
 			b.dispatcher.ServeForwarded(w, r)
 			return
 		}
-		mux.ServeHTTP(w, r)
+		messages.ServeHTTP(w, r)
 	})))
 }
--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -41,10 +41,16 @@
 	Metrics string // Metrics may be empty.
 }
 
-// CallerSettings limit the pipelining on one connection of a caller.
+// CallerSettings limit the pipelining on one connection of a caller, and what all callers
+// together make the instance hold.
 type CallerSettings struct {
 	PipelineDepth int // PipelineDepth is how many idempotent requests of one connection are served concurrently; 1 serves them one by one.
 	PipelineBytes int // PipelineBytes limits how many bytes are read ahead on one connection.
+	// MemoryMB is the budget for what callers make the instance hold, in MiB; zero means a part
+	// of the machine's memory.
+	MemoryMB    float64
+	Connections int // Connections is how many connections callers may have open; zero means a part of the machine's descriptors.
+	MinBodyRate int // MinBodyRate is the least speed of a request body, in bytes per second, after its first ten seconds.
 }
 
 // PlatformSettings hold the address of the platform's store.
@@ -83,6 +89,7 @@
 	defaultRetryRatio      = 0.1
 	defaultRetryWindow     = 10 * time.Second
 	defaultProbesPerSecond = 50
+	defaultMinBodyRate     = 256
 )
 
 // WithDefaults returns the settings with a default in place of each zero value.
@@ -90,6 +97,7 @@
 	s.Instance.Weight = cmp.Or(s.Instance.Weight, 1)
 	s.Callers.PipelineDepth = cmp.Or(s.Callers.PipelineDepth, acceptor.DefaultMaxConcurrent)
 	s.Callers.PipelineBytes = cmp.Or(s.Callers.PipelineBytes, acceptor.DefaultReadAheadBytes)
+	s.Callers.MinBodyRate = cmp.Or(s.Callers.MinBodyRate, defaultMinBodyRate)
 	s.Bounds.StopTimeout = cmp.Or(s.Bounds.StopTimeout, defaultStopTimeout)
 	s.Bounds.RetryRatio = cmp.Or(s.Bounds.RetryRatio, defaultRetryRatio)
 	s.Bounds.RetryWindow = cmp.Or(s.Bounds.RetryWindow, defaultRetryWindow)
@@ -119,8 +127,11 @@
 	maxPipelineBytes = 1 << 20
 )
 
-// Allowed values of MachineSettings.
+// Allowed values of MachineSettings, and of what CallerSettings derives from them.
 const (
+	minCallerMB    = 4
+	minConnections = 16
+	maxBodyRate    = 1 << 20
 	minMemoryMB    = 32
 	maxMemoryMB    = 1 << 30
 	minDescriptors = 256
@@ -148,6 +159,9 @@
 		{"Listen", "Metrics", s.Listen.Metrics, address + ", or nothing", s.Listen.Metrics == "" || loader.IsAddress(s.Listen.Metrics)},
 		{"Callers", "PipelineDepth", strconv.Itoa(s.Callers.PipelineDepth), "a number from 1 to 64", inRange(s.Callers.PipelineDepth, 1, maxPipelineDepth)},
 		{"Callers", "PipelineBytes", strconv.Itoa(s.Callers.PipelineBytes), "a number of bytes from 4096 to 1048576", inRange(s.Callers.PipelineBytes, minPipelineBytes, maxPipelineBytes)},
+		{"Callers", "MemoryMB", strconv.FormatFloat(s.Callers.MemoryMB, 'g', -1, 64), "a number of MiB from 4 to 1073741824, or nothing", s.Callers.MemoryMB == 0 || (s.Callers.MemoryMB >= minCallerMB && s.Callers.MemoryMB <= maxMemoryMB)},
+		{"Callers", "Connections", strconv.Itoa(s.Callers.Connections), "a number from 16 to 1073741824, or nothing", s.Callers.Connections == 0 || inRange(s.Callers.Connections, minConnections, maxDescriptors)},
+		{"Callers", "MinBodyRate", strconv.Itoa(s.Callers.MinBodyRate), "a number of bytes per second from 1 to 1048576", inRange(s.Callers.MinBodyRate, 1, maxBodyRate)},
 		{"Platform", "Store", s.Platform.Store, address, loader.IsAddress(s.Platform.Store)},
 		{"Bounds", "RetryRatio", strconv.FormatFloat(s.Bounds.RetryRatio, 'g', -1, 64), "a share from 0 to 1", s.Bounds.RetryRatio <= 1},
 		{"Machine", "MemoryMB", strconv.FormatFloat(s.Machine.MemoryMB, 'g', -1, 64), "a number of MiB from 32 to 1073741824, or nothing", s.Machine.MemoryMB == 0 || (s.Machine.MemoryMB >= minMemoryMB && s.Machine.MemoryMB <= maxMemoryMB)},
--- a/balancer/stop.go
+++ b/balancer/stop.go
@@ -16,7 +16,7 @@
 // noticed, then closes idle connections and finishes open calls.
 func (b *Balancer) serveCallers(ctx context.Context, listener net.Listener) error {
 	server := &http.Server{
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxAnyHeaderBytes,
 	}
 	b.pipeline.ConfigureServer(server)
 	serveDone := make(chan error, 1)
--- a/cmd/hemlocktally/balance.go
+++ b/cmd/hemlocktally/balance.go
@@ -30,6 +30,7 @@
 	if err != nil {
 		return err
 	}
+	settings.LimitMemory()
 	lines := logger.NewWriter(os.Stdout, 0)
 	log, err := logger.New(lines, settings.Log.Format, settings.Log.Level)
 	if err != nil {
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -28,7 +28,7 @@
 	maxWarmTargets  = 512
 	linkBufferBytes = 8 << 10
 	// maxResponseHeaderBytes limits the header of a target's response.
-	maxResponseHeaderBytes = 256 << 10
+	maxResponseHeaderBytes = 64 << 10
 	// reservedFraction is the fraction of a target's connections that is left to
 	// probes and to instances that have not discovered one another yet.
 	reservedFraction = 0.1
@@ -46,6 +46,7 @@
 	ProvenFor   time.Duration
 	IdleLimit   time.Duration // IdleLimit is how long an unused link stays open; zero means 30 s.
 	DialTimeout time.Duration // DialTimeout limits the opening of a link; zero means 500 ms.
+	MaxLinks    int           // MaxLinks limits the links to all targets together; zero means no limit.
 	// Dial opens a connection; nil means a net.Dialer with DialTimeout.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -103,6 +104,8 @@
 				return result.link, nil
 			}
 			result.link.discard()
+		case result.full:
+			return nil, &hemlocktally.ConnError{Target: request.Target.Name, Cause: &hemlocktally.OverloadError{}}
 		case result.dial:
 			return d.open(ctx, request)
 		default:
@@ -121,7 +124,11 @@
 		p = &pool{}
 		d.pools[request.Target.Address] = p
 	}
-	return p.take(request.Proven, request.Fresh, d.ProvenFor, share, time.Now())
+	result := p.take(request.Proven, request.Fresh, d.ProvenFor, share, time.Now())
+	if result.dial && d.MaxLinks > 0 {
+		d.makeRoom(p, &result)
+	}
+	return result
 }
 
 func (d *Dialer) waitForLink(ctx context.Context, target hemlocktally.Target, wait chan struct{}) error {
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -12,11 +12,12 @@
 	lastReceivedByAny time.Time // lastReceivedByAny is when a released link last received a byte.
 }
 
-// takeResult tells the caller of take to use a link, to dial, or to wait. Exactly
-// one of link, dial and wait is set.
+// takeResult tells the caller of take to use a link, to dial, to wait, or that there
+// are too many links. Exactly one of link, dial, wait and full is set.
 type takeResult struct {
 	link    *link
 	dial    bool
+	full    bool
 	wait    chan struct{}
 	toClose []*link // toClose lists removed links that the caller must close.
 }
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -285,7 +285,7 @@
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return a.roundTripFailure(ctx, errors.New("the target switched protocols"), result)
 	}
-	buffered, err := bufferResponse(response, a.call.dispatcher.BufferLimit)
+	buffered, complete, err := a.bufferResponse(response)
 	if err == nil && closeDelimited(response) && !a.call.dispatcher.dialect().AllowsCloseDelimited() {
 		err = errors.New("the response has neither Content-Length nor chunked encoding, so truncation can't be detected")
 	}
@@ -294,11 +294,11 @@
 	}
 	delivered := &targetResponse{status: response.StatusCode, header: response.Header, length: response.ContentLength, buffered: buffered}
 	result.Outcome = outcomeForStatus(response.StatusCode)
-	if closeDelimited(response) && int64(len(buffered)) <= a.call.dispatcher.BufferLimit {
+	if closeDelimited(response) && complete {
 		delivered.length = int64(len(buffered))
 	}
 	msg := responseMsg{ResponseMsg: ResponseMsg{Attempt: a.number, Status: response.StatusCode, Final: a.peer != ""}, response: delivered}
-	if int64(len(buffered)) <= a.call.dispatcher.BufferLimit {
+	if complete {
 		msg.Buffered = true
 		msg.summary = a.release(result, false)
 		a.call.messages <- msg
--- a/dispatcher/body.go
+++ b/dispatcher/body.go
@@ -7,10 +7,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
 	"hemlocktally"
+	"hemlocktally/reserver"
 )
 
 // requestBody is the body of a caller's request. A small body is buffered, so
@@ -39,16 +41,21 @@
 		return bodyTooLarge(limit)
 	}
 	source := &callerBody{call: c, reader: http.MaxBytesReader(c.writer, c.request.Body, limit)}
-	buffered, err := io.ReadAll(io.LimitReader(source, c.dispatcher.BufferLimit+1))
+	buffered, complete, err := c.memory.readUpTo(source, c.request.ContentLength, c.dispatcher.BufferLimit, false)
 	if err != nil {
 		return bodyError(err)
 	}
 	c.body.buffered = buffered
-	if int64(len(buffered)) > c.dispatcher.BufferLimit {
+	switch {
+	case complete:
+		c.body.length = int64(len(buffered))
+	case int64(len(buffered)) > c.dispatcher.BufferLimit:
 		c.body.remaining = source
-		return nil
+		c.memory.reserveBuffer()
+	default:
+		c.memory.holder.Note(reserver.KindMemory)
+		return bodyError(&hemlocktally.OverloadError{})
 	}
-	c.body.length = int64(len(buffered))
 	return nil
 }
 
@@ -61,6 +68,10 @@
 	if errors.As(err, &sizeError) {
 		return bodyTooLarge(sizeError.Limit)
 	}
+	var overload *hemlocktally.OverloadError
+	if errors.As(err, &overload) {
+		return notRunError(hemlocktally.ReasonOverloaded, overload.Error())
+	}
 	return notRunError(hemlocktally.ReasonBadRequest, "reading the request body failed: "+err.Error())
 }
 
@@ -98,29 +109,54 @@
 // Close does nothing, because the server owns the caller's body.
 func (s *streamedBody) Close() error { return nil }
 
-// callerBody reads the body from the caller with a timeout on each part.
+// callerBody reads the body from the caller with a timeout on each part and a least speed.
 type callerBody struct {
 	call        *call
 	reader      io.Reader
 	deadlineSet time.Time
+	deadline    time.Time
+	received    int64
+	waited      time.Duration // waited is the time spent waiting for the caller.
 }
 
 // Read sets the read deadline for the next part of the body and clears it at the
 // end, so that it doesn't limit the wait for the response.
 func (b *callerBody) Read(p []byte) (int, error) {
 	const rearmEvery = time.Second
-	if now := time.Now(); now.Sub(b.deadlineSet) > rearmEvery {
-		b.deadlineSet = now
-		_ = b.call.controller.SetReadDeadline(now.Add(b.call.dispatcher.readTimeout()))
+	started := time.Now()
+	if started.Sub(b.deadlineSet) > rearmEvery {
+		b.deadlineSet, b.deadline = started, started.Add(b.timeLeft())
+		_ = b.call.controller.SetReadDeadline(b.deadline)
 	}
+	holder := b.call.memory.holder
+	holder.Wait(reserver.Receiving)
 	n, err := b.reader.Read(p)
+	holder.Moved(n)
+	b.received += int64(n)
+	b.waited += time.Since(started)
 	if errors.Is(err, io.EOF) {
 		b.call.body.complete.Store(true)
 		_ = b.call.controller.SetReadDeadline(time.Time{})
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(b.deadline) { // Otherwise unblockBodyRead ended the read.
+		holder.Note(reserver.KindBodyRate)
+	}
 	return n, err
 }
 
+// timeLeft returns how long the caller may take for the next part: the read timeout, or less if
+// the body arrives more slowly than MinBodyRate. Time in which the target takes no more of the
+// body is not counted.
+func (b *callerBody) timeLeft() time.Duration {
+	timeout := b.call.dispatcher.readTimeout()
+	rate := b.call.dispatcher.MinBodyRate
+	if rate <= 0 {
+		return timeout
+	}
+	allowed := timeout + time.Duration(float64(b.received)/float64(rate)*float64(time.Second))
+	return max(0, min(timeout, allowed-b.waited))
+}
+
 // unblockBodyRead interrupts a read from the caller when ctx ends, because
 // net/http returns from a round trip only once the body is no longer read. The
 // returned function stops this.
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -21,6 +21,7 @@
 	customer        hemlocktally.Customer // customer has no name if the call is no customer's.
 	idempotencyKey  string
 	body            *requestBody
+	memory          callMemory
 	started         time.Time
 	deadline        time.Time
 	fence           time.Time // fence is when a claimed call must have ended; zero means no limit.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -16,6 +16,7 @@
 
 	"hemlocktally"
 	"hemlocktally/logger"
+	"hemlocktally/reserver"
 )
 
 // Dispatcher serves callers. It implements http.Handler.
@@ -37,6 +38,8 @@
 	BodyLimit          int64                    // BodyLimit is the maximum size of a request body in bytes, unless the configuration sets one.
 	BufferLimit        int64                    // BufferLimit is the size in bytes up to which a request or response body is buffered; larger ones are streamed.
 	ReadTimeout        time.Duration            // ReadTimeout bounds the wait for the next part of a request body; zero means 10 s.
+	MinBodyRate        int64                    // MinBodyRate is the least speed of a request body in bytes per second, after ReadTimeout; zero means none.
+	Peers              *reserver.Holder         // Peers reserves memory for the calls of other instances; it may be nil.
 	WriteTimeout       time.Duration            // WriteTimeout bounds the wait for the caller to accept the next part of a response; zero means 10 s.
 
 	interrupt  interrupt
@@ -94,6 +97,7 @@
 		dispatcher: d, config: config, writer: w, request: r, started: time.Now(),
 		controller: http.NewResponseController(w),
 	}
+	c.memory.holder = reserver.FromContext(r.Context())
 	c.record = hemlocktally.CallRecord{
 		Call: d.callID(r), Method: r.Method, Path: r.URL.Path,
 		Started: c.started, Revision: config.Revision,
@@ -113,6 +117,7 @@
 
 func (d *Dispatcher) finish(c *call) {
 	c.record.Total = time.Since(c.started)
+	c.memory.end()
 	if d.Recorder != nil {
 		d.Recorder.Record(c.record)
 	}
--- a/dispatcher/failure.go
+++ b/dispatcher/failure.go
@@ -33,7 +33,10 @@
 	c := a.call
 	reason := hemlocktally.ReasonTargetFailed
 	var fenceError *hemlocktally.FenceError
+	var overload *hemlocktally.OverloadError
 	switch {
+	case errors.As(err, &overload) && !sent:
+		reason = hemlocktally.ReasonOverloaded
 	case errors.Is(context.Cause(ctx), errAttemptCancelled):
 		reason = hemlocktally.ReasonCallerCancelled
 	case ctx.Err() != nil, errors.As(err, &fenceError):
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"hemlocktally"
+	"hemlocktally/reserver"
 )
 
 // A call that another instance handed over names it, the revision of its configuration, how long
@@ -42,6 +43,7 @@
 	r.Header.Del(hemlocktally.HeaderForwarded)
 	c := d.newCall(w, r)
 	c.forwarded = &from
+	c.memory.holder = d.Peers
 	c.started = c.started.Add(-from.elapsed)
 	defer func() { d.finish(c) }()
 	switch {
@@ -49,6 +51,8 @@
 		c.refuse(notRunError(hemlocktally.ReasonBadRequest, err.Error()))
 	case open > maxForwarded:
 		c.refuse(notRunError(hemlocktally.ReasonShed, "too many calls of other instances are open"))
+	case !c.memory.reserve(reserver.RequestCost):
+		c.refuse(notRunError(hemlocktally.ReasonOverloaded, (&hemlocktally.OverloadError{}).Error()))
 	case d.stopping():
 		c.refuse(notRunError(hemlocktally.ReasonLeaving, "the instance is leaving"))
 	default:
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -54,6 +54,10 @@
 	}
 	d := a.call.dispatcher
 	release = d.held.reserve(size)
+	if release != nil && !a.call.memory.reserve(growFactor*size) {
+		release()
+		release = nil
+	}
 	if release == nil {
 		d.Log.Log(logger.EventResponseNotHeld, logger.Fields{"Call": a.call.record.Call, "Target": a.grant.Target.Name, "Bytes": size})
 		return response.Body, streamed, nil
--- a/dispatcher/response.go
+++ b/dispatcher/response.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"maps"
@@ -18,17 +17,15 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
 }
 
-// bufferResponse reads the body of a response, up to one byte more than the
-// limit. It returns an error if the body is truncated.
-func bufferResponse(response *http.Response, limit int64) ([]byte, error) {
-	const initialBytes = 4 << 10
-	size := min(limit, initialBytes)
-	if n := response.ContentLength; n >= 0 && n <= limit && response.Request.Method != http.MethodHead {
-		size = n
+// bufferResponse reads the body of a response, up to one byte more than the limit, or less if
+// the memory budget allows no more. It reports whether this is all of it. It returns an error if
+// the body is truncated.
+func (a *attempt) bufferResponse(response *http.Response) (buffered []byte, complete bool, err error) {
+	length := response.ContentLength
+	if response.Request.Method == http.MethodHead {
+		length = 0
 	}
-	buffered := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
-	_, err := buffered.ReadFrom(io.LimitReader(response.Body, limit+1))
-	return buffered.Bytes(), err
+	return a.call.memory.readUpTo(response.Body, length, a.call.dispatcher.BufferLimit, true)
 }
 
 // forwardResponse sends the response of an attempt to the caller.
@@ -84,6 +81,7 @@
 	if _, err := c.writer.Write(response.buffered); err != nil {
 		return c.callerWriteFailed(err)
 	}
+	c.memory.reserveBuffer()
 	buffer := make([]byte, streamBufferBytes)
 	for {
 		n, err := response.remaining.Read(buffer)
--- a/errors.go
+++ b/errors.go
@@ -97,3 +97,10 @@
 	}
 	return fmt.Sprintf("%s: found %q, allowed: %s", place, e.Found, e.Allowed)
 }
+
+// OverloadError reports that a request has no place within the limits on what callers may make
+// an instance hold, or that its connection was closed because of them.
+type OverloadError struct{}
+
+// Error returns a message for the caller.
+func (*OverloadError) Error() string { return "the instance holds as much for its callers as it may" }
--- a/logger/entry_events.go
+++ b/logger/entry_events.go
@@ -78,6 +78,12 @@
 		Meaning: "A hub could not write a request that is held back to the store, or remove one. It tries again; until then the request is forgotten if all instances restart.",
 		Action:  "None, unless it continues: then check the store.",
 	}
+	EventCallerRefused = Event{
+		Number: 2050, Name: "callers refused or closed", Level: logrus.InfoLevel,
+		Fields:  []string{"Kind", "Count", "Caller"},
+		Meaning: "Callers make the instance hold more than they may, or one of them sent what no well-behaved caller sends. Kind says why, Count how many were refused or closed since the last line of the kind, Caller is the address of the last one. At most one line a second for each kind.",
+		Action:  "docs/operators/untrusted-clients.md.",
+	}
 	EventResponseNotHeld = Event{
 		Number: 2007, Name: "large response streamed before later ones", Level: logrus.InfoLevel,
 		Fields:  []string{"Call", "Target", "Bytes"},
@@ -86,4 +92,4 @@
 	}
 )
 
-var entryEvents = []Event{EventCallInvariant, EventClaimOutcomeUnreported, EventReadinessWithdrawn, EventUnusualCall, EventReadAheadMismatch, EventReadAheadCancelled, EventResponseNotHeld, EventTargetBrokeOff, EventRequestHeld, EventRequestReleased, EventSuspectsUnreported, EventCallNotHandedOver, EventHeldRequestNotKept}
+var entryEvents = []Event{EventCallInvariant, EventClaimOutcomeUnreported, EventReadinessWithdrawn, EventUnusualCall, EventReadAheadMismatch, EventReadAheadCancelled, EventResponseNotHeld, EventCallerRefused, EventTargetBrokeOff, EventRequestHeld, EventRequestReleased, EventSuspectsUnreported, EventCallNotHandedOver, EventHeldRequestNotKept}
--- a/outcome.go
+++ b/outcome.go
@@ -25,6 +25,7 @@
 	ReasonDeadline        Reason = "Deadline"
 	ReasonQueueFull       Reason = "QueueFull"
 	ReasonShed            Reason = "Shed"
+	ReasonOverloaded      Reason = "Overloaded"
 	ReasonNoTarget        Reason = "NoTarget"
 	ReasonTargetLimit     Reason = "TargetLimit"
 	ReasonTargetFailed    Reason = "TargetFailed"
