Budget of callers: nothing is reserved after a close; well-behaved callers tested

Cause: a Read that runs while its connection is closed could reserve memory after the close had released it; found by reading, nobody would have released it.

Change: a closed connection reserves nothing.

--- a/acceptor/aheadconn.go
+++ b/acceptor/aheadconn.go
@@ -384,6 +384,7 @@
 		c.err = os.ErrClosed
 	}
 	c.signal()
+	c.holder.Close() // A concurrent Read reserves nothing from now on.
 	c.releaseHead()
 	c.holder.Release(c.unreadHeld)
 	c.unreadHeld = 0
@@ -391,7 +392,5 @@
 	if c.cancel != nil {
 		c.cancel()
 	}
-	err := c.conn.Close()
-	c.holder.Close()
-	return err
+	return c.conn.Close()
 }
--- a/balancer/soak_test.go
+++ b/balancer/soak_test.go
@@ -21,6 +21,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"hemlocktally/imitator"
+	"hemlocktally/overloader"
 )
 
 var (
@@ -130,7 +131,7 @@
 		p := &process{id: fmt.Sprintf("e-%d", i), zone: zones[i%3], callers: ip + ":8080", ready: ip + ":8081"}
 		p.store = newProxy(t, store.Addr().String())
 		p.settings = filepath.Join(t.TempDir(), p.id+".ini")
-		text := fmt.Sprintf("[Instance]\nID = %s\nZone = %s\n[Listen]\nCallers = %s\nReady = %s\nPeers = %s\n[Platform]\nStore = %s\n[Bounds]\nRetryRatio = 0.2\nRetrySlack = 56\n",
+		text := fmt.Sprintf("[Instance]\nID = %s\nZone = %s\n[Listen]\nCallers = %s\nReady = %s\nPeers = %s\n[Platform]\nStore = %s\n[Bounds]\nRetryRatio = 0.2\nRetrySlack = 56\n[Machine]\nMemoryMB = 136\nDescriptors = 2870\n",
 			p.id, p.zone, p.callers, p.ready, ip+":8082", p.store.address())
 		qt.Assert(t, os.WriteFile(p.settings, []byte(text), 0o600), qt.IsNil)
 		s.processes = append(s.processes, p)
@@ -177,7 +178,7 @@
 	i := s.random.IntN(len(s.upstreams))
 	span := time.Duration(300+s.random.IntN(1500)) * time.Millisecond
 	after := func(f func()) { time.AfterFunc(span, f) }
-	switch s.random.IntN(15) {
+	switch s.random.IntN(16) {
 	case 0: // A planned stop; overlapping faults excuse its interrupted calls.
 		s.restart(p, syscall.SIGTERM, 7*time.Second)
 	case 1:
@@ -221,9 +222,23 @@
 		s.restoreStore(span)
 	case 13, 14:
 		s.limits.nameMost(s.upstreams, i, s.random)
+	case 15:
+		s.overload(p, span)
 	}
 }
 
+// overload runs a few clients beyond the limits at the process, of a kind that never completes a
+// request.
+func (s *soak) overload(p *process, span time.Duration) {
+	kinds := []overloader.Kind{overloader.KindEndlessHead, overloader.KindEndlessLine, overloader.KindIdle, overloader.KindSlowHeads}
+	crowd := overloader.Crowd{Kind: kinds[s.random.IntN(len(kinds))], Address: p.callers, Host: "h", Path: "/read/x", Clients: 20, Opens: 10}
+	s.restarts.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), span)
+		defer cancel()
+		crowd.Run(ctx)
+	})
+}
+
 // restoreStore makes the store unavailable for a moment and restores it from a
 // backup as old as the span. The operator writes its newest configuration again;
 // targets write their entries again by themselves.
--- a/overloader/process_test.go
+++ b/overloader/process_test.go
@@ -1,6 +1,7 @@
 package overloader_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -119,13 +120,14 @@
 // instance is a process of the program under test.
 type instance struct {
 	callers, ready string
+	metrics        string
 	command        *exec.Cmd
 	ended          chan struct{}
 	logs           string
 }
 
 // startInstance starts the store, two targets and one process, and waits until it is ready.
-func startInstance(t *testing.T, descriptors int) *instance {
+func startInstance(t *testing.T, memoryMB, descriptors int) *instance {
 	t.Helper()
 	if os.Getenv(processTestsEnv) == "" {
 		t.Skip("runs alone, with " + processTestsEnv + "=1")
@@ -141,9 +143,9 @@
 		imitator.Route{Name: "read", Prefix: "/read/", Repeatable: true, Timeout: "2000ms", Rank: 1, Attempts: 2},
 		imitator.Route{Name: "pay", Prefix: "/pay/", Timeout: "2000ms", Attempts: 2}))
 	ip := uniqueIP()
-	i := &instance{callers: ip + ":8080", ready: ip + ":8081", ended: make(chan struct{})}
-	i.start(t, fmt.Sprintf("[Instance]\nID = e\nZone = a\n[Listen]\nCallers = %s\nReady = %s\nPeers = %s\n[Platform]\nStore = %s\n[Machine]\nMemoryMB = %d\nDescriptors = %d\n",
-		i.callers, i.ready, ip+":8082", store.Addr(), memoryMB, descriptors))
+	i := &instance{callers: ip + ":8080", ready: ip + ":8081", metrics: ip + ":8083", ended: make(chan struct{})}
+	i.start(t, fmt.Sprintf("[Instance]\nID = e\nZone = a\n[Listen]\nCallers = %s\nReady = %s\nPeers = %s\nMetrics = %s\n[Platform]\nStore = %s\n[Machine]\nMemoryMB = %d\nDescriptors = %d\n",
+		i.callers, i.ready, ip+":8082", i.metrics, store.Addr(), memoryMB, descriptors))
 	return i
 }
 
@@ -272,7 +274,7 @@
 	} {
 		t.Run(string(test.kind), func(t *testing.T) {
 			c := qt.New(t)
-			i := startInstance(t, test.descriptors)
+			i := startInstance(t, memoryMB, test.descriptors)
 			before := i.peakMemory(t)
 			opened, answered := i.overload(overloader.Crowd{
 				Kind: test.kind, Address: i.callers, Host: "h", Path: test.path, Clients: crowdClients, Opens: crowdOpens,
@@ -290,3 +292,84 @@
 		})
 	}
 }
+
+// Well-behaved callers of the smallest machine: many connections that were used once and are
+// idle, and calls that wait for slow targets. The limits must refuse or close none of them.
+func TestWellBehavedCallersAreNotRefused(t *testing.T) {
+	const (
+		connections    = 1500
+		waiting        = 120
+		smallMemoryMB  = 136
+		allDescriptors = 2870
+	)
+	c := qt.New(t)
+	i := startInstance(t, smallMemoryMB, allDescriptors)
+	client := &http.Client{Timeout: 30 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: connections}}
+	callAll := func(path string, calls int) {
+		var group sync.WaitGroup
+		defer group.Wait()
+		for n := range calls {
+			group.Go(func() { i.call(client, path, fmt.Sprint(path, n)) })
+		}
+	}
+	idle := make([]net.Conn, connections)
+	for n := range idle {
+		conn, err := net.Dial("tcp", i.callers)
+		c.Assert(err, qt.IsNil)
+		defer func() { _ = conn.Close() }()
+		idle[n] = conn
+		_, err = fmt.Fprintf(conn, "GET /read/x HTTP/1.1\r\nHost: h\r\nRequest-Id: i-%d\r\nDeadline-Ms: 2000\r\n\r\n", n)
+		c.Assert(err, qt.IsNil)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		c.Assert(err, qt.IsNil)
+		_, _ = io.Copy(io.Discard, response.Body)
+		c.Assert(response.Body.Close(), qt.IsNil)
+	}
+	callAll("/read/slow", waiting)
+	callAll("/read/big", waiting)
+	for _, conn := range idle {
+		c.Assert(conn.SetReadDeadline(time.Now().Add(time.Millisecond)), qt.IsNil)
+		_, err := conn.Read(make([]byte, 1))
+		c.Assert(err, qt.ErrorIs, os.ErrDeadlineExceeded, qt.Commentf("an idle connection was closed"))
+	}
+	c.Check(i.refusals(t), qt.HasLen, 0)
+	peak := i.peakMemory(t)
+	t.Logf("peak memory %.1f MiB, %d descriptors", float64(peak)/(1<<20), i.openDescriptors())
+	c.Check(peak <= smallMemoryMB<<20, qt.IsTrue)
+}
+
+// call makes an ordinary call. Whether a target answers in time is not checked: it depends on the
+// machine's speed.
+func (i *instance) call(client *http.Client, path, id string) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+i.callers+path, http.NoBody)
+	if err != nil {
+		return
+	}
+	imitator.SetCall(request, id, 2000)
+	if response, err := client.Do(request); err == nil {
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+}
+
+// refusals returns the metrics of refused callers that are not zero.
+func (i *instance) refusals(t *testing.T) []string {
+	t.Helper()
+	response, err := http.Get("http://" + i.metrics + "/metrics")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	qt.Assert(t, err, qt.IsNil)
+	var found []string
+	known := 0
+	for line := range strings.Lines(string(text)) {
+		if fields := strings.Fields(line); len(fields) == 2 && strings.Contains(fields[0], "caller_refusals_") {
+			known++
+			if fields[1] != "0" {
+				found = append(found, strings.TrimSpace(line))
+			}
+		}
+	}
+	qt.Assert(t, known > 0, qt.IsTrue)
+	return found
+}
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -203,6 +203,9 @@
 }
 
 func (r *Reserver) reserve(h *Holder, n int64) bool {
+	if h.closed {
+		return false
+	}
 	if r.Bytes > 0 {
 		limit := r.Bytes / softDenominator * softNumerator
 		if r.used+n > limit {
@@ -246,7 +249,7 @@
 }
 
 // Close ends the connection and releases its cost. What else was reserved has to be released by
-// those who reserved it.
+// those who reserved it. Nothing more can be reserved.
 func (h *Holder) Close() {
 	if h == nil {
 		return
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -30,6 +30,7 @@
 		h.Release(500 << 10)
 		h.Close()
 		h.Close()
+		c.Assert(h.TryReserve(1), qt.IsFalse) // Nobody would release it.
 	}
 	stats := r.Stats()
 	c.Check(stats.Used, qt.Equals, int64(0))
