Heads of targets count in the callers' budget

Cause: a target's head of 64 KiB can cost some megabytes and was not counted.

Change: its fields count once it has been read, so that new work is refused; the response itself is not.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -285,6 +285,7 @@
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return a.roundTripFailure(ctx, errors.New("the target switched protocols"), result)
 	}
+	a.call.memory.reserveHead(response.Header)
 	buffered, complete, err := a.bufferResponse(response)
 	if err == nil && closeDelimited(response) && !a.call.dispatcher.dialect().AllowsCloseDelimited() {
 		err = errors.New("the response has neither Content-Length nor chunked encoding, so truncation can't be detected")
--- a/dispatcher/memory.go
+++ b/dispatcher/memory.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"sync"
 
 	"hemlocktally/reserver"
@@ -41,6 +42,15 @@
 // Nothing is refused for its sake: the request may already have run.
 func (m *callMemory) reserveBuffer() { _ = m.reserve(streamBufferBytes) }
 
+// reserveHead reserves the memory of a target's head with unusually many fields, if the budget
+// allows it. The head is already there, and its request has run: nothing is refused for its sake,
+// but new work is.
+func (m *callMemory) reserveHead(header http.Header) {
+	if cost := int64(len(header)) * reserver.LineCost; cost > reserver.PlainHeadCost {
+		_ = m.reserve(cost)
+	}
+}
+
 // end releases the memory of the call.
 func (m *callMemory) end() {
 	m.mu.Lock()
