--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -26,6 +26,7 @@
 	Policy    PolicySettings
 	Rollouts  RolloutSettings
 	Operators OperatorSettings
+	Machine   MachineSettings
 	Log       loader.LogSettings
 }
 
@@ -44,10 +45,16 @@
 	Metrics string // Metrics may be empty.
 }
 
-// CallerSettings limit the pipelining on one connection of a caller.
+// CallerSettings limit the pipelining on one connection of a caller, and what all callers
+// together make the instance hold.
 type CallerSettings struct {
 	PipelineDepth int // PipelineDepth is how many idempotent requests of one connection are served concurrently; 1 serves them one by one.
 	PipelineBytes int // PipelineBytes limits how many bytes are read ahead on one connection.
+	// MemoryMB is the budget for what callers make the instance hold, in MiB; zero means a part
+	// of the machine's memory.
+	MemoryMB    float64
+	Connections int // Connections is how many connections callers may have open; zero means a part of the machine's descriptors.
+	MinBodyRate int // MinBodyRate is the least speed of a request body, in bytes per second, after its first ten seconds.
 }
 
 // PlatformSettings hold the address of the platform's store.
@@ -95,6 +102,12 @@
 	Key string // Key allows them to release requests that are held back; if it is empty, nobody may.
 }
 
+// MachineSettings say what the machine leaves to the instance.
+type MachineSettings struct {
+	MemoryMB    float64 // MemoryMB is the memory that the instance may use, in MiB; zero means the limit of its cgroup, if there is one.
+	Descriptors int     // Descriptors is how many files and connections the instance may have open, ReservedDescriptors included; zero means no limit.
+}
+
 // Defaults of the settings.
 const (
 	defaultStopTimeout     = 6 * time.Second
@@ -106,6 +119,7 @@
 	defaultZoneDelay       = 1200 * time.Microsecond
 	defaultExposureSlack   = 50
 	defaultRollbackDelay   = 5 * time.Second
+	defaultMinBodyRate     = 256
 )
 
 // WithDefaults returns the settings with a default in place of each zero value.
@@ -114,6 +128,7 @@
 	s.Callers.PipelineDepth = cmp.Or(s.Callers.PipelineDepth, acceptor.DefaultMaxConcurrent)
 	s.Callers.PipelineBytes = cmp.Or(s.Callers.PipelineBytes, acceptor.DefaultReadAheadBytes)
 	s.Platform.Heartbeat = cmp.Or(s.Platform.Heartbeat, defaultHeartbeat)
+	s.Callers.MinBodyRate = cmp.Or(s.Callers.MinBodyRate, defaultMinBodyRate)
 	s.Bounds.StopTimeout = cmp.Or(s.Bounds.StopTimeout, defaultStopTimeout)
 	s.Bounds.RetryRatio = cmp.Or(s.Bounds.RetryRatio, defaultRetryRatio)
 	s.Bounds.RetryWindow = cmp.Or(s.Bounds.RetryWindow, defaultRetryWindow)
@@ -158,6 +173,17 @@
 	minRollbackDelay = time.Second
 )
 
+// Allowed values of MachineSettings, and of what CallerSettings derives from them.
+const (
+	minCallerMB    = 4
+	minConnections = 16
+	maxBodyRate    = 1 << 20
+	minMemoryMB    = 32
+	maxMemoryMB    = 1 << 30
+	minDescriptors = 256
+	maxDescriptors = 1 << 30
+)
+
 func inRange(n, lo, hi int) bool { return n >= lo && n <= hi }
 
 // Check returns a *hemlocktally.SettingError for each key that is missing or has
@@ -179,6 +205,9 @@
 		{"Listen", "Metrics", s.Listen.Metrics, address + ", or nothing", s.Listen.Metrics == "" || loader.IsAddress(s.Listen.Metrics)},
 		{"Callers", "PipelineDepth", strconv.Itoa(s.Callers.PipelineDepth), "a number from 1 to 64", inRange(s.Callers.PipelineDepth, 1, maxPipelineDepth)},
 		{"Callers", "PipelineBytes", strconv.Itoa(s.Callers.PipelineBytes), "a number of bytes from 4096 to 1048576", inRange(s.Callers.PipelineBytes, minPipelineBytes, maxPipelineBytes)},
+		{"Callers", "MemoryMB", strconv.FormatFloat(s.Callers.MemoryMB, 'g', -1, 64), "a number of MiB from 4 to 1073741824, or nothing", s.Callers.MemoryMB == 0 || (s.Callers.MemoryMB >= minCallerMB && s.Callers.MemoryMB <= maxMemoryMB)},
+		{"Callers", "Connections", strconv.Itoa(s.Callers.Connections), "a number from 16 to 1073741824, or nothing", s.Callers.Connections == 0 || inRange(s.Callers.Connections, minConnections, maxDescriptors)},
+		{"Callers", "MinBodyRate", strconv.Itoa(s.Callers.MinBodyRate), "a number of bytes per second from 1 to 1048576", inRange(s.Callers.MinBodyRate, 1, maxBodyRate)},
 		{"Platform", "Store", s.Platform.Store, address, loader.IsAddress(s.Platform.Store)},
 		{"Bounds", "RetryRatio", strconv.FormatFloat(s.Bounds.RetryRatio, 'g', -1, 64), "a share from 0 to 1", s.Bounds.RetryRatio <= 1},
 		{"Quotas", "Window", s.Quotas.Window.String(), "a duration from 1s to 1m", s.Quotas.Window >= time.Second && s.Quotas.Window <= time.Minute},
@@ -189,6 +218,8 @@
 		{"Rollouts", "ExposureShare", strconv.FormatFloat(s.Rollouts.ExposureShare, 'g', -1, 64), "a share from 0 to 1, or nothing", s.Rollouts.ExposureShare >= 0 && s.Rollouts.ExposureShare <= 1},
 		{"Rollouts", "ExposureSlack", strconv.FormatFloat(s.Rollouts.ExposureSlack, 'g', -1, 64), "a number of calls up to 1000000", s.Rollouts.ExposureSlack >= 0 && s.Rollouts.ExposureSlack <= maxExposureSlack},
 		{"Rollouts", "RollbackDelay", s.Rollouts.RollbackDelay.String(), "a time of at least 1s", s.Rollouts.RollbackDelay >= minRollbackDelay},
+		{"Machine", "MemoryMB", strconv.FormatFloat(s.Machine.MemoryMB, 'g', -1, 64), "a number of MiB from 32 to 1073741824, or nothing", s.Machine.MemoryMB == 0 || (s.Machine.MemoryMB >= minMemoryMB && s.Machine.MemoryMB <= maxMemoryMB)},
+		{"Machine", "Descriptors", strconv.Itoa(s.Machine.Descriptors), "a number from 256 to 1073741824, or nothing", s.Machine.Descriptors == 0 || inRange(s.Machine.Descriptors, minDescriptors, maxDescriptors)},
 		{"Policy", "Off", s.Policy.Off, "a comma-separated list of mechanism names, or nothing", policyErr == nil},
 		{"Log", "Format", s.Log.Format, "Text, JSON", s.Log.Format == "Text" || s.Log.Format == "JSON"},
 		{"Log", "Level", s.Log.Level, "debug, info, warning, error", slices.Contains(levels, s.Log.Level)},
--- a/cmd/hemlocktally/settings_test.go
+++ b/cmd/hemlocktally/settings_test.go
@@ -38,6 +38,7 @@
 		"bounds.retryBudgetRatio": "0.2", "bounds.budgetWindow": "10s", "bounds.budgetSlack": "56", "bounds.probesPerS": "60",
 		"bounds.quotaWindow": "5s", "bounds.quotaOvershoot": "0.1", "bounds.quotaSlack": "20",
 		"bounds.exposureShare": "0.1", "bounds.exposureSlack": "50", "bounds.rollback": "5s",
+		"limits.memoryMb": "136", "limits.maxFds": "2870",
 	}
 	filled := regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(string(template), func(place string) string {
 		value, ok := values[place[2:len(place)-2]]
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"hemlocktally"
+	"hemlocktally/reserver"
 )
 
 // A call that another instance handed over names it, the revision of its configuration, how long
@@ -42,12 +43,15 @@
 	r.Header.Del(hemlocktally.HeaderForwarded)
 	d.serveContained(w, r, func(c *call) {
 		c.forwarded = &from
+		c.memory.holder = d.Peers
 		c.started = c.started.Add(-from.elapsed)
 		switch {
 		case err != nil:
 			c.refuse(notRunError(hemlocktally.ReasonBadRequest, err.Error()))
 		case open > maxForwarded:
 			c.refuse(notRunError(hemlocktally.ReasonShed, "too many calls of other instances are open"))
+		case !c.memory.reserve(reserver.RequestCost):
+			c.refuse(notRunError(hemlocktally.ReasonOverloaded, (&hemlocktally.OverloadError{}).Error()))
 		case d.stopping():
 			c.refuse(notRunError(hemlocktally.ReasonLeaving, "the instance is leaving"))
 		default:
