TestResetsDuringUploads: buffered responses too, and counts

Half of the workers buffer up to 256 KiB, as an instance does; most responses were streamed before. The test now tells how the calls ended.

--- a/dispatcher/broken_response_test.go
+++ b/dispatcher/broken_response_test.go
@@ -167,21 +167,30 @@
 		total = n
 	}
 	var group sync.WaitGroup
+	var refused, brokenOff atomic.Int64
 	for worker := range workers {
 		group.Go(func() {
 			random := rand.New(rand.NewPCG(seed, uint64(worker)))
 			var current atomic.Pointer[uploadReset]
 			address := startResettingTarget(t, func(conn net.Conn, reader *bufio.Reader) { current.Load().play(conn, reader) })
 			h := newUploadHarness(t, address)
+			if worker%2 == 0 {
+				h.BufferLimit = 256 << 10 // The responses are buffered; those of the other workers are mostly streamed.
+			}
 			body := bytes.Repeat([]byte("x"), 8<<20)
 			for n := worker; n < total && !t.Failed(); n += workers {
 				plan := newUploadReset(random)
 				current.Store(&plan)
-				checkNoSuccess(t, h, body[:plan.size], fmt.Sprintf("%d: %s", n, plan))
+				if checkNoSuccess(t, h, body[:plan.size], fmt.Sprintf("%d: %s", n, plan)) {
+					refused.Add(1)
+				} else {
+					brokenOff.Add(1)
+				}
 			}
 		})
 	}
 	group.Wait()
+	t.Logf("%d resets: %d calls refused, %d responses broken off", refused.Load()+brokenOff.Load(), refused.Load(), brokenOff.Load())
 }
 
 // uploadReset is what a target does during one upload.
@@ -263,23 +272,25 @@
 	return h
 }
 
-// checkNoSuccess sends a request whose target always breaks off its response.
-func checkNoSuccess(t *testing.T, h *harness, body []byte, what string) {
+// checkNoSuccess sends a request whose target always breaks off its response. It reports whether
+// the caller got a refusal, in place of a broken response.
+func checkNoSuccess(t *testing.T, h *harness, body []byte, what string) (refused bool) {
 	t.Helper()
 	response, err := postOnce(h.url+"/pay", body)
 	if err != nil {
 		checkNoTimeout(t, err, what)
-		return // The caller's connection ended.
+		return false // The caller's connection ended.
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
 	checkNoTimeout(t, err, what)
 	if err == nil && response.StatusCode == http.StatusServiceUnavailable && bytes.Contains(text, []byte("dial tcp")) {
-		return // The target could not be reached in time, so the request was not sent.
+		return true // The target could not be reached in time, so the request was not sent.
 	}
 	if err == nil && response.StatusCode != http.StatusBadGateway {
 		t.Errorf("%s: status %d with a complete body of %d bytes", what, response.StatusCode, len(text))
 	}
+	return err == nil
 }
 
 func postOnce(url string, body []byte) (*http.Response, error) {
