--- a/limiter/exchange_test.go
+++ b/limiter/exchange_test.go
@@ -89,9 +89,11 @@
 		l.Prepare()
 		l.Configure(customers)
 		n.handlers[instance.PeerAddress] = messenger.NewQuotaServer(l)
-		go func() { _ = l.Run(ctx) }()
 		limiters = append(limiters, l)
 	}
+	for _, l := range limiters {
+		go func() { _ = l.Run(ctx) }()
+	}
 	return limiters
 }
 
