--- a/limiter/exchange_test.go
+++ b/limiter/exchange_test.go
@@ -91,7 +91,7 @@
 		n.handlers[instance.PeerAddress] = messenger.NewQuotaServer(l)
 		limiters = append(limiters, l)
 	}
-	for _, l := range limiters { // None calls another one before all are known to the network.
+	for _, l := range limiters {
 		go func() { _ = l.Run(ctx) }()
 	}
 	return limiters
