Rollouts: the ramp prefers targets that serve calls already

Cause: the ramp spread its calls over all new targets, so that a version that is bad only under load did not show it there.

Change: as in the canary phase, a target of the new version that serves a call costs half.

--- a/placer/ranking.go
+++ b/placer/ranking.go
@@ -142,7 +142,7 @@
 		c.cost += max(newConnectionCost, time.Duration(newConnectionShare*float64(left)))
 	}
 	switch {
-	case s.inCanary(t):
+	case t.candidate: // Few targets under full load show more than many that are nearly idle.
 		if len(t.grants) > 0 {
 			c.cost = time.Duration(busyPreference * float64(c.cost))
 		}
--- a/placer/rollout.go
+++ b/placer/rollout.go
@@ -213,9 +213,6 @@
 	return !t.candidate || !s.rollout.decision.Canary() || slices.Contains(s.rollout.focus, t)
 }
 
-// inCanary reports whether the target is used by the canary phase.
-func (s *State) inCanary(t *targetState) bool { return t.candidate && s.rollout.decision.Canary() }
-
 // refreshFocus replaces targets of the canary phase that can't be used any more, and in turn the one
 // that has been used longest.
 func (s *State) refreshFocus(now time.Time) {
