--- a/placer/ranking.go
+++ b/placer/ranking.go
@@ -178,7 +178,7 @@
 		c.cost += costs.newConnection
 	}
 	switch {
-	case s.inCanary(t):
+	case t.candidate: // Few targets under full load show more than many that are nearly idle.
 		if len(t.grants) > 0 {
 			c.cost = time.Duration(busyPreference * float64(c.cost))
 		}
