Rollouts: results seen in good rollouts are explained by chance

The rates that the old version is assumed to have are higher now: 0.012 in place of 0.005, and 0.35 in place of 0.1 for latencies that are not divided by the reported pace.

--- a/promoter/evidence.go
+++ b/promoter/evidence.go
@@ -24,15 +24,21 @@
 	// lateProbability replaces rollbackProbability where the time for more results is over.
 	lateProbability = 1e-3
 	// failureFloor and slowFloor are the least rates that the old version is assumed to have.
+	// Few targets of the new version get calls, and all of them may be among those that crash or lose
+	// responses: 8 of 212 calls failed so beside 19 of 3,927 with the old version, in a good rollout.
 	// Results that are slow by chance come together, since a slow target serves several calls.
-	failureFloor = 0.005
-	slowFloor    = 0.05
+	failureFloor = 0.012
+	// zoneFailureFloor replaces it where the results of other zones confirm a finding.
+	zoneFailureFloor = 0.005
+	slowFloor        = 0.05
 	// slowWeight makes up for results that are slow together.
 	slowWeight = 3
 	// longFloor and longWeight make the same test of latencies that are not divided by the pace that
 	// targets report. A quarter of the targets may be seven times slower for half a second at a time,
-	// so that many results are slow by chance, and together.
-	longFloor  = 0.1
+	// so that many results are slow by chance, and together. Calls of the old version go to those that
+	// are quick at the moment, the few of the new version can't: 53 of 232 were slow so beside 26 of
+	// 4,109, in a good rollout.
+	longFloor  = 0.35
 	longWeight = 5000
 	// rawCap limits the weight of a single one of these latencies in their mean.
 	rawCap = 2
@@ -379,7 +385,7 @@
 	probability float64
 	detail      string
 	test        test
-	rate        float64 // rate is the rate that the old version is assumed to have.
+	zoneRate    float64 // zoneRate is the rate that the results of other zones are held against.
 	results     float64
 	bad         float64
 	zones       map[hemlocktally.ZoneName]*hemlocktally.RolloutCounts // zones are nil for all contracts together.
@@ -390,13 +396,15 @@
 	name   string
 	counts func(hemlocktally.RolloutCounts) (bad, results float64)
 	floor  float64
-	weight float64 // weight multiplies the probability.
+	// zoneFloor replaces the floor for the results of other zones.
+	zoneFloor float64
+	weight    float64 // weight multiplies the probability.
 }
 
 var tests = []test{
-	{"failed", func(c hemlocktally.RolloutCounts) (bad, results float64) { return c.Failed, c.Results }, failureFloor, 1},
-	{"slow", func(c hemlocktally.RolloutCounts) (bad, results float64) { return c.Slow, c.Timed }, slowFloor, slowWeight},
-	{"slow, whatever speed their targets report,", func(c hemlocktally.RolloutCounts) (bad, results float64) { return c.Long, c.Raw }, longFloor, longWeight},
+	{"failed", func(c hemlocktally.RolloutCounts) (bad, results float64) { return c.Failed, c.Results }, failureFloor, zoneFailureFloor, 1},
+	{"slow", func(c hemlocktally.RolloutCounts) (bad, results float64) { return c.Slow, c.Timed }, slowFloor, slowFloor, slowWeight},
+	{"slow, whatever speed their targets report,", func(c hemlocktally.RolloutCounts) (bad, results float64) { return c.Long, c.Raw }, longFloor, longFloor, longWeight},
 }
 
 // worst returns the finding with the lowest probability, over all contracts together and each.
@@ -419,22 +427,29 @@
 			continue
 		}
 		oldBad, oldResults := test.counts(before)
-		prior := test.floor
-		if allBad, all := test.counts(service); all > 0 {
-			prior = max(prior, allBad/all)
-		}
-		n := oldResults + priorResults
-		rate := (oldBad + priorResults*prior) / n
-		rate = max(test.floor, rate+math.Sqrt(rate*(1-rate)/n)) // The old version's rate may be higher than its sample.
-		if p := test.weight * binomialTail(results, bad, rate); p < f.probability {
+		allBad, all := test.counts(service)
+		rate := func(floor float64) float64 { return assumedRate(floor, oldBad, oldResults, allBad, all) }
+		if p := test.weight * binomialTail(results, bad, rate(test.floor)); p < f.probability {
 			*f = finding{
-				probability: p, test: test, rate: rate, results: results, bad: bad, zones: zones,
+				probability: p, test: test, zoneRate: rate(test.zoneFloor), results: results, bad: bad, zones: zones,
 				detail: fmt.Sprintf("%s: %.0f of %.0f %s, %.0f of %.0f with the old version", what, bad, results, test.name, oldBad, oldResults),
 			}
 		}
 	}
 }
 
+// assumedRate returns the rate of bad results that the old version is assumed to have, which may be
+// higher than in its sample. Of a contract with few results, the rate of the service counts more.
+func assumedRate(floor, bad, results, serviceBad, serviceResults float64) float64 {
+	prior := floor
+	if serviceResults > 0 {
+		prior = max(prior, serviceBad/serviceResults)
+	}
+	n := results + priorResults
+	rate := (bad + priorResults*prior) / n
+	return max(floor, rate+math.Sqrt(rate*(1-rate)/n))
+}
+
 // confirmed reports whether the results without those of the zone that explains the finding best are
 // bad as well. A zone that is lost would look like a bad version.
 func (f finding) confirmed(zones map[hemlocktally.ZoneName]*hemlocktally.RolloutCounts) bool {
@@ -451,7 +466,7 @@
 	if restResults < minRestResults {
 		return f.bad >= minZoneBad
 	}
-	return binomialTail(restResults, restBad, f.rate) < confirmProbability
+	return binomialTail(restResults, restBad, f.zoneRate) < confirmProbability
 }
 
 // binomialTail returns the probability of at least k of n independent results with the given rate.
--- a/promoter/state_test.go
+++ b/promoter/state_test.go
@@ -87,6 +87,19 @@
 	}
 }
 
+// Guards against good versions that are rolled back for results seen in good rollouts: few targets
+// of the new version get calls, and some of them crash, lose responses or are slow for a moment.
+func TestChanceIsNoBadVersion(t *testing.T) {
+	c := qt.New(t)
+	for _, counts := range []struct{ before, after hemlocktally.RolloutCounts }{
+		{hemlocktally.RolloutCounts{Results: 3927, Failed: 19}, hemlocktally.RolloutCounts{Results: 212, Failed: 8}},
+		{hemlocktally.RolloutCounts{Raw: 4109, Long: 26}, hemlocktally.RolloutCounts{Raw: 232, Long: 53}},
+	} {
+		e := evidence{contracts: map[hemlocktally.ContractName]*tally{"c": {old: counts.before, new: counts.after}}}
+		c.Check(e.worst().probability > lateProbability, qt.IsTrue, qt.Commentf("%s: %g", e.worst().detail, e.worst().probability))
+	}
+}
+
 // Guards against a version that is rolled back although only a single target of it, or a zone, fails.
 func TestFailingZoneIsNoBadVersion(t *testing.T) {
 	c := qt.New(t)
