Rollouts: steps are skipped 0.3 s earlier, slow means 50 ms more than usual

Cause: in trials with a decider that is killed and a tenth of the writes' responses lost, good versions were completed up to 2.2 s after the deadline. On an overloaded machine, TestRolloutsOverSockets once rolled a good version back: its work of 15 ms is short against the delays of an instance without CPU.

Change: lateTime, switchBy and unclearTime are 0.3 s longer; a slow result exceeds the mean by at least 50 ms.

--- a/promoter/evidence.go
+++ b/promoter/evidence.go
@@ -40,6 +40,9 @@
 	priorResults = 20
 	// slowFactor is the multiple of a contract's mean latency from which a result counts as slow.
 	slowFactor = 2.5
+	// minSlowSeconds is by how much a slow result exceeds the mean at least. Delays of an instance that is
+	// short of CPU are a multiple of short work.
+	minSlowSeconds = 0.05
 	// minMeanSamples is the number of samples from which a mean latency is used, maxMeanSamples the
 	// number over which it moves.
 	minMeanSamples = 15
@@ -224,7 +227,7 @@
 	if t.mean.samples < minMeanSamples {
 		return 0
 	}
-	return slowFactor * t.mean.value
+	return max(slowFactor*t.mean.value, t.mean.value+minSlowSeconds)
 }
 
 func count(c *hemlocktally.RolloutCounts, result class) {
@@ -295,7 +298,7 @@
 	}
 	for _, c := range counts {
 		c.Raw++
-		if factor >= lostSlowness {
+		if factor >= lostSlowness && msg.Latency.Seconds() > t.raw.value+minSlowSeconds {
 			c.Long++
 		}
 	}
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -126,14 +126,14 @@
 	// maxRampShare limits rampTime for short durations, as a share of the duration.
 	maxRampShare = 0.6
 	// lateTime is the time before the deadline from which steps no longer wait for evidence.
-	lateTime = 2600 * time.Millisecond
+	lateTime = 2900 * time.Millisecond
 	// earlyTime is the time before the deadline until which earlyProbability counts.
 	earlyTime = 3300 * time.Millisecond
 	// unclearTime is the time before the deadline at which a switch is completed although the results
 	// are not clear.
-	unclearTime = 1500 * time.Millisecond
+	unclearTime = 1800 * time.Millisecond
 	// switchBy is the time before the deadline at which steps of the ramp are skipped.
-	switchBy = 2 * time.Second
+	switchBy = 2300 * time.Millisecond
 	// giveUpTime is the time before the deadline at which a version that can't take the calls is
 	// rolled back.
 	giveUpTime  = 900 * time.Millisecond
