Late calls yield to others when a quota is nearly used up

A call whose caller has waited for its objective already (it has that much less time left than others of its kind) leaves the last 0.15 of a quota to others.

--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -113,6 +113,7 @@
 	case ok && remaining <= 0:
 		return notRunError(hemlocktally.ReasonDeadline, "the deadline has already passed")
 	case ok:
+		c.late = c.isLate(remaining)
 		limit = min(limit, remaining)
 	}
 	c.deadline = c.started.Add(limit)
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -147,7 +147,7 @@
 		Call: c.record.Call, Service: c.contract.Service, Contract: c.contract.Name, Priority: c.contract.Priority,
 		Kind: a.kind, Deadline: c.deadline, QueueLimit: a.queueLimit(), Exclude: a.exclude,
 		Objective: c.started.Add(c.contract.EffectiveObjective()), NonIdempotent: c.contract.NonIdempotent,
-		Trial: a.trial(verdict), Customer: c.customer.Name, Counted: a.counted,
+		Trial: a.trial(verdict), Customer: c.customer.Name, Late: c.late, Counted: a.counted,
 	})
 	if err != nil {
 		a.end(GrantRefusedMsg{Attempt: a.number, Error: grantError(ctx, err)})
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -19,6 +19,7 @@
 	controller      *http.ResponseController
 	request         *http.Request
 	contract        hemlocktally.Contract
+	late            bool                  // late is set if the call can't meet its objective any more, counted from its caller's first try.
 	customer        hemlocktally.Customer // customer has no name if the call is no customer's.
 	idempotencyKey  string
 	body            *requestBody
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -49,6 +49,7 @@
 	interrupt  interrupt
 	splitter   trafficSplitter
 	latencies  latencies
+	waited     waitedTracker
 	held       heldBytes
 	violations atomic.Uint64
 	forwarded  atomic.Int64  // forwarded counts the open calls of other instances.
--- a/grant.go
+++ b/grant.go
@@ -48,6 +48,7 @@
 	// deadline.
 	Objective     time.Time
 	NonIdempotent bool
+	Late          bool         // Late is set if the call can't meet its objective any more, counted from its caller's first try.
 	Customer      CustomerName // Customer is whose quota the call counts against; it may be empty.
 	Counted       bool         // Counted is set if an earlier attempt of the call counts against the quota.
 	// Trial is the fingerprint of a request that was held back and is tried once more; it is
--- a/limiter/alone.go
+++ b/limiter/alone.go
@@ -244,6 +244,9 @@
 	return charge, refused
 }
 
+// Yield refuses nothing: an instance that decides alone does not know how much of a quota is used.
+func (l *Alone) Yield(hemlocktally.CustomerName) *hemlocktally.RefusedError { return nil }
+
 // Start does nothing: a call that waited is counted as of when it was taken.
 func (l *Alone) Start(charge Charge) Charge { return charge }
 
--- a/limiter/exchange.go
+++ b/limiter/exchange.go
@@ -68,6 +68,17 @@
 	l.state.SetCustomers(customers, time.Now())
 }
 
+// Yield refuses a late call of a customer that has used up nearly all of its quota. It implements
+// placer.Quotas.
+func (l *Limiter) Yield(customer hemlocktally.CustomerName) *hemlocktally.RefusedError {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.state.Active() {
+		return nil
+	}
+	return l.state.Yield(customer, time.Now())
+}
+
 // Take counts a call of a customer, or refuses it. sent is what the instance that asks has sent
 // lately. It implements placer.Quotas.
 func (l *Limiter) Take(customer hemlocktally.CustomerName, from hemlocktally.InstanceID, sent []uint32) (Charge, *hemlocktally.RefusedError) {
--- a/limiter/exchange_test.go
+++ b/limiter/exchange_test.go
@@ -333,3 +333,28 @@
 	c.Check(waitFor, qt.HasLen, 2)
 	c.Check(silent, qt.HasLen, 0)
 }
+
+// Guards against a quota that goes to callers who come back after a refusal and are late then,
+// while those of a first try are refused.
+func TestLateCallsYieldToOthers(t *testing.T) {
+	c := qt.New(t)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	s := limiter.State{Self: "o", Incarnation: "1", Bounds: limiter.Bounds{Window: 5 * time.Second, Overshoot: 1.1, Slack: 20}}
+	s.SetCustomers([]hemlocktally.Customer{{Name: "c", RatePerSecond: 20, Burst: 20}}, now)
+	s.SetHubs([]hemlocktally.Instance{{ID: "o"}}, now)
+	now = now.Add(time.Minute)
+	for range 80 {
+		c.Assert(s.Yield("c", now) == nil, qt.IsTrue)
+		_, refused, _ := s.Take("c", true, now)
+		c.Assert(refused == nil, qt.IsTrue)
+	}
+	for range 30 {
+		_, refused, _ := s.Take("c", true, now)
+		c.Assert(refused == nil, qt.IsTrue)
+	}
+	c.Assert(s.Yield("c", now) == nil, qt.IsFalse)
+	_, refused, _ := s.Take("c", true, now)
+	c.Check(refused == nil, qt.IsTrue)
+	c.Check(s.Yield("unknown", now) == nil, qt.IsTrue)
+	c.Check(s.Yield("c", now.Add(6*time.Second)) == nil, qt.IsTrue)
+}
--- a/limiter/state.go
+++ b/limiter/state.go
@@ -153,6 +153,33 @@
 	return Charge{customer: name, bucket: bucket}, nil, false
 }
 
+// lateReserve is the part of a quota that late calls leave to others. Callers that are refused
+// for their quota come back, and a quota that is used up would go to them: as many calls would
+// be served, but most of them late.
+const lateReserve = 0.15
+
+// Yield refuses a late call of a customer that has used up nearly all of its quota, or of this
+// hub's share of it.
+func (s *State) Yield(name hemlocktally.CustomerName, now time.Time) *hemlocktally.RefusedError {
+	a := s.account(name)
+	if a == nil {
+		return nil
+	}
+	bucket := s.bucket(now)
+	own := float64(a.own.count(bucket))
+	active, departed := a.counts(bucket)
+	_, shared := s.allowed(a, now)
+	used := own + active + departed
+	share := a.share
+	if !s.hasHubs() {
+		share = 1
+	}
+	if used < (1-lateReserve)*a.budget.quota && own < (1-lateReserve)*max(share*shared, a.budget.newcomer) {
+		return nil
+	}
+	return s.refuse(a, now, a.nextFree(bucket, (1-lateReserve)*a.budget.quota, used))
+}
+
 // usedBefore returns what was granted in the window before the hubs knew all counts.
 func (s *State) usedBefore(a *account, now time.Time) float64 {
 	if now.Sub(s.knownSince) >= s.Bounds.Window {
--- a/placer/quota.go
+++ b/placer/quota.go
@@ -13,6 +13,8 @@
 	// Take counts a call, or refuses it. The call comes from the given instance, which has sent
 	// the given numbers of the customer's calls lately.
 	Take(customer hemlocktally.CustomerName, from hemlocktally.InstanceID, sent []uint32) (limiter.Charge, *hemlocktally.RefusedError)
+	// Yield refuses a late call of a customer that has used up nearly all of its quota.
+	Yield(customer hemlocktally.CustomerName) *hemlocktally.RefusedError
 	// Start moves a call to the time at which it is sent to a target.
 	Start(charge limiter.Charge) limiter.Charge
 	// GiveBack takes a call back that was certainly not executed.
@@ -61,6 +63,11 @@
 	if known != nil {
 		return nil
 	}
+	if msg.Request.Late {
+		if refused := s.Quotas.Yield(msg.Request.Customer); refused != nil {
+			return refused
+		}
+	}
 	taken, refused := s.Quotas.Take(msg.Request.Customer, msg.From, msg.Sent)
 	if refused != nil || !taken.Counted() {
 		return refused
--- a/placer/quota_test.go
+++ b/placer/quota_test.go
@@ -43,6 +43,12 @@
 	return charge, refused
 }
 
+func (q *countingQuotas) Yield(customer hemlocktally.CustomerName) *hemlocktally.RefusedError {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.state.Yield(customer, time.Now())
+}
+
 func (q *countingQuotas) Start(charge limiter.Charge) limiter.Charge { return charge }
 
 func (q *countingQuotas) GiveBack(charge limiter.Charge) {
--- a/placer/wire.go
+++ b/placer/wire.go
@@ -59,7 +59,7 @@
 		Deadline: now.Add(messenger.Duration(in.GetDeadlineMicroseconds())), Objective: now.Add(messenger.Duration(in.GetObjectiveMicroseconds())),
 		NonIdempotent: in.GetNonIdempotent(),
 	}
-	request.Customer, request.Counted = hemlocktally.CustomerName(in.GetCustomer()), in.GetCounted()
+	request.Customer, request.Counted, request.Late = hemlocktally.CustomerName(in.GetCustomer()), in.GetCounted(), in.GetLate()
 	if trial := in.GetTrial(); len(trial) == hemlocktally.FingerprintBytes {
 		request.Trial = hemlocktally.Fingerprint(trial)
 	}
@@ -78,7 +78,7 @@
 		Ticket: msg.Ticket, Service: string(r.Service), Contract: string(r.Contract), Priority: int32(r.Priority),
 		Kind: int32(r.Kind), Zone: string(msg.Zone), Instance: string(msg.From),
 		DeadlineMicroseconds: r.Deadline.Sub(now).Microseconds(), ObjectiveMicroseconds: r.Objective.Sub(now).Microseconds(),
-		NonIdempotent: r.NonIdempotent, Customer: string(r.Customer), Counted: r.Counted, Sent: msg.Sent, Limits: wireLimits(msg.Limits, now), LimitsVersion: msg.LimitsVersion,
+		NonIdempotent: r.NonIdempotent, Customer: string(r.Customer), Late: r.Late, Counted: r.Counted, Sent: msg.Sent, Limits: wireLimits(msg.Limits, now), LimitsVersion: msg.LimitsVersion,
 	}
 	if r.Trial != (hemlocktally.Fingerprint{}) {
 		out.Trial = r.Trial[:]
