--- a/promoter/evidence.go
+++ b/promoter/evidence.go
@@ -450,7 +450,8 @@
 	}
 	n := results + priorResults
 	rate := (bad + priorResults*prior) / n
-	return max(floor, rate+math.Sqrt(rate*(1-rate)/n))
+	// Calls of a contract may fail with either version: 9 of 9 failed beside 8 of 8.
+	return max(floor, rate+math.Sqrt(rate*(1-rate)/n), bad/(results+2))
 }
 
 // confirmed reports whether the results without those of the zone that explains the finding best are
--- a/promoter/state_test.go
+++ b/promoter/state_test.go
@@ -94,6 +94,7 @@
 	for _, counts := range []struct{ before, after hemlocktally.RolloutCounts }{
 		{hemlocktally.RolloutCounts{Results: 3927, Failed: 19}, hemlocktally.RolloutCounts{Results: 212, Failed: 8}},
 		{hemlocktally.RolloutCounts{Raw: 4109, Long: 26}, hemlocktally.RolloutCounts{Raw: 232, Long: 53}},
+		{hemlocktally.RolloutCounts{Results: 8, Failed: 8}, hemlocktally.RolloutCounts{Results: 9, Failed: 9}}, // Calls that fail with either version.
 	} {
 		e := evidence{contracts: map[hemlocktally.ContractName]*tally{"c": {old: counts.before, new: counts.after}}}
 		c.Check(e.worst().probability > lateProbability, qt.IsTrue, qt.Commentf("%s: %g", e.worst().detail, e.worst().probability))
