Many targets that are missing after a failed read have lapsed, however short the outage was

With a longer outage in the test another fault showed: a hub that first reads the targets after an outage passes an empty list on. An outage counts from the beginning of the last answered call, as a watch may have waited when the store stopped answering.

--- a/follower/outage.go
+++ b/follower/outage.go
@@ -46,7 +46,8 @@
 	default:
 		o.down, o.end = false, now
 	}
-	o.answeredAt = now
+	// A watch may have waited when the store stopped answering.
+	o.answeredAt = later(o.answeredAt, began)
 }
 
 // noteOthersServed records that the store answers other instances.
--- a/follower/state.go
+++ b/follower/state.go
@@ -128,7 +128,7 @@
 }
 
 func (s *State) applyChanges(msg ChangesMsg, now time.Time) []any {
-	f := s.markAnswered(msg.Kind, msg.HoldRemovalsUntil, now)
+	f := s.markAnswered(msg.Kind, s.countRemoved(msg.Entries), msg.HoldRemovalsUntil, now)
 	var notes []any
 	for _, entry := range msg.Entries {
 		notes = append(notes, s.applyEntry(f, entry, now)...)
@@ -176,10 +176,11 @@
 	f.failing, f.graceEnd = false, time.Time{}
 }
 
-// markAnswered records an answer of the store. After an outage in which entries may have
-// lapsed, removals are held for a time.
-func (s *State) markAnswered(kind hemlocktally.EntryKind, holdUntil, now time.Time) *feedState {
+// markAnswered records an answer of the store, by which a number of known entries are removed.
+// After an outage in which entries may have lapsed, removals are held for a time.
+func (s *State) markAnswered(kind hemlocktally.EntryKind, removed int, holdUntil, now time.Time) *feedState {
 	f := s.feed(kind)
+	s.holdManyRemovals(f, kind, removed, now)
 	f.failing = false
 	f.graceEnd = later(f.graceEnd, holdUntil)
 	if kind == hemlocktally.EntryTarget {
@@ -189,7 +190,7 @@
 }
 
 func (s *State) applySnapshot(msg SnapshotMsg, now time.Time) []any {
-	f := s.markAnswered(msg.Kind, msg.HoldRemovalsUntil, now)
+	f := s.markAnswered(msg.Kind, s.countMissing(msg.Kind, msg.Entries), msg.HoldRemovalsUntil, now)
 	present := make(map[string]bool, len(msg.Entries))
 	holdsPrevious := s.restore.holdsPrevious(now) && !msg.Reconciled
 	var notes []any
@@ -224,6 +225,44 @@
 	return hemlocktally.GenerationVersion{Generation: s.restore.generation, Version: hemlocktally.StoreVersion(revision)}
 }
 
+// maxLeftShare is the share of the targets that may have left while the store could not be read.
+const maxLeftShare = 0.25
+
+// holdManyRemovals holds removals if reads have failed before and more targets are missing than are
+// likely to have left meanwhile: their entries have lapsed, however short the outage was here.
+func (s *State) holdManyRemovals(f *feedState, kind hemlocktally.EntryKind, removed int, now time.Time) {
+	if f.failing && kind == hemlocktally.EntryTarget && float64(removed) > maxLeftShare*float64(len(s.targets)) {
+		f.graceEnd = later(f.graceEnd, now.Add(reappearGrace))
+	}
+}
+
+// countRemoved returns how many of the changes remove a known target.
+func (s *State) countRemoved(changes []hemlocktally.DirectoryEntry) int {
+	removed := 0
+	for _, entry := range changes {
+		kind, name := s.Interpreter.Kind(entry.Key)
+		if _, known := s.targets[hemlocktally.TargetName(name)]; known && entry.Removed && kind == hemlocktally.EntryTarget {
+			removed++
+		}
+	}
+	return removed
+}
+
+// countMissing returns how many known keys of a kind a full set of entries lacks.
+func (s *State) countMissing(kind hemlocktally.EntryKind, entries []hemlocktally.DirectoryEntry) int {
+	present := make(map[string]bool, len(entries))
+	for _, entry := range entries {
+		present[entry.Key] = !entry.Removed
+	}
+	missing := 0
+	for _, key := range s.keys(kind) {
+		if !present[key] {
+			missing++
+		}
+	}
+	return missing
+}
+
 // applyAbsence handles a key that a full set of entries lacks. A set that is older than the
 // known entry says nothing about it: the hub that sent it has not read that entry yet.
 // While the previous state takes precedence over a restored backup, a missing zone stop
--- a/follower/targetstate.go
+++ b/follower/targetstate.go
@@ -20,14 +20,32 @@
 	if msg.Unchanged {
 		return nil // If a different list was read meanwhile, the next request returns the full list.
 	}
-	clear(f.pendingRemovals) // The hub has already waited for entries to reappear.
-	var notes []any
 	present := make(map[hemlocktally.TargetName]bool, len(msg.Targets))
 	for _, r := range msg.Targets {
 		present[r.Target.Name] = true
+	}
+	missing := 0
+	for name := range s.targets {
+		if !present[name] {
+			missing++
+		}
+	}
+	// A hub that has read the targets for the first time after an outage does not know which
+	// entries have lapsed.
+	s.holdManyRemovals(f, hemlocktally.EntryTarget, missing, now)
+	holds := now.Before(f.graceEnd)
+	if !holds {
+		clear(f.pendingRemovals) // The hub has already waited for entries to reappear.
+	}
+	var notes []any
+	for _, r := range msg.Targets {
 		notes = append(notes, s.updateTarget(r)...)
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.targets)) {
+		if !present[name] && holds {
+			f.pendingRemovals[s.Interpreter.TargetPrefix()+string(name)] = true
+			continue
+		}
 		if !present[name] {
 			s.recordRemoval(hemlocktally.EntryTarget, s.Interpreter.TargetPrefix()+string(name), string(name), now)
 			notes = append(notes, s.remove(hemlocktally.EntryTarget, string(name))...)
