--- a/follower/outage.go
+++ b/follower/outage.go
@@ -59,6 +59,14 @@
 	}
 }
 
+// unsettled reports whether the store has failed to answer until recently, so that entries that
+// lapsed meanwhile may not have reappeared yet.
+func (o *outageTracker) unsettled(now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.down || (!o.end.IsZero() && now.Sub(o.end) < reappearGrace)
+}
+
 // holdRemovalsUntil returns until when an entry that was removed may still reappear; zero if
 // none may. Entries lapse if targets can't renew them. In an outage that is too short for that,
 // or that only this instance had, an entry that is missing belongs to a target that has left.
--- a/follower/targets.go
+++ b/follower/targets.go
@@ -101,6 +101,10 @@
 		sleep(ctx, jitter(t.failurePause))
 		return
 	}
+	if t.knownRevision == 0 && t.outage.unsettled(time.Now()) {
+		// Nobody needed the targets during the outage, so that only other calls have failed.
+		send(ctx, t.inbox, ReadFailedMsg{Kind: hemlocktally.EntryTarget})
+	}
 	t.noteStoreAnswer(began)
 	t.targetsUnreadable.Store(false)
 	t.failurePause, t.misses, t.knownRevision = 0, 0, revision
