--- a/balancer/isolated_test.go
+++ b/balancer/isolated_test.go
@@ -195,14 +195,10 @@
 			t.Parallel()
 			c := qt.New(t)
 			f := startFleet(t, "a", "a", "b", "b")
-			var hubs, others []*instance
-			for _, i := range f.instances {
-				entry, _ := f.directory.Get("hemlocktally/hubs/" + i.settings.Instance.Zone)
-				if strings.Contains(entry, `"`+i.settings.Instance.ID+`"`) {
-					hubs = append(hubs, i)
-				} else {
-					others = append(others, i)
-				}
+			hubs, others := f.hubs()
+			// An instance that follows the other zone's hub is ready before its own zone has one.
+			for end := time.Now().Add(10 * time.Second); len(hubs) < 2 && time.Now().Before(end); hubs, others = f.hubs() {
+				time.Sleep(10 * time.Millisecond)
 			}
 			c.Assert(hubs, qt.HasLen, 2)
 			cut, rest := cutAndCount(c, f, mode, readPath, often, hubs, others)
@@ -210,3 +206,16 @@
 		})
 	}
 }
+
+// hubs returns the instances that the store names as hubs, and all others.
+func (f *fleet) hubs() (hubs, others []*instance) {
+	for _, i := range f.instances {
+		entry, _ := f.directory.Get("hemlocktally/hubs/" + i.settings.Instance.Zone)
+		if strings.Contains(entry, `"`+i.settings.Instance.ID+`"`) {
+			hubs = append(hubs, i)
+		} else {
+			others = append(others, i)
+		}
+	}
+	return hubs, others
+}
