--- a/balancer/machine.go
+++ b/balancer/machine.go
@@ -24,7 +24,7 @@
 	// an idle instance has 22 MiB resident, 8 of them in the heap and in stacks.
 	programBytes = 16 << 20
 	// runtimeShare is the part of the machine's memory up to which the runtime may grow. Its limit
-	// is a soft one: with 1, the tests of package overloader came within 3 MiB of 80.
+	// is a soft one, which the heap exceeds for a moment under load.
 	runtimeShare = 0.8
 	// callerShare is the part of the runtime's memory that callers may use. The rest is for the
 	// picture of the fleet and for what the garbage collector has not freed yet.
--- a/promoter/evidence.go
+++ b/promoter/evidence.go
@@ -25,7 +25,7 @@
 	lateProbability = 1e-3
 	// failureFloor and slowFloor are the least rates that the old version is assumed to have.
 	// Few targets of the new version get calls, and all of them may be among those that crash or lose
-	// responses: 8 of 212 calls failed so beside 19 of 3,927 with the old version, in a good rollout.
+	// responses.
 	// Results that are slow by chance come together, since a slow target serves several calls.
 	failureFloor = 0.012
 	// zoneFailureFloor replaces it where the results of other zones confirm a finding.
@@ -36,8 +36,7 @@
 	// longFloor and longWeight make the same test of latencies that are not divided by the pace that
 	// targets report. A quarter of the targets may be seven times slower for half a second at a time,
 	// so that many results are slow by chance, and together. Calls of the old version go to those that
-	// are quick at the moment, the few of the new version can't: 53 of 232 were slow so beside 26 of
-	// 4,109, in a good rollout.
+	// are quick at the moment; those of the new version have few targets to choose from.
 	longFloor  = 0.35
 	longWeight = 5000
 	// rawCap limits the weight of a single one of these latencies in their mean.
@@ -450,7 +449,7 @@
 	}
 	n := results + priorResults
 	rate := (bad + priorResults*prior) / n
-	// Calls of a contract may fail with either version: 9 of 9 failed beside 8 of 8.
+	// Calls of a contract may fail with either version.
 	return max(floor, rate+math.Sqrt(rate*(1-rate)/n), bad/(results+2))
 }
 
